--- /dev/null
+++ b/cmd/operator/main.go
@@ -0,0 +1,332 @@
+// Command operator is how operators state setups and watch what comes of them.
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/options"
+	"meadowhinge/internal/registry"
+	"meadowhinge/internal/setup"
+)
+
+// Exit codes: what a script can tell apart.
+const (
+	exitRefused     = 1 // the mesh said no
+	exitUsage       = 2
+	exitUnreachable = 3 // no registry answered, or the outcome is not known
+)
+
+type client struct {
+	registries string
+	timeout    time.Duration
+	asJSON     bool
+	out        io.Writer
+}
+
+// ask calls the first registry that answers and gives its status and body.
+func (c *client) ask(method, path string, body any) (int, []byte, error) {
+	var sent []byte
+	if body != nil {
+		var err error
+		if sent, err = json.Marshal(body); err != nil {
+			return 0, nil, defect.Wrap(err, defect.Internal, "request")
+		}
+	}
+	silent := []string{}
+	for _, address := range options.List(c.registries) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return 0, nil, defect.New(defect.BadOptions, fmt.Sprintf("registries: %q is not IP:port", address))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+		request, _ := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(sent))
+		request.Header.Set("Content-Type", "application/json")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			cancel()
+			silent = append(silent, address)
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		cancel()
+		if err != nil {
+			silent = append(silent, address)
+			continue
+		}
+		return response.StatusCode, text, nil
+	}
+	return 0, nil, defect.New(defect.NoMajority, "no answer from "+strings.Join(silent, ", "))
+}
+
+// failure carries an exit code out of a command.
+type failure struct {
+	code int
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+
+// get asks for a page and decodes it, or prints it as it came.
+func (c *client) get(path string, into any) (done bool, err error) {
+	status, text, err := c.ask(http.MethodGet, path, nil)
+	if err != nil {
+		return false, &failure{exitUnreachable, err}
+	}
+	if status != http.StatusOK {
+		return false, &failure{exitRefused, defect.New(defect.NoMajority, string(text))}
+	}
+	if c.asJSON {
+		fmt.Fprintln(c.out, string(text))
+		return true, nil
+	}
+	return false, defect.Wrap(json.Unmarshal(text, into), defect.Malformed, path)
+}
+
+func (c *client) apply(file, id string) error {
+	text, err := os.ReadFile(file)
+	if file == "-" {
+		text, err = io.ReadAll(os.Stdin)
+	}
+	if err != nil {
+		return &failure{exitUsage, defect.Wrap(err, defect.BadOptions, "setup")}
+	}
+	submission := registry.Submission{ID: id, Setup: string(text), Expected: map[string]uint64{}}
+	if id == "" {
+		drawn := make([]byte, 8)
+		_, _ = rand.Read(drawn)
+		submission.ID = "change-" + hex.EncodeToString(drawn)
+	}
+	// What stands now is what this change was written against.
+	var shown registry.Shown
+	wasJSON := c.asJSON
+	c.asJSON = false
+	_, err = c.get("/v1/setup", &shown)
+	c.asJSON = wasJSON
+	if err != nil {
+		return err
+	}
+	items, faults := setup.Read(text)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", fault.Path, fault.Reason)
+		}
+		return &failure{exitRefused, defect.New(defect.BadSetup, "nothing of it was sent")}
+	}
+	for _, item := range items {
+		for _, held := range shown.Items {
+			if held.Kind == item.Kind && held.Name == item.Name {
+				submission.Expected[setup.Key(item.Kind, item.Name)] = held.Version
+			}
+		}
+	}
+	status, body, err := c.ask(http.MethodPost, "/v1/changes", submission)
+	if err != nil {
+		return &failure{exitUnreachable, defect.Wrap(err, defect.NoMajority, "ask again with: operator outcome "+submission.ID)}
+	}
+	if c.asJSON {
+		fmt.Fprintln(c.out, string(body))
+	}
+	return c.tell(status, body)
+}
+
+// tell prints what became of a change.
+func (c *client) tell(status int, body []byte) error {
+	var answer registry.Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return &failure{exitUnreachable, defect.Wrap(err, defect.Malformed, string(body))}
+	}
+	if !c.asJSON {
+		fmt.Fprintf(c.out, "change %s: %s", answer.ID, answer.Ruling)
+		if answer.Sequence > 0 {
+			fmt.Fprintf(c.out, " as %d", answer.Sequence)
+		}
+		if answer.Ruling == "accepted" {
+			fmt.Fprintf(c.out, ", acknowledged: %v", answer.Acknowledged)
+		}
+		if len(answer.Waiting) > 0 {
+			fmt.Fprintf(c.out, ", still waiting for %s", strings.Join(answer.Waiting, ", "))
+		}
+		fmt.Fprintln(c.out)
+		for _, fault := range answer.Faults {
+			fmt.Fprintf(c.out, "  %s: %s\n", fault.Path, fault.Reason)
+		}
+		for key, sequence := range answer.Current {
+			fmt.Fprintf(c.out, "  %s stands at %d\n", key, sequence)
+		}
+	}
+	switch {
+	case answer.Ruling == "accepted" && answer.Acknowledged:
+		return nil
+	case answer.Ruling == "accepted" || status == http.StatusServiceUnavailable:
+		return &failure{exitUnreachable, defect.New(defect.NoMajority, "not settled; ask again with: operator outcome "+answer.ID)}
+	}
+	return &failure{exitRefused, defect.New(answer.Defect, answer.ID)}
+}
+
+func (c *client) table(head string, rows [][]any) {
+	writer := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.ReplaceAll(head, " ", "\t"))
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(writer, "\t")
+			}
+			fmt.Fprintf(writer, "%v", cell)
+		}
+		fmt.Fprintln(writer)
+	}
+	writer.Flush()
+}
+
+func main() {
+	c := &client{out: os.Stdout}
+	root := flag.NewFlagSet("operator", flag.ContinueOnError)
+	root.StringVar(&c.registries, "registries", "127.0.0.1:7102", "IP:port of the registries' operator interfaces, by comma")
+	root.DurationVar(&c.timeout, "timeout", 25*time.Second, "longest wait for one registry")
+	root.BoolVar(&c.asJSON, "json", false, "print answers as they came")
+	version := root.Bool("version", false, "print the version and leave")
+
+	command := func(name, usage, help string, set *flag.FlagSet, words int, exec func(args []string) error) *ffcli.Command {
+		if set == nil {
+			set = flag.NewFlagSet(name, flag.ContinueOnError)
+		}
+		return &ffcli.Command{Name: name, ShortUsage: "operator [flags] " + usage, ShortHelp: help, FlagSet: set,
+			Exec: func(_ context.Context, args []string) error {
+				if len(args) != words {
+					return &failure{exitUsage, defect.New(defect.BadOptions, "usage: operator [flags] "+usage)}
+				}
+				return exec(args)
+			}}
+	}
+
+	applySet := flag.NewFlagSet("apply", flag.ContinueOnError)
+	id := applySet.String("id", "", "change id; a repeat under the same id gets the first outcome")
+	explainSet := flag.NewFlagSet("explain", flag.ContinueOnError)
+	caller := explainSet.String("caller", "client", "which service or client kind calls")
+	method := explainSet.String("method", "GET", "HTTP method")
+	area := explainSet.String("area", "", "zone the call comes from")
+	headers := explainSet.String("headers", "", "name=value by comma")
+
+	commands := []*ffcli.Command{
+		command("apply", "apply [-id ID] FILE", "state a setup change, written in CUE; - reads standard input", applySet, 1,
+			func(args []string) error { return c.apply(args[0], *id) }),
+		command("outcome", "outcome ID", "tell what became of a change", nil, 1, func(args []string) error {
+			status, body, err := c.ask(http.MethodGet, "/v1/changes/"+args[0], nil)
+			if err != nil {
+				return &failure{exitUnreachable, err}
+			}
+			if status != http.StatusOK {
+				return &failure{exitRefused, defect.New(defect.UnknownChange, string(body))}
+			}
+			return c.tell(status, body)
+		}),
+		command("show", "show", "show the setup in force", nil, 0, func([]string) error {
+			var shown registry.Shown
+			if done, err := c.get("/v1/setup", &shown); done || err != nil {
+				return err
+			}
+			var rows [][]any
+			for _, item := range shown.Items {
+				rows = append(rows, []any{item.Kind, item.Name, item.Version, string(item.Body)})
+			}
+			fmt.Fprintf(c.out, "setup %d\n", shown.Sequence)
+			c.table("KIND NAME VERSION BODY", rows)
+			return nil
+		}),
+		command("verdicts", "verdicts", "show verdict counts by flag, variation and reason", nil, 0, func([]string) error {
+			var lines []registry.VerdictLine
+			if done, err := c.get("/v1/verdicts", &lines); done || err != nil {
+				return err
+			}
+			var rows [][]any
+			for _, line := range lines {
+				rows = append(rows, []any{line.Flag, line.Variation, line.Reason, line.Rule, line.Route, line.Outcome, line.Calls, line.Failures, fmt.Sprintf("%.2f", line.MeanMS)})
+			}
+			c.table("FLAG VARIATION REASON RULE ROUTE OUTCOME CALLS FAILURES MEAN-MS", rows)
+			return nil
+		}),
+		command("workers", "workers", "show the workers that described themselves", nil, 0, func([]string) error {
+			var shown []registry.ShownWorker
+			if done, err := c.get("/v1/workers", &shown); done || err != nil {
+				return err
+			}
+			var rows [][]any
+			for _, worker := range shown {
+				rows = append(rows, []any{worker.Service, worker.Version, worker.Area, worker.State, worker.Load, worker.Instance})
+			}
+			c.table("SERVICE VERSION AREA STATE LOAD INSTANCE", rows)
+			return nil
+		}),
+		command("status", "status", "show the core: who holds the duty, who grants leases, who lags", nil, 0, func([]string) error {
+			var status registry.Status
+			if done, err := c.get("/v1/status", &status); done || err != nil {
+				return err
+			}
+			if store := status.Store; store != nil {
+				fmt.Fprintf(c.out, "store %s: holder %s, epoch %d, stable %d of %d, hears %s\n", store.Seat, store.Holder, store.Epoch, store.Stable, store.Sequence, strings.Join(store.Heard, " "))
+			}
+			var rows [][]any
+			for _, one := range status.Registries {
+				leases := []string{}
+				for _, lease := range one.Leases {
+					leases = append(leases, fmt.Sprintf("%s@%d", lease.Proxy, lease.Applied))
+				}
+				sort.Strings(leases)
+				rows = append(rows, []any{one.Seat, one.Grants, one.Stable, strings.Join(leases, " ")})
+			}
+			c.table("REGISTRY GRANTS STABLE LEASES", rows)
+			fmt.Fprintf(c.out, "members %d\n", status.Members)
+			return nil
+		}),
+		command("explain", "explain [flags] PATH", "tell which version a request would get, and why", explainSet, 1, func(args []string) error {
+			status, body, err := c.ask(http.MethodPost, "/v1/explain", registry.Question{Caller: *caller, Method: *method, Path: args[0], Area: *area, Headers: options.Pairs(*headers)})
+			if err != nil {
+				return &failure{exitUnreachable, err}
+			}
+			if status != http.StatusOK {
+				return &failure{exitRefused, defect.New(defect.NoRoute, string(body))}
+			}
+			var indented bytes.Buffer
+			_ = json.Indent(&indented, body, "", "  ")
+			fmt.Fprintln(c.out, indented.String())
+			return nil
+		}),
+	}
+	top := &ffcli.Command{Name: "operator", ShortUsage: "operator [flags] COMMAND", FlagSet: root, Subcommands: commands,
+		Exec: func(context.Context, []string) error {
+			if *version {
+				fmt.Fprintln(c.out, "operator", options.Version)
+				return nil
+			}
+			return &failure{exitUsage, defect.New(defect.BadOptions, "no such command; see operator -help")}
+		}}
+	os.Exit(exit(top.ParseAndRun(context.Background(), os.Args[1:])))
+}
+
+func exit(err error) int {
+	if err == nil || err == flag.ErrHelp {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "operator:", err)
+	if coded, ok := err.(*failure); ok {
+		return coded.code
+	}
+	return exitUsage
+}
--- /dev/null
+++ b/internal/dispatch/carry.go
@@ -0,0 +1,276 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"hash/crc32"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// Call is a caller's request as the proxy beside it took it.
+type Call struct {
+	Request plan.Request
+	Target  string // path with query
+	Headers []*schema.Header
+	Body    []byte
+}
+
+// Ended is what the caller gets: an answer, or a typed defect with its outcome.
+type Ended struct {
+	ID      string
+	Carried *schema.Carried
+	Plan    *plan.Plan // nil when no plan could be made
+	Tries   int        // dispatches sent
+	Err     error
+}
+
+// Sender sends one dispatch to the proxy beside a worker. An error of kind LINK_UNOPENED
+// proves that nothing was sent; any other leaves it unknown.
+type Sender func(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error)
+
+// Carrier is the caller's side: it makes a plan and carries it out.
+type Carrier struct {
+	Name        string
+	Incarnation uint64
+	Options     plan.Options
+	View        func() *plan.View
+	// AwaitView waits until the view satisfies ready, or ctx ends.
+	AwaitView func(ctx context.Context, ready func(*plan.View) bool)
+	// AwaitLease waits until this proxy may decide, or ctx ends.
+	AwaitLease func(ctx context.Context) bool
+	Leased     func() bool
+	Members    func() int
+	Now        func() time.Duration
+	Dice       plan.Dice
+	Send       Sender
+	Soundness  *Soundness
+	Tally      *Tally
+	ExtraRatio float64
+	ExtraFloor float64
+
+	budgets *xsync.Map[string, *Budget]
+	memory  *Memory
+	serial  atomic.Uint64
+}
+
+// Start readies the carrier; it keeps so many idempotency keys.
+func (c *Carrier) Start(remembered int) *Carrier {
+	c.budgets = xsync.NewMap[string, *Budget]()
+	c.memory = NewMemory(remembered)
+	return c
+}
+
+// roundsMost is how often a plan is made anew within one call before it is given up.
+const roundsMost = 4
+
+// Carry plans a call and carries it out.
+func (c *Carrier) Carry(ctx context.Context, call *Call) *Ended {
+	began := c.Now()
+	ended := &Ended{ID: fmt.Sprintf("%s-%x-%x", c.Name, c.Incarnation, c.serial.Add(1))}
+	// A proxy without a lease holds a call back for a moment: most gaps are shorter than that.
+	waiting, cancel := context.WithTimeout(ctx, c.patience(&call.Request)/waitParts)
+	leased := c.AwaitLease(waiting)
+	cancel()
+	if !leased {
+		ended.Err = defect.New(defect.NoLease, "this proxy cannot know the rules in force")
+		return ended
+	}
+	made, err := c.plan(&call.Request)
+	if err != nil {
+		ended.Err = err
+		return ended
+	}
+	ended.Plan = made
+	c.budget(made.Service).Call(began)
+	bounded, cancel := context.WithTimeout(ctx, made.Horizon)
+	defer cancel()
+	run := func(pinned string) (*schema.Carried, string) { return c.carryOut(bounded, call, ended, began, pinned) }
+	if made.Class == setup.Once && call.Request.Idempotency != "" {
+		key := strings.Join([]string{call.Request.Caller, made.Service, made.Route.Name, call.Request.Idempotency}, "\x00")
+		ended.Carried = c.memory.Do(bounded, key, call.Body, run)
+	} else {
+		ended.Carried, _ = run("")
+	}
+	c.Tally.Add(ended, c.Now()-began)
+	if ended.Carried.Ending != schema.Ending_ENDING_ANSWERED {
+		ended.Err = defect.New(defect.Kind(ended.Carried.Defect), made.Service)
+	}
+	return ended
+}
+
+func (c *Carrier) patience(request *plan.Request) time.Duration {
+	if request.Asked > 0 {
+		return min(request.Asked, c.Options.HorizonMost)
+	}
+	return c.Options.HorizonMost / waitParts
+}
+
+func (c *Carrier) plan(request *plan.Request) (*plan.Plan, error) {
+	return plan.Make(c.View(), request, c.Options, c.Soundness, c.Now(), c.Dice)
+}
+
+func (c *Carrier) budget(service string) *Budget {
+	budget, _ := c.budgets.LoadOrCompute(service, func() (*Budget, bool) { return NewBudget(c.ExtraRatio), false })
+	return budget
+}
+
+// listed tells whether a worker is still in the directory.
+func listed(view *plan.View, service, version, instance string) bool {
+	for _, one := range view.Directory[service][version] {
+		if one.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// carryOut tries the candidates in order until one answers or nothing more may be done. It
+// returns how the last dispatch ended, and where.
+func (c *Carrier) carryOut(ctx context.Context, call *Call, ended *Ended, began time.Duration, pinned string) (*schema.Carried, string) {
+	last := notRun(defect.NoWorker, 0)
+	// Once a dispatch ended unknown, no later refusal may make the whole call "not run".
+	end := func(carried *schema.Carried) (*schema.Carried, string) {
+		if last.Ending == schema.Ending_ENDING_UNKNOWN {
+			return last, ""
+		}
+		return carried, ""
+	}
+	failed := map[string]bool{}
+	for round := 0; round < roundsMost; round++ {
+		// A plan is only carried out on the setup it was made from; else it is made again.
+		if view := c.View(); round > 0 || view.Setup.Sequence != ended.Plan.Verdict.Setup {
+			made, err := c.plan(&call.Request)
+			if err != nil {
+				return end(notRun(defect.KindOf(err), 0))
+			}
+			ended.Plan = made
+		}
+		replan := false
+		for _, candidate := range ended.Plan.Candidates {
+			if pinned != "" && candidate.Instance != pinned {
+				continue
+			}
+			if failed[candidate.Instance] {
+				continue
+			}
+			left := ended.Plan.Horizon - (c.Now() - began)
+			view := c.View()
+			switch {
+			case left <= 0 || ctx.Err() != nil:
+				return end(notRun(defect.HorizonPast, 0))
+			case !c.Leased():
+				return end(notRun(defect.NoLease, 0))
+			case view.Setup.Sequence != ended.Plan.Verdict.Setup:
+				replan = true
+			case !listed(view, ended.Plan.Service, ended.Plan.Verdict.Version, candidate.Instance):
+				continue
+			}
+			if replan {
+				break
+			}
+			// Every try after the first counts against the fleet's budget.
+			if ended.Tries > 0 && !c.budget(ended.Plan.Service).Spend(c.Now(), c.ExtraFloor/float64(max(1, c.Members()))) {
+				return last, ""
+			}
+			ended.Tries++
+			carried := c.send(ctx, call, ended, candidate, left)
+			switch carried.Ending {
+			case schema.Ending_ENDING_ANSWERED:
+				return carried, candidate.Instance
+			case schema.Ending_ENDING_UNKNOWN:
+				last = carried
+				failed[candidate.Instance] = true
+				// It may have run: only a request that bears repeating is sent again.
+				if ended.Plan.Class == setup.Once {
+					return carried, candidate.Instance
+				}
+			default:
+				if last.Ending != schema.Ending_ENDING_UNKNOWN {
+					last = carried
+				}
+				if defect.Kind(carried.Defect) == defect.StalePlan {
+					replan = true
+					waiting, cancel := context.WithTimeout(ctx, left/waitParts)
+					c.AwaitView(waiting, func(view *plan.View) bool { return view.Setup.Sequence >= carried.Setup })
+					cancel()
+				} else {
+					failed[candidate.Instance] = true
+				}
+			}
+			if replan {
+				break
+			}
+		}
+		if replan {
+			continue
+		}
+		// Nobody is left to try: news of other workers may be on its way.
+		if !c.awaitOthers(ctx, ended, failed, began, pinned) {
+			break
+		}
+	}
+	return last, ""
+}
+
+// awaitOthers waits a moment for a worker not yet tried.
+func (c *Carrier) awaitOthers(ctx context.Context, ended *Ended, failed map[string]bool, began time.Duration, pinned string) bool {
+	if pinned != "" {
+		return false
+	}
+	left := ended.Plan.Horizon - (c.Now() - began)
+	waiting, cancel := context.WithTimeout(ctx, left/waitParts)
+	defer cancel()
+	found := false
+	c.AwaitView(waiting, func(view *plan.View) bool {
+		if view.Setup.Sequence != ended.Plan.Verdict.Setup {
+			found = true
+		}
+		service := view.Setup.Services[ended.Plan.Service]
+		for _, version := range []string{ended.Plan.Verdict.Version, fallbackOf(service)} {
+			for _, one := range view.Directory[ended.Plan.Service][version] {
+				found = found || !failed[one.Instance]
+			}
+		}
+		return found
+	})
+	return found
+}
+
+func fallbackOf(service *setup.Service) string {
+	if service == nil {
+		return ""
+	}
+	return service.Fallback
+}
+
+func (c *Carrier) send(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
+	carry := &schema.Carry{Request: fmt.Sprintf("%s-%d", ended.ID, ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
+		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
+		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
+		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name}
+	bounded, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	c.Soundness.Begin(candidate.Instance)
+	carried, err := c.Send(bounded, candidate, carry)
+	switch {
+	case err != nil && defect.KindOf(err) == defect.LinkUnopened:
+		carried = notRun(defect.LinkUnopened, 0)
+	case err != nil:
+		carried = unknown(defect.LinkLost)
+	// An answer that is not this request's, or not whole, is no answer.
+	case carried.Request != carry.Request || uint64(len(carried.Body)) != carried.Length || crc32.ChecksumIEEE(carried.Body) != carried.Checksum:
+		carried = unknown(defect.BadAnswer)
+	}
+	failed := carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500
+	c.Soundness.End(candidate.Instance, c.Now(), failed)
+	return carried
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"hash/crc32"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/link"
+	"meadowhinge/internal/plan"
+	"meadowhinge/schema"
+)
+
+// Namespace is the prefix of our own headers; none of them is taken from outside.
+const Namespace = "Meadowhinge-"
+
+// Headers between a proxy, its workers and its callers.
+const (
+	HeaderToken   = Namespace + "Token"
+	HeaderCaller  = Namespace + "Caller"
+	HeaderRequest = Namespace + "Request"
+	HeaderVersion = Namespace + "Version"
+	HeaderReason  = Namespace + "Reason"
+	HeaderOutcome = Namespace + "Outcome"
+	HeaderSetup   = Namespace + "Setup"
+	HeaderTries   = Namespace + "Tries"
+	HeaderRefused = Namespace + "Refused" // a worker's word that it did not run what was not meant for it
+	HeaderHorizon = Namespace + "Horizon-Ms"
+)
+
+// Runner is the worker's side of a dispatch.
+type Runner struct {
+	Workers *Workers
+	View    func() *plan.View
+	// AwaitSetup waits a little for this proxy's setup to reach a sequence.
+	AwaitSetup func(ctx context.Context, sequence uint64)
+	// Outdated tells whether a setup was replaced here so long ago that no caller under a
+	// lease may still plan by it.
+	Outdated func(sequence uint64) bool
+	Leased   func() bool
+	Now      func() time.Duration
+	seen     *Seen
+	memory   *Memory
+}
+
+// waitParts is the part of the time left that a dispatch may wait for news before it is refused.
+const waitParts = 8
+
+// NewRunner keeps so many request ids and keys.
+func NewRunner(runner Runner, remembered int) *Runner {
+	runner.seen, runner.memory = NewSeen(remembered), NewMemory(remembered)
+	return &runner
+}
+
+// Run checks a dispatch and runs it once; every refusal here is proof that it was not run.
+func (r *Runner) Run(ctx context.Context, peer link.Peer, carry *schema.Carry) *schema.Carried {
+	arrived := r.Now()
+	carried := r.check(ctx, peer, carry, arrived)
+	carried.Request = carry.Request
+	return carried
+}
+
+func (r *Runner) check(ctx context.Context, peer link.Peer, carry *schema.Carry, arrived time.Duration) *schema.Carried {
+	left := func() time.Duration { return time.Duration(carry.LeftNanos) - (r.Now() - arrived) }
+	if !peer.Speaks(carry.Caller) {
+		return notRun(defect.NotAllowed, 0)
+	}
+	if crc32.ChecksumIEEE(carry.Body) != carry.Checksum {
+		return notRun(defect.Malformed, 0)
+	}
+	bounded, cancel := context.WithTimeout(ctx, left()/waitParts)
+	r.AwaitSetup(bounded, carry.Setup)
+	cancel()
+	// Without a lease this proxy cannot know whether the version is still allowed.
+	if !r.Leased() {
+		return notRun(defect.NoLease, 0)
+	}
+	view := r.View()
+	if r.Outdated(carry.Setup) {
+		return notRun(defect.StalePlan, view.Setup.Sequence)
+	}
+	service := view.Setup.Services[carry.Service]
+	if service == nil || !service.Allows(carry.Version) || !service.AllowsCaller(carry.Caller) {
+		return notRun(defect.VersionBarred, view.Setup.Sequence)
+	}
+	if _, _, refusal := r.Workers.find(carry); refusal != "" {
+		return notRun(refusal, view.Setup.Sequence)
+	}
+	if !r.seen.First(carry.Request) {
+		return unknown(defect.Repeated)
+	}
+	if carry.Once && carry.Idempotency != "" {
+		key := strings.Join([]string{carry.Caller, carry.Service, carry.Route, carry.Idempotency}, "\x00")
+		return clone(r.memory.Do(ctx, key, carry.Body, func(string) (*schema.Carried, string) {
+			return r.hand(ctx, carry, left), ""
+		}))
+	}
+	return r.hand(ctx, carry, left)
+}
+
+// clone lets an answer from memory carry the id of the request it now answers.
+func clone(carried *schema.Carried) *schema.Carried {
+	return &schema.Carried{Ending: carried.Ending, Defect: carried.Defect, Status: carried.Status, Headers: carried.Headers,
+		Body: carried.Body, Length: carried.Length, Checksum: carried.Checksum, Setup: carried.Setup}
+}
+
+// hand gives the request to the worker; from the first byte on, it may have run.
+func (r *Runner) hand(ctx context.Context, carry *schema.Carry, left func() time.Duration) *schema.Carried {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.DisableNormalizing()
+	request.Header.SetMethod(carry.Method)
+	request.SetRequestURI(carry.Target)
+	for _, header := range carry.Headers {
+		request.Header.Add(header.Name, header.Value)
+	}
+	request.SetBodyRaw(carry.Body)
+	// The registration is looked up last of all, so that a worker that left meanwhile gets nothing.
+	held, token, refusal := r.Workers.find(carry)
+	remaining := left()
+	switch {
+	case refusal != "":
+		return notRun(refusal, 0)
+	case remaining <= 0 || ctx.Err() != nil:
+		return notRun(defect.HorizonPast, 0)
+	case !r.Leased():
+		return notRun(defect.NoLease, 0)
+	}
+	request.SetHost(held.said.Address)
+	request.Header.Set(HeaderToken, token)
+	request.Header.Set(HeaderCaller, carry.Caller)
+	request.Header.Set(HeaderRequest, carry.Request)
+	request.Header.Set(HeaderVersion, carry.Version)
+	response.SkipBody = carry.Method == fasthttp.MethodHead
+	err := held.client.DoTimeout(request, response, remaining)
+	if err != nil {
+		return outcomeOfError(err)
+	}
+	if response.StatusCode() == fasthttp.StatusMisdirectedRequest && len(response.Header.Peek(HeaderRefused)) > 0 {
+		r.Workers.disown(held)
+		return notRun(defect.WrongInstance, 0)
+	}
+	return answerOf(carry, response)
+}
+
+// outcomeOfError tells what an error from the client proves: only a connection that never
+// opened proves that the worker saw nothing.
+func outcomeOfError(err error) *schema.Carried {
+	if defect.KindOf(err) == defect.WorkerUnopened || err == fasthttp.ErrNoFreeConns || err == fasthttp.ErrDialTimeout {
+		return notRun(defect.WorkerUnopened, 0)
+	}
+	if err == fasthttp.ErrTimeout {
+		return unknown(defect.HorizonPast)
+	}
+	if err == fasthttp.ErrBodyTooLarge {
+		return unknown(defect.BadAnswer)
+	}
+	return unknown(defect.WorkerLost)
+}
+
+// hopHeaders are meant for one connection only, or are set anew at each.
+var hopHeaders = map[string]bool{"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true, "te": true,
+	"trailer": true, "transfer-encoding": true, "upgrade": true, "content-length": true, "host": true, "proxy-connection": true, "expect": true}
+
+// passes tells whether a header is passed on.
+func passes(name string) bool {
+	lower := strings.ToLower(name)
+	return !hopHeaders[lower] && !strings.HasPrefix(lower, strings.ToLower(Namespace))
+}
+
+// bodiless answers have no body, whatever their headers say.
+func bodiless(method string, status int) bool {
+	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// answerOf checks that an answer is whole before it counts as one.
+func answerOf(carry *schema.Carry, response *fasthttp.Response) *schema.Carried {
+	length := response.Header.ContentLength()
+	status := response.StatusCode()
+	const identity = -2 // the library's sign for a body that ends when the connection does
+	// Such a body cannot be told from one cut short, so it is never passed on.
+	if length == identity && !bodiless(carry.Method, status) {
+		return unknown(defect.BadAnswer)
+	}
+	body := append([]byte(nil), response.Body()...)
+	if length >= 0 && len(body) != length && !bodiless(carry.Method, status) {
+		return unknown(defect.BadAnswer)
+	}
+	if status < 200 || status > 599 {
+		return unknown(defect.BadAnswer)
+	}
+	kind, _, _ := strings.Cut(string(response.Header.ContentType()), ";")
+	if strings.TrimSpace(strings.ToLower(kind)) == "application/json" && len(body) > 0 && !json.Valid(body) {
+		return unknown(defect.BadAnswer)
+	}
+	carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: int32(status), Body: body,
+		Length: uint64(len(body)), Checksum: crc32.ChecksumIEEE(body)}
+	for name, value := range response.Header.All() {
+		if passes(string(name)) {
+			carried.Headers = append(carried.Headers, &schema.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return carried
+}
+
+// HeadersOf copies the headers of a request that are passed on; claims in our own
+// namespace are dropped here, before anything can read them.
+func HeadersOf(header *fasthttp.RequestHeader) []*schema.Header {
+	var headers []*schema.Header
+	for name, value := range header.All() {
+		if passes(string(name)) {
+			headers = append(headers, &schema.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/internal/dispatch/soundness.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+)
+
+// worker is what this process has seen of a worker.
+type workerFacts struct {
+	inFlight atomic.Int64
+	failures atomic.Int64 // in a row
+	until    atomic.Int64 // ejected until
+}
+
+// Soundness keeps facts of workers by instance; it implements plan.Facts.
+type Soundness struct {
+	facts    *xsync.Map[string, *workerFacts]
+	most     int64
+	ejection time.Duration
+}
+
+// NewSoundness ejects a worker for a time after so many failures in a row.
+func NewSoundness(most int64, ejection time.Duration) *Soundness {
+	return &Soundness{facts: xsync.NewMap[string, *workerFacts](), most: most, ejection: ejection}
+}
+
+func (s *Soundness) of(instance string) *workerFacts {
+	facts, _ := s.facts.LoadOrCompute(instance, func() (*workerFacts, bool) { return &workerFacts{}, false })
+	return facts
+}
+
+// InFlight is how many calls this process has at a worker now.
+func (s *Soundness) InFlight(instance string) int {
+	if facts, found := s.facts.Load(instance); found {
+		return int(facts.inFlight.Load())
+	}
+	return 0
+}
+
+// Ejected tells whether a worker failed too often of late.
+func (s *Soundness) Ejected(instance string, now time.Duration) bool {
+	facts, found := s.facts.Load(instance)
+	return found && int64(now) < facts.until.Load()
+}
+
+// Begin notes a call sent to a worker.
+func (s *Soundness) Begin(instance string) { s.of(instance).inFlight.Add(1) }
+
+// End notes how a call ended.
+func (s *Soundness) End(instance string, now time.Duration, failed bool) {
+	facts := s.of(instance)
+	facts.inFlight.Add(-1)
+	if !failed {
+		facts.failures.Store(0)
+		return
+	}
+	if facts.failures.Add(1) >= s.most {
+		facts.until.Store(int64(now + s.ejection))
+		facts.failures.Store(0)
+	}
+}
+
+// Keep forgets workers that are no longer listed, so that memory does not grow with replacements.
+func (s *Soundness) Keep(listed map[string]bool) {
+	s.facts.Range(func(instance string, facts *workerFacts) bool {
+		if !listed[instance] && facts.inFlight.Load() == 0 {
+			s.facts.Delete(instance)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/dispatch/tally.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+
+	"meadowhinge/schema"
+)
+
+// outcomeNames are the outcomes as callers and operators see them.
+var outcomeNames = map[schema.Ending]string{
+	schema.Ending_ENDING_ANSWERED: "answered",
+	schema.Ending_ENDING_NOT_RUN:  "not-run",
+	schema.Ending_ENDING_UNKNOWN:  "unknown",
+}
+
+// OutcomeName is an outcome as callers see it.
+func OutcomeName(ending schema.Ending) string { return outcomeNames[ending] }
+
+type tallyKey struct {
+	flag, service, variation, reason, rule, route, outcome string
+	setup                                                  uint64
+}
+
+type tallyLine struct{ calls, failures, nanos atomic.Uint64 }
+
+// Tally counts verdicts; counts only grow while the process lives.
+type Tally struct {
+	lines *xsync.Map[tallyKey, *tallyLine]
+	most  int
+}
+
+// NewTally keeps at most so many lines; setups beyond that are counted together as 0.
+func NewTally(most int) *Tally {
+	return &Tally{lines: xsync.NewMap[tallyKey, *tallyLine](), most: most}
+}
+
+// Add counts one call by its verdict and outcome.
+func (t *Tally) Add(ended *Ended, took time.Duration) {
+	verdict := ended.Plan.Verdict
+	key := tallyKey{flag: verdict.Flag, service: ended.Plan.Service, variation: verdict.Version, reason: string(verdict.Reason), rule: verdict.RuleID,
+		route: ended.Plan.Route.Name, outcome: outcomeNames[ended.Carried.Ending], setup: verdict.Setup}
+	// Old setups would pile up lines without end; beyond the bound they share one line.
+	if _, known := t.lines.Load(key); !known && t.lines.Size() >= t.most {
+		key.setup = 0
+	}
+	line, _ := t.lines.LoadOrCompute(key, func() (*tallyLine, bool) { return &tallyLine{}, false })
+	line.calls.Add(1)
+	line.nanos.Add(uint64(took))
+	if ended.Carried.Ending != schema.Ending_ENDING_ANSWERED || ended.Carried.Status >= 500 {
+		line.failures.Add(1)
+	}
+}
+
+// Counts lists all lines as they stand.
+func (t *Tally) Counts() []*schema.Count {
+	var counts []*schema.Count
+	t.lines.Range(func(key tallyKey, line *tallyLine) bool {
+		counts = append(counts, &schema.Count{Flag: key.flag, Service: key.service, Variation: key.variation, Reason: key.reason, Rule: key.rule,
+			Route: key.route, Outcome: key.outcome, Setup: key.setup, Calls: line.calls.Load(), Failures: line.failures.Load(), Nanos: line.nanos.Load()})
+		return true
+	})
+	return counts
+}
--- /dev/null
+++ b/internal/dispatch/workers.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/schema"
+)
+
+// Description is what a worker says of itself, every few seconds and when it leaves.
+type Description struct {
+	Address string  `json:"address"` // where it takes requests
+	Service string  `json:"service"`
+	Version string  `json:"version"`
+	Area    string  `json:"area,omitempty"`
+	Load    float64 `json:"load"`
+	Leaving bool    `json:"leaving"`
+	Gone    bool    `json:"gone"`
+	Token   string  `json:"token"`  // handed back with each request, so that the worker knows it was meant
+	BeatMS  int64   `json:"beatMs"` // how often it describes itself
+}
+
+// Bounds on a description.
+const (
+	nameMost  = 64
+	tokenMost = 128
+	beatMost  = time.Minute
+)
+
+// Check lists all that is wrong with a description.
+func (d *Description) Check() []string {
+	var faults []string
+	if address, err := netip.ParseAddrPort(d.Address); err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		faults = append(faults, "address: is not IP:port")
+	}
+	for field, text := range map[string]string{"service": d.Service, "version": d.Version} {
+		if text == "" || len(text) > nameMost {
+			faults = append(faults, fmt.Sprintf("%s: needs 1 to %d bytes", field, nameMost))
+		}
+	}
+	if len(d.Area) > nameMost {
+		faults = append(faults, fmt.Sprintf("area: takes at most %d bytes", nameMost))
+	}
+	if d.Token == "" || len(d.Token) > tokenMost {
+		faults = append(faults, fmt.Sprintf("token: needs 1 to %d bytes", tokenMost))
+	}
+	if !(d.Load >= 0 && d.Load <= 1e6) {
+		faults = append(faults, "load: must be a number from 0 up")
+	}
+	if beat := time.Duration(d.BeatMS) * time.Millisecond; beat <= 0 || beat > beatMost {
+		faults = append(faults, "beatMs: must be above 0 and at most a minute")
+	}
+	sort.Strings(faults)
+	return faults
+}
+
+// localWorker is a worker beside this proxy.
+type localWorker struct {
+	instance string
+	said     Description
+	heardAt  time.Duration
+	tether   net.Conn // open as long as the worker lives; its end is the worker's end
+	client   *fasthttp.HostClient
+}
+
+// Workers are the workers beside this proxy, each registration under an instance of its own.
+type Workers struct {
+	lock     sync.Mutex
+	options  WorkersOptions
+	byPlace  map[string]*localWorker // by address: an address is one worker's at a time
+	serial   uint64
+	onChange func()
+}
+
+// WorkersOptions bound what is kept of workers.
+type WorkersOptions struct {
+	Proxy       string
+	Incarnation uint64
+	Area        string
+	Silence     int64 // beats missed before a worker is dropped
+	Most        int
+	ConnsMost   int
+	BodyMost    int
+	Now         func() time.Duration
+	Dial        func(address string) (net.Conn, error)
+}
+
+// NewWorkers makes an empty list; onChange is called whenever what others should know changes.
+func NewWorkers(options WorkersOptions, onChange func()) *Workers {
+	return &Workers{options: options, byPlace: map[string]*localWorker{}, onChange: onChange}
+}
+
+// Describe takes a worker's description and tells the instance it stands under.
+func (w *Workers) Describe(said Description) (string, error) {
+	now := w.options.Now()
+	w.lock.Lock()
+	held := w.byPlace[said.Address]
+	same := held != nil && held.said.Token == said.Token && held.said.Service == said.Service && held.said.Version == said.Version
+	switch {
+	case said.Gone:
+		// Only the worker itself may say that it is gone; a stranger at its address may not.
+		if same {
+			w.drop(held)
+		}
+		w.lock.Unlock()
+		if same {
+			w.onChange()
+		}
+		return "", nil
+	case same:
+		// A worker that said it is leaving does not come back under the same token.
+		said.Leaving = said.Leaving || held.said.Leaving
+		changed := said.Leaving != held.said.Leaving || said.Area != held.said.Area
+		held.said, held.heardAt = said, now
+		w.lock.Unlock()
+		if changed {
+			w.onChange()
+		}
+		return held.instance, nil
+	}
+	// Another worker now stands at this address: the old registration ends before anything else.
+	if held != nil {
+		w.drop(held)
+	}
+	full := len(w.byPlace) >= w.options.Most
+	w.lock.Unlock()
+	if held != nil {
+		w.onChange()
+	}
+	if full {
+		return "", defect.New(defect.BufferFull, "too many workers at this proxy")
+	}
+	tether, err := w.options.Dial(said.Address)
+	if err != nil {
+		return "", defect.Wrap(err, defect.WorkerUnopened, said.Address)
+	}
+	w.lock.Lock()
+	w.serial++
+	fresh := &localWorker{instance: fmt.Sprintf("%s/%s/%x.%d", w.options.Proxy, said.Address, w.options.Incarnation, w.serial),
+		said: said, heardAt: now, tether: tether, client: w.clientFor(said.Address)}
+	if raced := w.byPlace[said.Address]; raced != nil {
+		w.drop(raced)
+	}
+	w.byPlace[said.Address] = fresh
+	w.lock.Unlock()
+	go w.watch(fresh)
+	w.onChange()
+	return fresh.instance, nil
+}
+
+func (w *Workers) clientFor(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{Addr: address, MaxConns: w.options.ConnsMost, MaxResponseBodySize: w.options.BodyMost,
+		// Retries are decided by the plan alone; the library must never make one of its own.
+		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader: true, DisableHeaderNamesNormalizing: true, DisablePathNormalizing: true,
+		MaxIdleConnDuration: time.Duration(w.options.Silence) * time.Second,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := w.options.Dial(address)
+			return conn, defect.Wrap(err, defect.WorkerUnopened, address)
+		}}
+}
+
+// watch waits for the end of a worker's tether. The kernel closes it when the worker dies,
+// long before its beats are missed.
+func (w *Workers) watch(held *localWorker) {
+	one := make([]byte, 1)
+	_, _ = held.tether.Read(one)
+	w.lock.Lock()
+	current := w.byPlace[held.said.Address] == held
+	if current {
+		w.drop(held)
+	}
+	w.lock.Unlock()
+	if current {
+		w.onChange()
+	}
+}
+
+// drop ends a registration; the caller holds the lock.
+func (w *Workers) drop(held *localWorker) {
+	if w.byPlace[held.said.Address] == held {
+		delete(w.byPlace, held.said.Address)
+	}
+	held.tether.Close()
+	held.client.CloseIdleConnections()
+}
+
+// Sweep drops the workers that fell silent.
+func (w *Workers) Sweep() {
+	now := w.options.Now()
+	dropped := false
+	w.lock.Lock()
+	for _, held := range w.byPlace {
+		if now-held.heardAt > time.Duration(w.options.Silence*held.said.BeatMS)*time.Millisecond {
+			w.drop(held)
+			dropped = true
+		}
+	}
+	w.lock.Unlock()
+	if dropped {
+		w.onChange()
+	}
+}
+
+// List is what others should know of the workers here.
+func (w *Workers) List() []*schema.Worker {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	var listed []*schema.Worker
+	for _, held := range w.byPlace {
+		area := held.said.Area
+		if area == "" {
+			area = w.options.Area
+		}
+		listed = append(listed, &schema.Worker{Instance: held.instance, Service: held.said.Service, Version: held.said.Version,
+			Area: area, Load: held.said.Load, Leaving: held.said.Leaving})
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].Instance < listed[j].Instance })
+	return listed
+}
+
+// find gives the live registration that a request was meant for.
+func (w *Workers) find(carry *schema.Carry) (*localWorker, string, defect.Kind) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, held := range w.byPlace {
+		if held.instance != carry.Instance {
+			continue
+		}
+		if held.said.Service != carry.Service || held.said.Version != carry.Version {
+			return nil, "", defect.WrongInstance
+		}
+		if held.said.Leaving {
+			return nil, "", defect.Leaving
+		}
+		return held, held.said.Token, ""
+	}
+	return nil, "", defect.WrongInstance
+}
+
+// disown drops a registration whose address turned out to be somebody else's.
+func (w *Workers) disown(held *localWorker) {
+	w.lock.Lock()
+	w.drop(held)
+	w.lock.Unlock()
+	w.onChange()
+}
+
+// LeaveAll marks every worker here as leaving, as when the proxy itself is told to end.
+func (w *Workers) LeaveAll() {
+	w.lock.Lock()
+	for _, held := range w.byPlace {
+		held.said.Leaving = true
+	}
+	w.lock.Unlock()
+	w.onChange()
+}
--- /dev/null
+++ b/internal/flag/flag.go
@@ -0,0 +1,373 @@
+// Package flag decides which variation a context gets, by the fixed order of the
+// evaluation rules: preliminary checks, prerequisites, targets, rules, fallthrough.
+// It does no I/O, keeps no state and never panics on any definition or context.
+package flag
+
+import (
+	"regexp"
+
+	"github.com/Masterminds/semver/v3"
+)
+
+// Whole is the sum that the weights of a rollout make up.
+const Whole = 100000
+
+// DefaultKind is the context kind meant where none is named.
+const DefaultKind = "user"
+
+// Reason says in one word why a variation was given.
+type Reason string
+
+// The reasons of the evaluation itself.
+const (
+	ReasonError        Reason = "ERROR"
+	ReasonOff          Reason = "OFF"
+	ReasonPrerequisite Reason = "PREREQUISITE_FAILED"
+	ReasonTarget       Reason = "TARGET_MATCH"
+	ReasonRule         Reason = "RULE_MATCH"
+	ReasonFallthrough  Reason = "FALLTHROUGH"
+)
+
+// ErrorCode narrows ReasonError.
+type ErrorCode string
+
+// The error codes.
+const (
+	FlagNotFound  ErrorCode = "FLAG_NOT_FOUND"
+	KeyMissing    ErrorCode = "USER_NOT_SPECIFIED"
+	MalformedFlag ErrorCode = "MALFORMED_FLAG"
+)
+
+// Prerequisite is another flag that must give one variation.
+type Prerequisite struct {
+	Key       string `json:"key"`
+	Variation int    `json:"variation"`
+}
+
+// Target lists the keys that get one variation.
+type Target struct {
+	ContextKind string   `json:"contextKind,omitempty"`
+	Variation   int      `json:"variation"`
+	Values      []string `json:"values"`
+
+	listed map[string]bool
+}
+
+// Clause compares one attribute with values.
+type Clause struct {
+	ContextKind string `json:"contextKind,omitempty"`
+	Attribute   string `json:"attribute,omitempty"`
+	Operator    string `json:"operator"`
+	Values      []any  `json:"values"`
+	Negate      bool   `json:"negate,omitempty"`
+
+	patterns []*regexp.Regexp
+	semvers  []*semver.Version
+	times    []*int64
+}
+
+// Weighted gives a variation a part of Whole.
+type Weighted struct {
+	Variation int `json:"variation"`
+	Weight    int `json:"weight"`
+}
+
+// Rollout spreads contexts over variations by the bucket of an attribute.
+type Rollout struct {
+	ContextKind string     `json:"contextKind,omitempty"`
+	BucketBy    string     `json:"bucketBy,omitempty"`
+	Seed        *int64     `json:"seed,omitempty"`
+	Variations  []Weighted `json:"variations"`
+}
+
+// Serve is either one variation or a rollout.
+type Serve struct {
+	Variation *int     `json:"variation,omitempty"`
+	Rollout   *Rollout `json:"rollout,omitempty"`
+}
+
+// Rule serves contexts for which all clauses hold.
+type Rule struct {
+	ID      string   `json:"id"`
+	Clauses []Clause `json:"clauses"`
+	Serve
+}
+
+// Flag is one definition. Variations are versions of a service.
+type Flag struct {
+	Key           string         `json:"key"`
+	On            bool           `json:"on"`
+	Salt          string         `json:"salt"`
+	Variations    []string       `json:"variations"`
+	OffVariation  int            `json:"offVariation"`
+	Prerequisites []Prerequisite `json:"prerequisites,omitempty"`
+	Targets       []Target       `json:"targets,omitempty"`
+	Rules         []Rule         `json:"rules,omitempty"`
+	Fallthrough   Serve          `json:"fallthrough"`
+}
+
+// SegmentRule takes contexts into a segment, all or by weight.
+type SegmentRule struct {
+	Clauses     []Clause `json:"clauses"`
+	Weight      *int     `json:"weight,omitempty"`
+	BucketBy    string   `json:"bucketBy,omitempty"`
+	ContextKind string   `json:"contextKind,omitempty"`
+}
+
+// Segment is a named set of contexts.
+type Segment struct {
+	Key      string        `json:"key"`
+	Salt     string        `json:"salt"`
+	Included []string      `json:"included,omitempty"`
+	Excluded []string      `json:"excluded,omitempty"`
+	Rules    []SegmentRule `json:"rules,omitempty"`
+
+	included, excluded map[string]bool
+}
+
+// Single is one context of one kind; Key is its key, Attributes hold the rest.
+type Single struct {
+	Key        string
+	Attributes map[string]any
+}
+
+// Context maps kinds to contexts; more than one makes a multi-context.
+type Context map[string]Single
+
+// Result is a verdict: the variation, and why.
+type Result struct {
+	Index        int    // -1 when the fallback was given
+	Value        string // the variation's value, empty when the fallback was given
+	Reason       Reason
+	RuleID       string
+	Prerequisite string
+	Error        ErrorCode
+}
+
+// Set holds the definitions one evaluation may need; it must be compiled first.
+type Set struct {
+	Flags    map[string]*Flag
+	Segments map[string]*Segment
+}
+
+// attribute finds a value in the context of a kind; present is false for none or null.
+func (c Context) attribute(kind, name string) (value any, present bool) {
+	if kind == "" {
+		kind = DefaultKind
+	}
+	// The kind itself can be asked for; it is the same whichever context is meant.
+	if name == "kind" {
+		return kind, len(c) > 0 && c.has(kind)
+	}
+	single, found := c[kind]
+	if !found {
+		return nil, false
+	}
+	if name == "" || name == "key" {
+		return single.Key, single.Key != ""
+	}
+	value, found = single.Attributes[name]
+	return value, found && value != nil
+}
+
+func (c Context) has(kind string) bool { _, found := c[kind]; return found }
+
+// valid tells whether the context can be evaluated: a user with a key, and no keyless part.
+func (c Context) valid() bool {
+	if !c.has(DefaultKind) {
+		return false
+	}
+	for _, single := range c {
+		if single.Key == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// Evaluate decides a flag for a context. It never fails: what cannot be decided is ReasonError.
+func (s *Set) Evaluate(key string, context Context) Result {
+	chosenFlag, found := s.Flags[key]
+	if !found {
+		return Result{Index: -1, Reason: ReasonError, Error: FlagNotFound}
+	}
+	if !context.valid() {
+		return Result{Index: -1, Reason: ReasonError, Error: KeyMissing}
+	}
+	return s.evaluate(chosenFlag, context, map[string]bool{})
+}
+
+func (s *Set) evaluate(chosenFlag *Flag, context Context, walked map[string]bool) Result {
+	if !chosenFlag.On {
+		return chosenFlag.give(chosenFlag.OffVariation, Result{Reason: ReasonOff})
+	}
+	// Cycles are refused on write; the walk is still bounded so that no definition can hang a proxy.
+	if walked[chosenFlag.Key] {
+		return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+	}
+	walked[chosenFlag.Key] = true
+	defer delete(walked, chosenFlag.Key)
+
+	for _, prerequisite := range chosenFlag.Prerequisites {
+		neededFlag, found := s.Flags[prerequisite.Key]
+		met := found && neededFlag.On
+		if met {
+			met = s.evaluate(neededFlag, context, walked).Index == prerequisite.Variation
+		}
+		if !met {
+			return chosenFlag.give(chosenFlag.OffVariation, Result{Reason: ReasonPrerequisite, Prerequisite: prerequisite.Key})
+		}
+	}
+	for i := range chosenFlag.Targets {
+		target := &chosenFlag.Targets[i]
+		kind := target.ContextKind
+		if kind == "" {
+			kind = DefaultKind
+		}
+		if single, found := context[kind]; found && target.listed[single.Key] {
+			return chosenFlag.give(target.Variation, Result{Reason: ReasonTarget})
+		}
+	}
+	for i := range chosenFlag.Rules {
+		rule := &chosenFlag.Rules[i]
+		if s.allHold(rule.Clauses, context, true) {
+			return chosenFlag.serve(rule.Serve, context, Result{Reason: ReasonRule, RuleID: rule.ID})
+		}
+	}
+	return chosenFlag.serve(chosenFlag.Fallthrough, context, Result{Reason: ReasonFallthrough})
+}
+
+// give fills in the variation, or turns a bad index into an error.
+func (f *Flag) give(index int, result Result) Result {
+	if index < 0 || index >= len(f.Variations) {
+		return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+	}
+	result.Index, result.Value = index, f.Variations[index]
+	return result
+}
+
+func (f *Flag) serve(serve Serve, context Context, result Result) Result {
+	if serve.Variation != nil {
+		return f.give(*serve.Variation, result)
+	}
+	if serve.Rollout == nil {
+		return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+	}
+	index, found := serve.Rollout.place(f.Key, f.Salt, context)
+	if !found {
+		return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+	}
+	return f.give(index, result)
+}
+
+// place picks the first variation whose running weight exceeds the context's bucket.
+func (r *Rollout) place(key, salt string, context Context) (int, bool) {
+	kind := r.ContextKind
+	if kind == "" {
+		kind = DefaultKind
+	}
+	last, found := 0, false
+	for _, weighted := range r.Variations {
+		if weighted.Weight > 0 {
+			// A context of another kind cannot be bucketed: it gets the first that has any weight.
+			if !context.has(kind) {
+				return weighted.Variation, true
+			}
+			last, found = weighted.Variation, true
+		}
+	}
+	bucket := Bucket(key, salt, r.Seed, context, kind, r.BucketBy)
+	sum := 0
+	for _, weighted := range r.Variations {
+		sum += weighted.Weight
+		if bucket < float64(sum)/Whole {
+			return weighted.Variation, true
+		}
+	}
+	// A bucket can be exactly 1, which no sum exceeds: it belongs to the last variation with weight.
+	return last, found
+}
+
+// allHold tells whether every clause holds. A flag rule that names a custom attribute
+// that is null is skipped even where a negated clause would hold.
+func (s *Set) allHold(clauses []Clause, context Context, segments bool) bool {
+	for i := range clauses {
+		if !s.holds(&clauses[i], context, segments) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Set) holds(clause *Clause, context Context, segments bool) bool {
+	if clause.Operator == "segmentMatch" {
+		if !segments {
+			return false
+		}
+		inside := false
+		for _, value := range clause.Values {
+			name, _ := value.(string)
+			if segment, found := s.Segments[name]; found && s.contains(segment, context) {
+				inside = true
+				break
+			}
+		}
+		return inside != clause.Negate
+	}
+	value, present := context.attribute(clause.ContextKind, clause.Attribute)
+	// Null and absent both mean there is nothing to compare, so the rule is skipped, negated or not.
+	if !present {
+		return false
+	}
+	compare, known := operators[clause.Operator]
+	if !known {
+		return false
+	}
+	matched := false
+	if list, isList := value.([]any); isList {
+		for _, element := range list {
+			if matched = anyValue(compare, element, clause); matched {
+				break
+			}
+		}
+	} else {
+		matched = anyValue(compare, value, clause)
+	}
+	return matched != clause.Negate
+}
+
+func anyValue(compare comparison, value any, clause *Clause) bool {
+	for i := range clause.Values {
+		if compare(value, clause, i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Set) contains(segment *Segment, context Context) bool {
+	user := context[DefaultKind]
+	if segment.included[user.Key] {
+		return true
+	}
+	if segment.excluded[user.Key] {
+		return false
+	}
+	for i := range segment.Rules {
+		rule := &segment.Rules[i]
+		if !s.allHold(rule.Clauses, context, false) {
+			continue
+		}
+		if rule.Weight == nil {
+			return true
+		}
+		kind := rule.ContextKind
+		if kind == "" {
+			kind = DefaultKind
+		}
+		if Bucket(segment.Key, segment.Salt, nil, context, kind, rule.BucketBy) < float64(*rule.Weight)/Whole {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/flag/operator.go
@@ -0,0 +1,153 @@
+package flag
+
+import (
+	"crypto/sha1"
+	"encoding/hex"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/Masterminds/semver/v3"
+)
+
+// bucketDigits is how much of the SHA1 counts, and bucketWhole the largest value it can have.
+const (
+	bucketDigits = 15
+	bucketWhole  = 0xFFFFFFFFFFFFFFF
+)
+
+// Bucket places a context in [0,1]; a missing kind or value gives 0.
+func Bucket(key, salt string, seed *int64, context Context, kind, attribute string) float64 {
+	value, present := context.attribute(kind, attribute)
+	if !present {
+		return 0
+	}
+	text, usable := bucketText(value)
+	if !usable {
+		return 0
+	}
+	prefix := key + "." + salt
+	if seed != nil {
+		prefix = strconv.FormatInt(*seed, 10)
+	}
+	sum := sha1.Sum([]byte(prefix + "." + text))
+	number, err := strconv.ParseUint(hex.EncodeToString(sum[:])[:bucketDigits], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return float64(number) / bucketWhole
+}
+
+// bucketText gives the text a value is bucketed by; only text and whole numbers have one.
+func bucketText(value any) (string, bool) {
+	if text, isText := value.(string); isText {
+		return text, true
+	}
+	number, isNumber := numeric(value)
+	if !isNumber || number != math.Trunc(number) || math.Abs(number) > 1<<53 {
+		return "", false
+	}
+	return strconv.FormatInt(int64(number), 10), true
+}
+
+// comparison compares a context value with the i-th value of a clause.
+type comparison func(value any, clause *Clause, i int) bool
+
+// operators is the table of all operators but segmentMatch, which needs the segments.
+var operators = map[string]comparison{
+	"in": func(value any, clause *Clause, i int) bool { return same(value, clause.Values[i]) },
+	"endsWith": texts(func(value, wanted string) bool {
+		return strings.HasSuffix(value, wanted)
+	}),
+	"startsWith": texts(strings.HasPrefix),
+	"contains":   texts(strings.Contains),
+	"matches": func(value any, clause *Clause, i int) bool {
+		text, isText := value.(string)
+		return isText && i < len(clause.patterns) && clause.patterns[i] != nil && clause.patterns[i].MatchString(text)
+	},
+	"lessThan":           numbers(func(a, b float64) bool { return a < b }),
+	"lessThanOrEqual":    numbers(func(a, b float64) bool { return a <= b }),
+	"greaterThan":        numbers(func(a, b float64) bool { return a > b }),
+	"greaterThanOrEqual": numbers(func(a, b float64) bool { return a >= b }),
+	"before":             times(func(a, b int64) bool { return a < b }),
+	"after":              times(func(a, b int64) bool { return a > b }),
+	"semVerEqual":        semvers(func(order int) bool { return order == 0 }),
+	"semVerLessThan":     semvers(func(order int) bool { return order < 0 }),
+	"semVerGreaterThan":  semvers(func(order int) bool { return order > 0 }),
+}
+
+// same is equality of value and type; JSON has one type of number.
+func same(a, b any) bool {
+	if left, isNumber := numeric(a); isNumber {
+		right, alsoNumber := numeric(b)
+		return alsoNumber && left == right
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+func numeric(value any) (float64, bool) {
+	switch number := value.(type) {
+	case float64:
+		return number, !math.IsNaN(number)
+	case int:
+		return float64(number), true
+	case int64:
+		return float64(number), true
+	}
+	return 0, false
+}
+
+func texts(compare func(value, wanted string) bool) comparison {
+	return func(value any, clause *Clause, i int) bool {
+		text, isText := value.(string)
+		wanted, wantedText := clause.Values[i].(string)
+		return isText && wantedText && compare(text, wanted)
+	}
+}
+
+func numbers(compare func(a, b float64) bool) comparison {
+	return func(value any, clause *Clause, i int) bool {
+		number, isNumber := numeric(value)
+		wanted, wantedNumber := numeric(clause.Values[i])
+		return isNumber && wantedNumber && compare(number, wanted)
+	}
+}
+
+// moment reads a timestamp: whole milliseconds since 1970, or RFC 3339 text.
+func moment(value any) (int64, bool) {
+	if text, isText := value.(string); isText {
+		parsed, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return 0, false
+		}
+		return parsed.UnixMilli(), true
+	}
+	number, isNumber := numeric(value)
+	if !isNumber || number != math.Trunc(number) || math.Abs(number) > 1<<53 {
+		return 0, false
+	}
+	return int64(number), true
+}
+
+func times(compare func(a, b int64) bool) comparison {
+	return func(value any, clause *Clause, i int) bool {
+		if i >= len(clause.times) || clause.times[i] == nil {
+			return false
+		}
+		instant, isMoment := moment(value)
+		return isMoment && compare(instant, *clause.times[i])
+	}
+}
+
+func semvers(accepts func(order int) bool) comparison {
+	return func(value any, clause *Clause, i int) bool {
+		text, isText := value.(string)
+		if !isText || i >= len(clause.semvers) || clause.semvers[i] == nil {
+			return false
+		}
+		version, err := semver.NewVersion(text)
+		return err == nil && accepts(version.Compare(clause.semvers[i]))
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,215 @@
+// Package link carries drpc between our own processes under mutual TLS.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"meadowhinge/internal/defect"
+)
+
+// protocol is the version of what our processes say; ALPN refuses any other at the handshake.
+const protocol = "meadowhinge/1"
+
+// Peer is who stands at the other end, as its certificate says.
+type Peer struct {
+	Role     string // proxy, registry, store
+	Name     string
+	speaks   map[string]bool
+	verified bool
+}
+
+// Speaks tells whether the peer may make calls for a service or client kind.
+func (p Peer) Speaks(service string) bool { return p.verified && p.speaks[service] }
+
+// Local is this process itself, for a dispatch that needs no wire.
+func Local(role, name string, services map[string]bool) Peer {
+	return Peer{Role: role, Name: name, speaks: services, verified: true}
+}
+
+// peerOf reads the identity from the URIs of a certificate: mesh:role/name and mesh:speaks/service.
+func peerOf(certificate *x509.Certificate) Peer {
+	peer := Peer{speaks: map[string]bool{}, verified: true}
+	for _, address := range certificate.URIs {
+		role, name, _ := strings.Cut(address.Opaque, "/")
+		if address.Scheme != "mesh" || name == "" {
+			continue
+		}
+		if role == "speaks" {
+			peer.speaks[name] = true
+		} else {
+			peer.Role, peer.Name = role, name
+		}
+	}
+	return peer
+}
+
+// Ends holds this process's credentials and its open links.
+type Ends struct {
+	config *tls.Config
+	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+	dial   time.Duration
+	most   int
+	self   Peer
+	from   net.Addr
+
+	// Refused counts peers turned away for a wrong certificate, protocol or garbage.
+	Refused atomic.Uint64
+}
+
+// Option changes a default of Ends.
+type Option func(*Ends)
+
+// WithDial bounds the time to open a link.
+func WithDial(bound time.Duration) Option { return func(e *Ends) { e.dial = bound } }
+
+// WithFrom dials from the IP of an address, so that a machine with several has one face.
+func WithFrom(address string) Option {
+	return func(e *Ends) {
+		if from, err := netip.ParseAddrPort(address); err == nil && !from.Addr().IsUnspecified() {
+			e.from = &net.TCPAddr{IP: from.Addr().AsSlice()}
+		}
+	}
+}
+
+// WithMessageMost bounds one message, in bytes.
+func WithMessageMost(most int) Option { return func(e *Ends) { e.most = most } }
+
+// Load reads the credentials of this process.
+func Load(certificateFile, authorityFile string, changes ...Option) (*Ends, error) {
+	pair, err := tls.LoadX509KeyPair(certificateFile, certificateFile)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, "certificate")
+	}
+	authority, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, "authority")
+	}
+	trusted := x509.NewCertPool()
+	if !trusted.AppendCertsFromPEM(authority) {
+		return nil, defect.New(defect.BadOptions, "authority holds no certificate")
+	}
+	leaf, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, "certificate")
+	}
+	ends := &Ends{dial: time.Second, most: 64 << 20, self: peerOf(leaf)}
+	for _, change := range changes {
+		change(ends)
+	}
+	ends.config = &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      trusted,
+		ClientCAs:    trusted,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		// Peers are named by role, not by host, so the chain is checked here and the name by the caller.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			if state.NegotiatedProtocol != protocol {
+				return defect.New(defect.Stranger, "speaks another protocol")
+			}
+			held := state.PeerCertificates
+			if len(held) == 0 {
+				return defect.New(defect.Stranger, "shows no certificate")
+			}
+			_, err := held[0].Verify(x509.VerifyOptions{Roots: trusted, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+			return defect.Wrap(err, defect.Stranger, "certificate")
+		},
+	}
+	ends.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: time.Minute, Capacity: 4096, KeyCapacity: 256})
+	return ends, nil
+}
+
+// Self is the identity in this process's own certificate.
+func (e *Ends) Self() Peer { return e.self }
+
+func (e *Ends) limits() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: e.most}}
+}
+
+// open dials; its error marks a link that never came up: nothing can have reached the other side.
+func (e *Ends) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.dial)
+	defer cancel()
+	dialer := tls.Dialer{NetDialer: &net.Dialer{LocalAddr: e.from}, Config: e.config}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.LinkUnopened, address)
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: e.limits()}), nil
+}
+
+// To gives a connection to address; each call on it takes a link of its own from the pool.
+func (e *Ends) To(ctx context.Context, address string) drpc.Conn {
+	return e.pool.Get(ctx, address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
+		return e.open(ctx, address)
+	})
+}
+
+type peerKey struct{}
+
+// PeerOf tells who made the call being served.
+func PeerOf(ctx context.Context) Peer {
+	peer, _ := ctx.Value(peerKey{}).(Peer)
+	return peer
+}
+
+// Serve answers calls on listener until ctx ends. Roles not allowed are cut at the handshake.
+func (e *Ends) Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, roles ...string) error {
+	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: e.limits()})
+	allowed := map[string]bool{}
+	for _, role := range roles {
+		allowed[role] = true
+	}
+	go func() {
+		<-ctx.Done()
+		listener.Close()
+	}()
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return defect.Wrap(err, defect.Internal, "accept")
+		}
+		go func() {
+			secured := tls.Server(raw, e.config)
+			defer secured.Close()
+			greeting, cancel := context.WithTimeout(ctx, e.dial*5)
+			defer cancel()
+			if err := secured.HandshakeContext(greeting); err != nil {
+				e.Refused.Add(1)
+				return
+			}
+			peer := peerOf(secured.ConnectionState().PeerCertificates[0])
+			if !allowed[peer.Role] {
+				e.Refused.Add(1)
+				return
+			}
+			// An error here is a peer that hung up or sent garbage; only the latter has a wire error.
+			if err := server.ServeOne(context.WithValue(ctx, peerKey{}, peer), secured); err != nil && ctx.Err() == nil && drpc.ProtocolError.Has(err) {
+				e.Refused.Add(1)
+			}
+		}()
+	}
+}
+
+// Close ends all pooled links.
+func (e *Ends) Close() { e.pool.Close() }
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,378 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+	"storj.io/drpc/drpcmux"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/journal"
+	"meadowhinge/internal/link"
+	"meadowhinge/internal/options"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/registry"
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// Ratios to the lease.
+const (
+	renewParts  = registry.LeaseParts
+	tellParts   = 2 * registry.LeaseParts // workers' loads and counts are told twice as often as leases are renewed
+	pollParts   = 2
+	retryParts  = 40
+	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
+	tallyLines  = 4096
+	eventsKept  = 256
+	workersMost = 256
+)
+
+// Server runs a proxy.
+type Server struct {
+	schema.DRPCHopUnimplementedServer
+	options     *schema.ProxyOptions
+	incarnation uint64
+	address     string
+	lease       time.Duration
+	ends        *link.Ends
+	log         logr.Logger
+	started     time.Time
+	speaks      link.Peer
+
+	journal *journal.Journal[Event, picture]
+	workers *dispatch.Workers
+	runner  *dispatch.Runner
+	carrier *dispatch.Carrier
+	tally   *dispatch.Tally
+	calls   *ants.Pool
+	hops    *ants.Pool
+	health  *dispatch.Soundness
+
+	lock     sync.Mutex
+	held     *session.Lease
+	until    atomic.Int64
+	leased   chan struct{} // closed and replaced when the lease is renewed
+	cores    map[string]*schema.Core
+	behind   time.Duration // since when some registry knew a newer setup than the one applied; 0 for never
+	feedAt   int
+	members  atomic.Int64
+	counter  uint64
+	renewNow chan struct{}
+	tellNow  chan struct{}
+	inFlight sync.WaitGroup
+}
+
+// Run serves a proxy until ctx ends.
+func Run(ctx context.Context, frame *daemon.Frame, given *schema.ProxyOptions) error {
+	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+	if err != nil {
+		return err
+	}
+	defer ends.Close()
+	if self := ends.Self(); self.Role != "proxy" || self.Name != given.Name {
+		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not proxy %q", self.Role, self.Name, given.Name))
+	}
+	callers := options.Pairs(given.Callers)
+	for caller := range callers {
+		if !ends.Self().Speaks(caller) {
+			return defect.New(defect.BadOptions, fmt.Sprintf("callers: the certificate may not speak for %q", caller))
+		}
+	}
+	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
+		log: frame.Log, started: time.Now(), held: session.NewLease(time.Duration(given.Lease)), leased: make(chan struct{}),
+		cores: map[string]*schema.Core{}, renewNow: make(chan struct{}, 1), tellNow: make(chan struct{}, 1)}
+	if s.address == "" {
+		s.address = given.Listen
+	}
+	s.members.Store(given.MembersMost)
+	s.journal = journal.New(emptyPicture(), eventsKept, fold)
+	s.tally = dispatch.NewTally(tallyLines)
+	s.health = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
+	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
+		return defect.Wrap(err, defect.Internal, "pool")
+	}
+	if s.hops, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
+		return defect.Wrap(err, defect.Internal, "pool")
+	}
+	defer s.calls.Release()
+	defer s.hops.Release()
+	s.assemble()
+
+	listener, err := net.Listen("tcp", given.Listen)
+	if err != nil {
+		return defect.Wrap(err, defect.BadOptions, "listen")
+	}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterHop(mux, s); err != nil {
+		return defect.Wrap(err, defect.Internal, "mux")
+	}
+	frame.Page("/status", func() any { return s.status() })
+	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
+		return err
+	}
+	// Links to other proxies outlive the signal until the calls in flight have ended.
+	linked, unlink := context.WithCancel(context.Background())
+	defer unlink()
+	for i := range options.List(given.Seeds) {
+		go s.renew(linked, i)
+	}
+	go s.feed(linked)
+	go s.tell(linked)
+	served := make(chan error, 1)
+	go func() { served <- ends.Serve(linked, listener, mux, "proxy") }()
+	var outward []*fasthttp.Server
+	for caller, address := range callers {
+		server, err := s.listen(address, s.callerHandler(caller), int(given.BodyMost))
+		if err != nil {
+			return err
+		}
+		outward = append(outward, server)
+	}
+	beside, err := s.listen(given.WorkersListen, s.workerHandler, 1<<16)
+	if err != nil {
+		return err
+	}
+	frame.Log.V(1).Info("proxy up", "name", given.Name, "listen", given.Listen)
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	frame.Draining.Store(true)
+	return s.drain(append(outward, beside))
+}
+
+// drain stops taking calls and waits for those in flight, as long as settings allow.
+func (s *Server) drain(outward []*fasthttp.Server) error {
+	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.Drain))
+	defer cancel()
+	// Workers here are told as leaving first, so that other proxies send elsewhere.
+	s.workers.LeaveAll()
+	var first error
+	for _, server := range outward {
+		if err := server.ShutdownWithContext(draining); err != nil && first == nil {
+			first = defect.Wrap(err, defect.Draining, "calls still in flight at the end of the drain time")
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		s.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-draining.Done():
+	}
+	return first
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.started) }
+
+func (s *Server) view() *plan.View { return s.journal.View().view }
+
+func (s *Server) isLeased() bool { return int64(s.now()) < s.until.Load() }
+
+// assemble wires the two sides of a dispatch to this process.
+func (s *Server) assemble() {
+	given := s.options
+	speaks := map[string]bool{}
+	for caller := range options.Pairs(given.Callers) {
+		speaks[caller] = true
+	}
+	s.speaks = link.Local("proxy", given.Name, speaks)
+	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
+		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
+		Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}, s.workersChanged)
+	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, View: s.view, Leased: s.isLeased, Now: s.now,
+		AwaitSetup: func(ctx context.Context, sequence uint64) {
+			s.journal.Wait(ctx, func(held picture) bool { return held.setup.Sequence >= sequence })
+		},
+		Outdated: func(sequence uint64) bool {
+			return s.journal.View().outdated(sequence, s.now(), s.lease/renewParts)
+		}}, int(given.Remembered))
+	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.incarnation,
+		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
+		View:    s.view, Leased: s.isLeased, Now: s.now, Dice: rand.Float64, Soundness: s.health, Tally: s.tally,
+		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor),
+		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
+			s.journal.Wait(ctx, func(held picture) bool { return ready(held.view) })
+		},
+		AwaitLease: s.awaitLease, Send: s.send}).Start(int(given.Remembered))
+}
+
+// send hands a dispatch to the proxy beside the worker, or to this one's own other side.
+func (s *Server) send(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error) {
+	if candidate.Proxy == s.options.Name {
+		return s.runner.Run(ctx, s.speaks, carry), nil
+	}
+	return schema.NewDRPCHopClient(s.ends.To(ctx, candidate.Address)).Run(ctx, carry)
+}
+
+// Run serves a dispatch from another proxy.
+func (s *Server) Run(ctx context.Context, carry *schema.Carry) (*schema.Carried, error) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Done()
+	carried := make(chan *schema.Carried, 1)
+	// The pool bounds what is in flight here; beyond it a dispatch is refused unrun.
+	if err := s.hops.Submit(func() { carried <- s.runner.Run(ctx, link.PeerOf(ctx), carry) }); err != nil {
+		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.BufferFull)}, nil
+	}
+	return <-carried, nil
+}
+
+func (s *Server) soundness() daemon.Soundness {
+	if !s.isLeased() {
+		return daemon.Soundness{Reason: string(defect.NoLease)}
+	}
+	return daemon.Soundness{Ready: true}
+}
+
+// Status is what a proxy says of itself.
+type Status struct {
+	Name     string           `json:"name"`
+	Setup    uint64           `json:"setup"`
+	Leased   bool             `json:"leased"`
+	LeaseMS  int64            `json:"leaseMs"`
+	Members  int64            `json:"members"`
+	Sources  int              `json:"sources"`
+	Workers  []*schema.Worker `json:"workers"`
+	Refused  uint64           `json:"refusedPeers"`
+	InCalls  int              `json:"callsInFlight"`
+	HopCalls int              `json:"hopsInFlight"`
+}
+
+func (s *Server) status() Status {
+	held := s.journal.View()
+	return Status{Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.isLeased(), LeaseMS: (s.until.Load() - int64(s.now())) / int64(time.Millisecond),
+		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
+		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
+}
+
+func (s *Server) listen(address string, handler fasthttp.RequestHandler, bodyMost int) (*fasthttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, address)
+	}
+	server := &fasthttp.Server{Name: "meadowhinge", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, Concurrency: int(s.options.Buffer) * 4,
+		MaxRequestBodySize: bodyMost, ReadTimeout: time.Duration(s.options.HorizonMost), IdleTimeout: time.Minute, CloseOnShutdown: true,
+		DisablePreParseMultipartForm: true, Handler: handler,
+		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
+			kind := defect.Malformed
+			if err == fasthttp.ErrBodyTooLarge {
+				kind = defect.TooLarge
+			}
+			daemon.Refuse(call, defect.Wrap(err, kind, "request"), "not-run", nil)
+			call.SetConnectionClose()
+		}}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// retryAfter tells a caller that was refused when to come back.
+const retryAfterSeconds = "1"
+
+// callerHandler takes calls from one caller; the listener, never a header, says who calls.
+func (s *Server) callerHandler(caller string) fasthttp.RequestHandler {
+	return func(call *fasthttp.RequestCtx) {
+		ended := make(chan *dispatch.Ended, 1)
+		taken := s.callOf(caller, call)
+		s.inFlight.Add(1)
+		defer s.inFlight.Done()
+		if err := s.calls.Submit(func() { ended <- s.carrier.Carry(context.Background(), taken) }); err != nil {
+			daemon.Refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), "not-run", nil)
+			call.Response.Header.Set("Retry-After", retryAfterSeconds)
+			return
+		}
+		answer(call, <-ended)
+	}
+}
+
+// callOf copies a request out of the server's buffers.
+func (s *Server) callOf(caller string, call *fasthttp.RequestCtx) *dispatch.Call {
+	taken := &dispatch.Call{Target: string(call.RequestURI()), Body: append([]byte(nil), call.PostBody()...)}
+	values := map[string]string{}
+	taken.Headers = dispatch.HeadersOf(&call.Request.Header)
+	for _, header := range taken.Headers {
+		name := strings.ToLower(header.Name)
+		if _, found := values[name]; !found {
+			values[name] = header.Value
+		}
+	}
+	taken.Request = plan.Request{Caller: caller, Method: string(call.Method()), Path: string(call.Path()),
+		Header:      func(name string) (string, bool) { value, found := values[strings.ToLower(name)]; return value, found },
+		Idempotency: values["idempotency-key"]}
+	if asked, err := strconv.ParseInt(string(call.Request.Header.Peek(dispatch.HeaderHorizon)), 10, 32); err == nil && asked > 0 {
+		taken.Request.Asked = time.Duration(asked) * time.Millisecond
+	}
+	return taken
+}
+
+// answer writes what became of a call.
+func answer(call *fasthttp.RequestCtx, ended *dispatch.Ended) {
+	if ended.Err != nil {
+		outcome := "not-run"
+		if ended.Carried != nil {
+			outcome = dispatch.OutcomeName(ended.Carried.Ending)
+		}
+		daemon.Refuse(call, ended.Err, outcome, nil)
+		if call.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+			call.Response.Header.Set("Retry-After", retryAfterSeconds)
+		}
+	} else {
+		call.Response.Reset()
+		call.SetStatusCode(int(ended.Carried.Status))
+		for _, header := range ended.Carried.Headers {
+			call.Response.Header.Add(header.Name, header.Value)
+		}
+		call.SetBody(ended.Carried.Body)
+	}
+	call.Response.Header.Set(dispatch.HeaderRequest, ended.ID)
+	if ended.Carried != nil {
+		call.Response.Header.Set(dispatch.HeaderOutcome, dispatch.OutcomeName(ended.Carried.Ending))
+	}
+	if ended.Plan != nil {
+		call.Response.Header.Set(dispatch.HeaderVersion, ended.Plan.Verdict.Version)
+		call.Response.Header.Set(dispatch.HeaderReason, string(ended.Plan.Verdict.Reason))
+		call.Response.Header.Set(dispatch.HeaderSetup, strconv.FormatUint(ended.Plan.Verdict.Setup, 10))
+		call.Response.Header.Set(dispatch.HeaderTries, strconv.Itoa(ended.Tries))
+	}
+}
+
+// workerHandler takes workers' descriptions of themselves.
+func (s *Server) workerHandler(call *fasthttp.RequestCtx) {
+	if string(call.Path()) != "/v1/worker" || !call.IsPost() {
+		daemon.Refuse(call, defect.New(defect.NoRoute, string(call.Path())), "", nil)
+		return
+	}
+	said := dispatch.Description{}
+	decoder := json.NewDecoder(strings.NewReader(string(call.PostBody())))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&said); err != nil {
+		daemon.Refuse(call, defect.Wrap(err, defect.Malformed, "description"), "", nil)
+		return
+	}
+	if faults := said.Check(); len(faults) > 0 {
+		daemon.Refuse(call, defect.New(defect.Malformed, "description"), "", faults)
+		return
+	}
+	instance, err := s.workers.Describe(said)
+	if err != nil {
+		daemon.Refuse(call, err, "", nil)
+		return
+	}
+	daemon.Answer(call, fasthttp.StatusOK, map[string]string{"instance": instance})
+}
--- /dev/null
+++ b/internal/proxy/ties.go
@@ -0,0 +1,253 @@
+package proxy
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"meadowhinge/internal/options"
+	"meadowhinge/schema"
+)
+
+// poke wakes a loop without waiting for it.
+func poke(bell chan struct{}) {
+	select {
+	case bell <- struct{}{}:
+	default:
+	}
+}
+
+// workersChanged lets the whole mesh know, this proxy first.
+func (s *Server) workersChanged() {
+	s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{s.source()}})
+	poke(s.tellNow)
+}
+
+// source is what this proxy tells of itself, under a new stamp each time.
+func (s *Server) source() *schema.Source {
+	workers := s.workers.List()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.counter++
+	return &schema.Source{Name: s.options.Name, Stamp: &schema.Stamp{Incarnation: s.incarnation, Counter: s.counter},
+		Address: s.address, Area: s.options.Area, Workers: workers}
+}
+
+// registries lists where registries may be reached: where they said they are, then the seeds.
+func (s *Server) registries() []string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var seats []string
+	for seat := range s.cores {
+		seats = append(seats, seat)
+	}
+	sort.Strings(seats)
+	var addresses []string
+	seen := map[string]bool{}
+	for _, seat := range seats {
+		if address := s.cores[seat].Address; !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	for _, address := range options.List(s.options.Seeds) {
+		if !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+func (s *Server) learn(cores []*schema.Core) {
+	for _, core := range cores {
+		if held := s.cores[core.Seat]; held == nil || core.Incarnation > held.Incarnation {
+			s.cores[core.Seat] = core
+		}
+	}
+}
+
+// renew keeps the lease with one of the registries, the i-th of those known.
+func (s *Server) renew(ctx context.Context, i int) {
+	ticker := time.NewTicker(s.lease / renewParts)
+	defer ticker.Stop()
+	for {
+		addresses := s.registries()
+		for place, address := range addresses {
+			// With as many loops as seeds, each loop minds the addresses of its own place.
+			if place%len(options.List(s.options.Seeds)) == i {
+				s.renewAt(ctx, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// renewAt asks one registry to renew; the grant counts from before it was asked.
+func (s *Server) renewAt(ctx context.Context, address string) {
+	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
+	defer cancel()
+	asked := s.now()
+	applied := s.journal.View().setup.Sequence
+	reply, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Lease(bounded, &schema.Renew{Proxy: s.options.Name, Incarnation: s.incarnation, Applied: applied})
+	if err != nil {
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.learn(reply.Cores)
+	if reply.Members > 0 {
+		s.members.Store(int64(reply.Members))
+	}
+	switch {
+	case reply.Stable <= applied:
+		s.behind = 0
+	// Some registry knows more than the one that feeds this proxy: change over if it lasts.
+	case s.behind == 0:
+		s.behind = asked
+	case asked-s.behind > s.lease/lagParts:
+		s.behind = 0
+		s.feedAt++
+	}
+	if !reply.Granted {
+		return
+	}
+	s.held.Granted(reply.Seat, int(reply.Seats), asked)
+	if until := int64(s.held.Until()); until > s.until.Load() {
+		s.until.Store(until)
+		close(s.leased)
+		s.leased = make(chan struct{})
+	}
+}
+
+// awaitLease waits until the lease stands.
+func (s *Server) awaitLease(ctx context.Context) bool {
+	for {
+		s.lock.Lock()
+		renewed := s.leased
+		s.lock.Unlock()
+		if s.isLeased() {
+			return true
+		}
+		select {
+		case <-renewed:
+		case <-ctx.Done():
+			return s.isLeased()
+		}
+	}
+}
+
+// feedAddress is the registry this proxy has its session with.
+func (s *Server) feedAddress() (string, int) {
+	addresses := s.registries()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	// Proxies spread over the registries by name, and move on when theirs fails them.
+	start := 0
+	for _, letter := range s.options.Name {
+		start = start*31 + int(letter)
+	}
+	if start < 0 {
+		start = -start
+	}
+	return addresses[(start+s.feedAt)%len(addresses)], s.feedAt
+}
+
+// moveOn leaves a registry that failed, unless that was done already.
+func (s *Server) moveOn(from int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.feedAt == from {
+		s.feedAt++
+	}
+}
+
+func (s *Server) pause(ctx context.Context, parts time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.lease / parts):
+	}
+}
+
+// feed pulls what this proxy lacks, by its vector.
+func (s *Server) feed(ctx context.Context) {
+	for ctx.Err() == nil {
+		address, at := s.feedAddress()
+		held := s.journal.View()
+		bounded, cancel := context.WithTimeout(ctx, s.lease/pollParts+s.lease/renewParts)
+		go s.endWhenMoved(bounded, cancel, at)
+		pulled, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Feed(bounded, &schema.Pull{Node: s.options.Name,
+			Vector: held.vector(), Setup: held.setup.Sequence, WaitNanos: int64(s.lease / pollParts)})
+		cancel()
+		if err != nil {
+			s.moveOn(at)
+			s.pause(ctx, retryParts)
+			continue
+		}
+		s.lock.Lock()
+		s.learn(pulled.Cores)
+		s.lock.Unlock()
+		if len(pulled.Sources) == 0 && pulled.Setup <= held.setup.Sequence {
+			continue
+		}
+		s.journal.Append(Event{At: s.now(), Setup: pulled.Setup, Items: pulled.Items, Whole: pulled.Whole, Sources: pulled.Sources})
+		// An applied change is told at once: its acknowledgement may be waiting for this proxy.
+		if pulled.Setup > held.setup.Sequence {
+			for _, address := range s.registries() {
+				go s.renewAt(ctx, address)
+			}
+		}
+	}
+}
+
+// endWhenMoved ends a poll when this proxy has left the registry it polls.
+func (s *Server) endWhenMoved(ctx context.Context, cancel context.CancelFunc, at int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(s.lease / lagParts):
+		}
+		s.lock.Lock()
+		moved := s.feedAt != at
+		s.lock.Unlock()
+		if moved {
+			cancel()
+			return
+		}
+	}
+}
+
+// tell reports workers and counts to the registry of this proxy's session.
+func (s *Server) tell(ctx context.Context) {
+	ticker := time.NewTicker(s.lease / tellParts)
+	defer ticker.Stop()
+	for {
+		s.workers.Sweep()
+		source := s.source()
+		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: 2 * s.lease})
+		listed := map[string]bool{}
+		for instance := range view.since {
+			listed[instance] = true
+		}
+		s.health.Keep(listed)
+		address, at := s.feedAddress()
+		bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
+		_, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
+			Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts()})
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			s.moveOn(at)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.tellNow:
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/view.go
@@ -0,0 +1,124 @@
+// Package proxy is the node beside callers and workers: it decides each call by the flags
+// and carries it out.
+package proxy
+
+import (
+	"sort"
+	"time"
+
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/registry"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// Event is what happened: setup or sources arrived.
+type Event struct {
+	At      time.Duration
+	Setup   uint64
+	Items   []*schema.Item
+	Whole   bool
+	Sources []*schema.Source
+	Sweep   time.Duration // drop sources not heard from for this long
+}
+
+type known struct {
+	source *schema.Source
+	at     time.Duration
+}
+
+// picture is all that is folded from the journal; readers take its plan view.
+type picture struct {
+	state    setup.State
+	setup    *setup.Setup
+	sources  map[string]known
+	since    map[string]time.Duration
+	replaced []replacement
+	view     *plan.View
+}
+
+// replacement tells when a setup was applied, and so when the ones before it went.
+type replacement struct {
+	sequence uint64
+	at       time.Duration
+}
+
+// replacedKept bounds the memory of replacements.
+const replacedKept = 64
+
+func emptyPicture() picture {
+	compiled, _ := setup.Compile(setup.State{}, 0)
+	return picture{state: setup.State{}, setup: compiled, sources: map[string]known{}, since: map[string]time.Duration{},
+		view: &plan.View{Setup: compiled, Directory: plan.Directory{}}}
+}
+
+// fold makes the next picture. An older setup than the one held changes nothing, whoever
+// sends it: a node never falls back.
+func fold(before picture, event Event) picture {
+	after := before
+	if event.Setup > before.setup.Sequence {
+		after.state = before.state.With(event.Items)
+		after.setup, _ = setup.Compile(after.state, event.Setup)
+		after.replaced = append(append([]replacement(nil), before.replaced...), replacement{event.Setup, event.At})
+		if len(after.replaced) > replacedKept {
+			after.replaced = after.replaced[1:]
+		}
+	}
+	if len(event.Sources) > 0 || event.Sweep > 0 {
+		after.sources = make(map[string]known, len(before.sources)+1)
+		for name, held := range before.sources {
+			if event.Sweep == 0 || event.At-held.at <= event.Sweep {
+				after.sources[name] = held
+			}
+		}
+		for _, source := range event.Sources {
+			held, found := after.sources[source.Name]
+			if !found || newer(source.Stamp, held.source.Stamp) {
+				after.sources[source.Name] = known{source, event.At}
+			}
+		}
+		after.since = map[string]time.Duration{}
+		for _, held := range after.sources {
+			for _, worker := range held.source.Workers {
+				if first, found := before.since[worker.Instance]; found {
+					after.since[worker.Instance] = first
+				} else {
+					after.since[worker.Instance] = event.At
+				}
+			}
+		}
+	}
+	list := make([]*schema.Source, 0, len(after.sources))
+	for _, held := range after.sources {
+		list = append(list, held.source)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	after.view = &plan.View{Setup: after.setup, Directory: registry.DirectoryOf(list, func(instance string) time.Duration { return after.since[instance] })}
+	return after
+}
+
+func newer(a, b *schema.Stamp) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetCounter() > b.GetCounter()
+}
+
+// outdated tells whether a setup was replaced longer ago than a bound.
+func (p picture) outdated(sequence uint64, now, bound time.Duration) bool {
+	for _, one := range p.replaced {
+		if one.sequence > sequence {
+			return now-one.at > bound
+		}
+	}
+	return false
+}
+
+// vector is what this proxy has of each source.
+func (p picture) vector() map[string]*schema.Stamp {
+	vector := make(map[string]*schema.Stamp, len(p.sources))
+	for name, held := range p.sources {
+		vector[name] = held.source.Stamp
+	}
+	return vector
+}
--- /dev/null
+++ b/internal/registry/daemon.go
@@ -0,0 +1,434 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"storj.io/drpc/drpcmux"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/link"
+	"meadowhinge/internal/options"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// Ratios to the lease.
+const (
+	pollParts  = 2  // longest wait of one poll of a feed
+	retryParts = 40 // pause after a call that failed
+	batchParts = 400
+)
+
+// Server runs a registry.
+type Server struct {
+	schema.DRPCRegistryUnimplementedServer
+	options *schema.RegistryOptions
+	order   []string
+	lease   time.Duration
+	address string
+	ends    *link.Ends
+	log     logr.Logger
+	started time.Time
+	born    uint64
+
+	lock   sync.Mutex
+	table  *Table
+	state  setup.State
+	setup  *setup.Setup
+	cores  map[string]*schema.Core
+	moved  chan struct{}
+	store  schema.DRPCStoreClient
+	folded uint64
+}
+
+// Run serves a registry until ctx ends.
+func Run(ctx context.Context, frame *daemon.Frame, given *schema.RegistryOptions) error {
+	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+	if err != nil {
+		return err
+	}
+	defer ends.Close()
+	if self := ends.Self(); self.Role != "registry" || self.Name != given.Seat {
+		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not registry %q", self.Role, self.Name, given.Seat))
+	}
+	address := given.Advertise
+	if address == "" {
+		address = given.Listen
+	}
+	s := &Server{options: given, order: options.List(given.Order), lease: time.Duration(given.Lease), address: address, ends: ends, log: frame.Log,
+		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{})}
+	s.table = newTable(tableOptions{seat: given.Seat, lease: s.lease, sourcesMost: int(given.SourcesMost), countsMost: int(given.CountsMost)})
+	s.setup, _ = setup.Compile(s.state, 0)
+	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born}
+	s.store = schema.NewDRPCStoreClient(ends.To(ctx, given.Store))
+
+	listener, err := net.Listen("tcp", given.Listen)
+	if err != nil {
+		return defect.Wrap(err, defect.BadOptions, "listen")
+	}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterRegistry(mux, s); err != nil {
+		return defect.Wrap(err, defect.Internal, "mux")
+	}
+	frame.Page("/status", func() any { status, _ := s.Look(ctx, nil); return status })
+	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
+		return err
+	}
+	go s.follow(ctx)
+	go s.catchUp(ctx)
+	for _, seed := range options.List(given.Seeds) {
+		go s.pullFrom(ctx, seed)
+	}
+	outward, err := s.serveOperators(given.OperatorListen)
+	if err != nil {
+		return err
+	}
+	served := make(chan error, 1)
+	go func() { served <- ends.Serve(ctx, listener, mux, "proxy", "registry") }()
+	frame.Log.V(1).Info("registry up", "seat", given.Seat, "listen", given.Listen)
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	frame.Draining.Store(true)
+	draining, cancel := context.WithTimeout(context.Background(), time.Duration(given.Drain))
+	defer cancel()
+	return defect.Wrap(outward.ShutdownWithContext(draining), defect.Internal, "operators still waiting at the end of the drain time")
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.started) }
+
+func (s *Server) soundness() daemon.Soundness {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if !s.table.Grants(s.now()) {
+		return daemon.Soundness{Reason: "REGISTRY_YOUNG"}
+	}
+	return daemon.Soundness{Ready: true}
+}
+
+// announce wakes whoever waits for news; the caller holds the lock.
+func (s *Server) announce() {
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+func (s *Server) pause(ctx context.Context, parts int) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.lease / time.Duration(parts)):
+	}
+}
+
+// follow keeps the stable setup from this machine's store.
+func (s *Server) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.lock.Lock()
+		after := s.table.stable
+		s.lock.Unlock()
+		bounded, cancel := context.WithTimeout(ctx, s.lease)
+		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / pollParts)})
+		cancel()
+		if err != nil {
+			s.pause(ctx, retryParts)
+			continue
+		}
+		s.take(back)
+	}
+}
+
+// take applies stable news; older news, as from a store that was refilled, changes nothing.
+func (s *Server) take(back *schema.StableBack) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if back.Stable <= s.table.stable {
+		return
+	}
+	s.state = s.state.With(back.Items)
+	s.setup = nil // compiled again when an operator next asks for it
+	s.table.SetStable(s.now(), back.Stable)
+	s.announce()
+}
+
+// catchUp learns what was stable when this registry started; until then it grants nothing.
+func (s *Server) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, s.lease/LeaseParts)
+		back, err := s.store.Stand(bounded, &schema.Nothing{})
+		cancel()
+		if err == nil && !back.Undecided {
+			for ctx.Err() == nil {
+				s.lock.Lock()
+				reached := s.table.stable >= back.Stable
+				if reached {
+					s.table.SetCurrent()
+				}
+				moved := s.moved
+				s.lock.Unlock()
+				if reached {
+					return
+				}
+				select {
+				case <-moved:
+				case <-ctx.Done():
+				}
+			}
+		}
+		s.pause(ctx, retryParts)
+	}
+}
+
+// pullFrom keeps this registry level with the one at a seed.
+func (s *Server) pullFrom(ctx context.Context, seed string) {
+	if seed == s.address {
+		return
+	}
+	for ctx.Err() == nil {
+		s.lock.Lock()
+		pull := &schema.Pull{Node: "registry/" + s.options.Seat, Vector: s.table.Vector(), WaitNanos: int64(s.lease / pollParts), Core: s.cores[s.options.Seat]}
+		s.lock.Unlock()
+		bounded, cancel := context.WithTimeout(ctx, s.lease)
+		pulled, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, seed)).Feed(bounded, pull)
+		cancel()
+		if err != nil {
+			s.pause(ctx, retryParts)
+			continue
+		}
+		s.lock.Lock()
+		changed := false
+		for _, source := range pulled.Sources {
+			changed = s.table.Merge(s.now(), source) || changed
+		}
+		for _, core := range pulled.Cores {
+			s.learnCore(core)
+		}
+		if changed {
+			s.announce()
+		}
+		s.lock.Unlock()
+	}
+}
+
+// learnCore notes where a core machine is now; of two tellings the later start wins.
+func (s *Server) learnCore(core *schema.Core) {
+	if core == nil || core.Seat == "" {
+		return
+	}
+	listed := false
+	for _, seat := range s.order {
+		listed = listed || seat == core.Seat
+	}
+	if held := s.cores[core.Seat]; listed && (held == nil || core.Incarnation > held.Incarnation) {
+		s.cores[core.Seat] = core
+	}
+}
+
+func (s *Server) coreList() []*schema.Core {
+	var cores []*schema.Core
+	for _, seat := range s.order {
+		if core := s.cores[seat]; core != nil {
+			cores = append(cores, core)
+		}
+	}
+	return cores
+}
+
+// isProxy tells whether the peer is the proxy it says it is.
+func (s *Server) isProxy(ctx context.Context, name string) error {
+	if peer := link.PeerOf(ctx); peer.Role != "proxy" || peer.Name != name {
+		s.ends.Refused.Add(1)
+		return defect.New(defect.Stranger, name)
+	}
+	return nil
+}
+
+// isRegistry tells whether the peer is another registry.
+func (s *Server) isRegistry(ctx context.Context) error {
+	if peer := link.PeerOf(ctx); peer.Role != "registry" {
+		s.ends.Refused.Add(1)
+		return defect.New(defect.Stranger, peer.Role)
+	}
+	return nil
+}
+
+// Lease renews a proxy's lease here.
+func (s *Server) Lease(ctx context.Context, renew *schema.Renew) (*schema.Renewed, error) {
+	if err := s.isProxy(ctx, renew.Proxy); err != nil {
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	reply := s.table.Renew(s.now(), renew)
+	reply.Cores, reply.Seats = s.coreList(), uint32(len(s.order))
+	return reply, nil
+}
+
+// Feed waits for news that a node lacks and gives it.
+func (s *Server) Feed(ctx context.Context, pull *schema.Pull) (*schema.Pulled, error) {
+	if pull.Core != nil {
+		if err := s.isRegistry(ctx); err != nil {
+			return nil, err
+		}
+		s.lock.Lock()
+		s.learnCore(pull.Core)
+		s.lock.Unlock()
+	}
+	deadline := time.NewTimer(min(time.Duration(pull.WaitNanos), s.lease))
+	defer deadline.Stop()
+	for {
+		s.lock.Lock()
+		pulled := &schema.Pulled{Sources: s.table.Feed(s.now(), pull.Vector), Setup: s.table.stable, Cores: s.coreList()}
+		if pull.Core == nil && s.table.stable > pull.Setup {
+			pulled.Whole = pull.Setup == 0
+			for _, item := range s.state.Items() {
+				if pulled.Whole || item.Version.Sequence > pull.Setup {
+					pulled.Items = append(pulled.Items, item)
+				}
+			}
+		}
+		moved := s.moved
+		s.lock.Unlock()
+		if len(pulled.Sources) > 0 || (pull.Core == nil && pulled.Setup > pull.Setup) {
+			return pulled, nil
+		}
+		select {
+		case <-moved:
+		case <-deadline.C:
+			return pulled, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Tell takes a proxy's workers and counts.
+func (s *Server) Tell(ctx context.Context, report *schema.Report) (*schema.Nothing, error) {
+	if err := s.isProxy(ctx, report.Proxy); err != nil {
+		return nil, err
+	}
+	if report.Source != nil && report.Source.Name != report.Proxy {
+		return nil, defect.New(defect.Stranger, report.Source.Name)
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.table.Tell(s.now(), report) {
+		s.announce()
+	}
+	return &schema.Nothing{}, nil
+}
+
+// Bar sets a fence for another registry.
+func (s *Server) Bar(ctx context.Context, fence *schema.Fence) (*schema.Fenced, error) {
+	if err := s.isRegistry(ctx); err != nil {
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.table.Bar(s.now(), fence.Setup), nil
+}
+
+// Counts gives the counts held here to another registry.
+func (s *Server) Counts(ctx context.Context, _ *schema.CountsAsk) (*schema.CountsBack, error) {
+	if err := s.isRegistry(ctx); err != nil {
+		return nil, err
+	}
+	return s.countsHere(), nil
+}
+
+func (s *Server) countsHere() *schema.CountsBack {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	back := &schema.CountsBack{}
+	for _, counts := range s.table.counts {
+		back.Sources = append(back.Sources, counts)
+	}
+	return back
+}
+
+// Look gives this registry's status.
+func (s *Server) Look(context.Context, *schema.Nothing) (*schema.RegistryStatus, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	now := s.now()
+	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now)}, nil
+}
+
+// others calls every other registry at once and gives the answers that came.
+func others[T any](ctx context.Context, s *Server, bound time.Duration, call func(context.Context, schema.DRPCRegistryClient) (T, error)) []T {
+	s.lock.Lock()
+	addresses := map[string]bool{}
+	for _, core := range s.cores {
+		addresses[core.Address] = true
+	}
+	s.lock.Unlock()
+	for _, seed := range options.List(s.options.Seeds) {
+		addresses[seed] = true
+	}
+	delete(addresses, s.address)
+	bounded, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	answers := make(chan *T, len(addresses))
+	for address := range addresses {
+		go func() {
+			answer, err := call(bounded, schema.NewDRPCRegistryClient(s.ends.To(bounded, address)))
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &answer
+		}()
+	}
+	var came []T
+	for range addresses {
+		if answer := <-answers; answer != nil {
+			came = append(came, *answer)
+		}
+	}
+	return came
+}
+
+// acknowledge waits until no proxy can any longer use rules older than setup. It returns
+// who still may when the wait ends.
+func (s *Server) acknowledge(ctx context.Context, sequence uint64) []string {
+	freed := map[string]bool{}
+	var laggards map[string]bool
+	for {
+		laggards = map[string]bool{}
+		s.lock.Lock()
+		answers := []*schema.Fenced{s.table.Bar(s.now(), sequence)}
+		moved := s.moved
+		s.lock.Unlock()
+		answers = append(answers, others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.Fenced, error) {
+			return peer.Bar(ctx, &schema.Fence{Setup: sequence})
+		})...)
+		for _, answer := range answers {
+			for _, one := range answer.Laggards {
+				laggards[one.Proxy] = true
+			}
+			// Once fenced, a registry without laggards stays without: it need not be asked again.
+			if answer.Counts && len(answer.Laggards) == 0 {
+				freed[answer.Seat] = true
+			}
+		}
+		if len(freed) > len(s.order)/2 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			names := []string{}
+			for name := range laggards {
+				names = append(names, name)
+			}
+			return names
+		case <-moved:
+		case <-time.After(s.lease / batchParts):
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/operators.go
@@ -0,0 +1,394 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// Submission is what an operator sends: CUE text, the versions it was written against, an id.
+type Submission struct {
+	ID       string            `json:"id"`
+	Setup    string            `json:"setup"`
+	Expected map[string]uint64 `json:"expected"` // "kind/name" to version; absent means: is new
+}
+
+// Answer is what became of a change.
+type Answer struct {
+	ID           string            `json:"id"`
+	Ruling       string            `json:"ruling"`
+	Sequence     uint64            `json:"sequence,omitempty"`
+	Epoch        uint64            `json:"epoch,omitempty"`
+	Acknowledged bool              `json:"acknowledged"`
+	Waiting      []string          `json:"waiting,omitempty"` // proxies that may still use older rules
+	Current      map[string]uint64 `json:"current,omitempty"`
+	Defect       defect.Kind       `json:"defect,omitempty"`
+	Faults       []*schema.Fault   `json:"faults,omitempty"`
+}
+
+// rulings names each ruling outside, with its status and defect.
+var rulings = map[schema.Ruling]struct {
+	name   string
+	status int
+	defect defect.Kind
+}{
+	schema.Ruling_RULING_ACCEPTED: {"accepted", fasthttp.StatusOK, ""},
+	schema.Ruling_RULING_INVALID:  {"invalid", fasthttp.StatusBadRequest, defect.BadSetup},
+	schema.Ruling_RULING_CONFLICT: {"conflict", fasthttp.StatusConflict, defect.Conflict},
+	schema.Ruling_RULING_STALE:    {"stale", fasthttp.StatusConflict, defect.StaleDuty},
+	schema.Ruling_RULING_UNKNOWN:  {"unknown", fasthttp.StatusServiceUnavailable, defect.NoMajority},
+}
+
+func answerOf(id string, outcome *schema.Outcome) (int, *Answer) {
+	ruling := rulings[outcome.GetRuling()]
+	answer := &Answer{ID: id, Ruling: ruling.name, Defect: ruling.defect, Sequence: outcome.GetVersion().GetSequence(),
+		Epoch: outcome.GetVersion().GetEpoch(), Faults: outcome.GetFaults()}
+	for _, one := range outcome.GetCurrent() {
+		if answer.Current == nil {
+			answer.Current = map[string]uint64{}
+		}
+		answer.Current[setup.Key(one.Kind, one.Name)] = one.Sequence
+	}
+	return ruling.status, answer
+}
+
+// serveOperators opens the operators' HTTP interface.
+func (s *Server) serveOperators(address string) (*fasthttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, "operator-listen")
+	}
+	// Each path and method has one page; what is not in the table does not exist.
+	pages := map[string]func(*fasthttp.RequestCtx){
+		"POST /v1/changes": s.pageChange,
+		"GET /v1/setup":    s.pageSetup,
+		"GET /v1/verdicts": s.pageVerdicts,
+		"GET /v1/workers":  s.pageWorkers,
+		"GET /v1/status":   s.pageStatus,
+		"POST /v1/explain": s.pageExplain,
+	}
+	server := &fasthttp.Server{Name: "meadowhinge", Concurrency: 1024, NoDefaultServerHeader: true, MaxRequestBodySize: int(s.options.SetupMost),
+		ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, CloseOnShutdown: true,
+		Handler: func(call *fasthttp.RequestCtx) {
+			path := string(call.Path())
+			if id, asks := strings.CutPrefix(path, "/v1/changes/"); asks && call.IsGet() {
+				s.pageOutcome(call, id)
+				return
+			}
+			page, known := pages[string(call.Method())+" "+path]
+			if !known {
+				daemon.Refuse(call, defect.New(defect.NoRoute, path), "", nil)
+				return
+			}
+			page(call)
+		},
+		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
+			kind := defect.Malformed
+			if err == fasthttp.ErrBodyTooLarge {
+				kind = defect.TooLarge
+			}
+			daemon.Refuse(call, defect.Wrap(err, kind, "request"), "", nil)
+		}}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+func (s *Server) pageChange(call *fasthttp.RequestCtx) {
+	submission := &Submission{}
+	decoder := json.NewDecoder(strings.NewReader(string(call.PostBody())))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(submission); err != nil {
+		daemon.Refuse(call, defect.Wrap(err, defect.Malformed, "change"), "", nil)
+		return
+	}
+	if submission.ID == "" || len(submission.ID) > 128 {
+		daemon.Refuse(call, defect.New(defect.Malformed, "a change needs an id of 1 to 128 bytes"), "", nil)
+		return
+	}
+	items, faults := setup.Read([]byte(submission.Setup))
+	if len(faults) > 0 {
+		daemon.Answer(call, fasthttp.StatusBadRequest, &Answer{ID: submission.ID, Ruling: "invalid", Defect: defect.BadSetup, Faults: faults})
+		return
+	}
+	change := &schema.Change{Id: submission.ID, Items: items}
+	for key, sequence := range submission.Expected {
+		kind, name, _ := strings.Cut(key, "/")
+		change.Expected = append(change.Expected, &schema.Expected{Kind: kind, Name: name, Sequence: sequence})
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.AnswerMost))
+	defer cancel()
+	submitted, err := s.store.Offer(bounded, &schema.Submit{Change: change})
+	if err != nil || submitted.Undecided {
+		// Not known is not refused: the change may yet come into force, so the id is to be asked about.
+		daemon.Answer(call, fasthttp.StatusServiceUnavailable, &Answer{ID: submission.ID, Ruling: "unknown", Defect: defect.NoMajority})
+		return
+	}
+	status, answer := answerOf(submission.ID, submitted.Outcome)
+	if submitted.Outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
+		answer.Waiting = s.acknowledge(bounded, answer.Sequence)
+		answer.Acknowledged = answer.Waiting == nil
+		// In force, but some proxy could not be heard: not yet the promise that a 200 makes.
+		if !answer.Acknowledged {
+			status = fasthttp.StatusAccepted
+		}
+	}
+	daemon.Answer(call, status, answer)
+}
+
+func (s *Server) pageOutcome(call *fasthttp.RequestCtx, id string) {
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	defer cancel()
+	submitted, err := s.store.Inquire(bounded, &schema.Ask{ChangeId: id})
+	if err != nil {
+		daemon.Refuse(call, defect.Wrap(err, defect.NoMajority, "store"), "", nil)
+		return
+	}
+	if submitted.Undecided {
+		daemon.Refuse(call, defect.New(defect.UnknownChange, id), "", nil)
+		return
+	}
+	_, answer := answerOf(id, submitted.Outcome)
+	if submitted.Outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
+		answer.Waiting = s.acknowledge(bounded, answer.Sequence)
+		answer.Acknowledged = answer.Waiting == nil
+	}
+	daemon.Answer(call, fasthttp.StatusOK, answer)
+}
+
+// ShownItem is an item as operators see it.
+type ShownItem struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// Shown is the stable setup as operators see it.
+type Shown struct {
+	Sequence uint64      `json:"sequence"`
+	Items    []ShownItem `json:"items"`
+}
+
+func (s *Server) pageSetup(call *fasthttp.RequestCtx) {
+	s.lock.Lock()
+	shown := Shown{Sequence: s.table.stable, Items: []ShownItem{}}
+	items := s.state.Items()
+	current := s.table.current
+	s.lock.Unlock()
+	// A registry that has not caught up might show an older setup than was shown before.
+	if !current {
+		daemon.Refuse(call, defect.New(defect.NoMajority, "this registry has not caught up"), "", nil)
+		return
+	}
+	for _, item := range items {
+		if !item.Deleted {
+			shown.Items = append(shown.Items, ShownItem{item.Kind, item.Name, item.Version.Sequence, item.Body})
+		}
+	}
+	daemon.Answer(call, fasthttp.StatusOK, shown)
+}
+
+// allCounts gathers the counts of all registries, each proxy's once.
+func (s *Server) allCounts(ctx context.Context) []*schema.SourceCounts {
+	answers := others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
+		return peer.Counts(ctx, &schema.CountsAsk{})
+	})
+	most := map[leaseKey]*schema.SourceCounts{}
+	for _, answer := range append(answers, s.countsHere()) {
+		for _, counts := range answer.Sources {
+			key := leaseKey{counts.Proxy, counts.Incarnation}
+			if held := most[key]; held == nil || callsIn(counts) > callsIn(held) {
+				most[key] = counts
+			}
+		}
+	}
+	var all []*schema.SourceCounts
+	for _, counts := range most {
+		all = append(all, counts)
+	}
+	return all
+}
+
+// VerdictLine is one line of verdict counts.
+type VerdictLine struct {
+	Flag      string  `json:"flag"`
+	Service   string  `json:"service"`
+	Variation string  `json:"variation"`
+	Reason    string  `json:"reason"`
+	Rule      string  `json:"rule,omitempty"`
+	Route     string  `json:"route"`
+	Outcome   string  `json:"outcome"`
+	Calls     uint64  `json:"calls"`
+	Failures  uint64  `json:"failures"`
+	MeanMS    float64 `json:"meanMs"`
+}
+
+func (s *Server) pageVerdicts(call *fasthttp.RequestCtx) {
+	sums := map[VerdictLine]*schema.Count{}
+	for _, counts := range s.allCounts(context.Background()) {
+		for _, one := range counts.Counts {
+			key := VerdictLine{Flag: one.Flag, Service: one.Service, Variation: one.Variation, Reason: one.Reason, Rule: one.Rule, Route: one.Route, Outcome: one.Outcome}
+			if sums[key] == nil {
+				sums[key] = &schema.Count{}
+			}
+			sums[key].Calls += one.Calls
+			sums[key].Failures += one.Failures
+			sums[key].Nanos += one.Nanos
+		}
+	}
+	lines := []VerdictLine{}
+	for key, sum := range sums {
+		key.Calls, key.Failures = sum.Calls, sum.Failures
+		if sum.Calls > 0 {
+			key.MeanMS = float64(sum.Nanos) / float64(sum.Calls) / float64(time.Millisecond)
+		}
+		lines = append(lines, key)
+	}
+	sort.Slice(lines, func(i, j int) bool {
+		a, b := lines[i], lines[j]
+		return a.Service+"\x00"+a.Variation+"\x00"+a.Reason+"\x00"+a.Route+"\x00"+a.Outcome < b.Service+"\x00"+b.Variation+"\x00"+b.Reason+"\x00"+b.Route+"\x00"+b.Outcome
+	})
+	daemon.Answer(call, fasthttp.StatusOK, lines)
+}
+
+// ShownWorker is a worker as operators see it.
+type ShownWorker struct {
+	Instance string  `json:"instance"`
+	Service  string  `json:"service"`
+	Version  string  `json:"version"`
+	Area     string  `json:"area"`
+	Proxy    string  `json:"proxy"`
+	Load     float64 `json:"load"`
+	State    string  `json:"state"`
+}
+
+func (s *Server) pageWorkers(call *fasthttp.RequestCtx) {
+	s.lock.Lock()
+	sources := s.table.Feed(s.now(), nil)
+	s.lock.Unlock()
+	shown := []ShownWorker{}
+	for _, source := range sources {
+		for _, worker := range source.Workers {
+			state := "serving"
+			if worker.Leaving {
+				state = "leaving"
+			}
+			shown = append(shown, ShownWorker{worker.Instance, worker.Service, worker.Version, worker.Area, source.Name, worker.Load, state})
+		}
+	}
+	daemon.Answer(call, fasthttp.StatusOK, shown)
+}
+
+// Status is the core as operators see it.
+type Status struct {
+	Store      *schema.SeatStatus       `json:"store,omitempty"`
+	Registries []*schema.RegistryStatus `json:"registries"`
+	Cores      []*schema.Core           `json:"cores"`
+	Members    int                      `json:"members"`
+}
+
+func (s *Server) pageStatus(call *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	defer cancel()
+	here, _ := s.Look(bounded, nil)
+	status := &Status{Registries: append([]*schema.RegistryStatus{here}, others(bounded, s, s.lease/LeaseParts,
+		func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.RegistryStatus, error) {
+			return peer.Look(ctx, &schema.Nothing{})
+		})...)}
+	sort.Slice(status.Registries, func(i, j int) bool { return status.Registries[i].Seat < status.Registries[j].Seat })
+	status.Store, _ = s.store.Look(bounded, &schema.Nothing{})
+	s.lock.Lock()
+	status.Cores, status.Members = s.coreList(), s.table.members(s.now())
+	s.lock.Unlock()
+	daemon.Answer(call, fasthttp.StatusOK, status)
+}
+
+// Question is a request to be explained, not sent.
+type Question struct {
+	Caller  string            `json:"caller"`
+	Method  string            `json:"method"`
+	Path    string            `json:"path"`
+	Area    string            `json:"area"`
+	Headers map[string]string `json:"headers"`
+}
+
+// Explanation says which version a request would get, and why.
+type Explanation struct {
+	Route   string       `json:"route"`
+	Service string       `json:"service"`
+	Class   setup.Class  `json:"class"`
+	Horizon string       `json:"horizon"`
+	Verdict plan.Verdict `json:"verdict"`
+	Pool    []string     `json:"pool"`
+}
+
+// noFacts is for plans that are explained, not carried out.
+type noFacts struct{}
+
+func (noFacts) InFlight(string) int                { return 0 }
+func (noFacts) Ejected(string, time.Duration) bool { return false }
+
+func (s *Server) pageExplain(call *fasthttp.RequestCtx) {
+	question := &Question{}
+	if err := json.Unmarshal(call.PostBody(), question); err != nil {
+		daemon.Refuse(call, defect.Wrap(err, defect.Malformed, "question"), "", nil)
+		return
+	}
+	s.lock.Lock()
+	// The setup is only compiled where it is asked for; a registry decides no calls.
+	if s.setup == nil {
+		s.setup, _ = setup.Compile(s.state, s.table.stable)
+	}
+	view := &plan.View{Setup: s.setup, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil)}
+	s.lock.Unlock()
+	headers := map[string]string{}
+	for name, value := range question.Headers {
+		headers[strings.ToLower(name)] = value
+	}
+	request := &plan.Request{Caller: question.Caller, Method: question.Method, Path: question.Path,
+		Header: func(name string) (string, bool) { value, found := headers[strings.ToLower(name)]; return value, found }}
+	made, err := plan.Make(view, request, plan.Options{Area: question.Area, HorizonMost: time.Hour}, noFacts{}, 0, func() float64 { return 0 })
+	if err != nil {
+		daemon.Refuse(call, err, "", nil)
+		return
+	}
+	explained := Explanation{Route: made.Route.Name, Service: made.Service, Class: made.Class, Horizon: made.Horizon.String(), Verdict: made.Verdict, Pool: []string{}}
+	for _, one := range made.Candidates {
+		explained.Pool = append(explained.Pool, one.Instance)
+	}
+	daemon.Answer(call, fasthttp.StatusOK, explained)
+}
+
+// DirectoryOf folds sources into a directory; since tells when each worker was first known.
+func DirectoryOf(sources []*schema.Source, since func(instance string) time.Duration) plan.Directory {
+	directory := plan.Directory{}
+	for _, source := range sources {
+		for _, worker := range source.Workers {
+			if worker.Leaving || worker.Gone {
+				continue
+			}
+			byVersion := directory[worker.Service]
+			if byVersion == nil {
+				byVersion = map[string][]plan.Candidate{}
+				directory[worker.Service] = byVersion
+			}
+			candidate := plan.Candidate{Instance: worker.Instance, Proxy: source.Name, Address: source.Address, Area: worker.Area, Load: worker.Load}
+			if since != nil {
+				candidate.Since = since(worker.Instance)
+			}
+			byVersion[worker.Version] = append(byVersion[worker.Version], candidate)
+		}
+	}
+	return directory
+}
--- /dev/null
+++ b/internal/registry/table.go
@@ -0,0 +1,246 @@
+// Package registry takes all outside calls: operators' changes, proxies' sessions and
+// leases, the directory of workers, and the counts of verdicts.
+package registry
+
+import (
+	"sort"
+	"time"
+
+	"meadowhinge/schema"
+)
+
+// leaseParts are ratios to the lease: how often it is renewed and how far a proxy may lag.
+const (
+	LeaseParts  = 8 // renewals in one lease, and the part of it that a proxy may lag behind
+	keptSources = 2 // leases that a silent proxy's workers stay listed here
+)
+
+// tableOptions bound a table.
+type tableOptions struct {
+	seat        string
+	lease       time.Duration
+	sourcesMost int
+	countsMost  int
+}
+
+type leaseKey struct {
+	proxy       string
+	incarnation uint64
+}
+
+type lease struct {
+	applied uint64
+	until   time.Duration
+}
+
+type heldSource struct {
+	source *schema.Source
+	at     time.Duration
+}
+
+type stableMark struct {
+	setup uint64
+	at    time.Duration
+}
+
+// Table is a registry's whole memory. It is a step function of events and the time since
+// the registry started; it does no I/O and its caller guards it.
+type Table struct {
+	options  tableOptions
+	current  bool // has read what was stable when it started
+	leases   map[leaseKey]*lease
+	required uint64 // no lease below this setup, ever again
+	stable   uint64
+	marks    []stableMark
+	sources  map[string]*heldSource
+	counts   map[leaseKey]*schema.SourceCounts
+	told     []leaseKey // counts, oldest first
+}
+
+func newTable(options tableOptions) *Table {
+	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}}
+}
+
+// SetCurrent tells that the registry knows at least what was stable when it started.
+func (t *Table) SetCurrent() { t.current = true }
+
+// SetStable tells how far the setup is stable.
+func (t *Table) SetStable(now time.Duration, setup uint64) {
+	if setup <= t.stable {
+		return
+	}
+	t.stable = setup
+	t.marks = append(t.marks, stableMark{setup, now})
+}
+
+// Grants tells whether leases are given. A registry that has just started may have given
+// leases and set fences it forgot, so it waits until those leases have run out.
+func (t *Table) Grants(now time.Duration) bool { return t.current && now >= t.options.lease }
+
+// sweep drops what has run out and raises the bar for lagging proxies.
+func (t *Table) sweep(now time.Duration) {
+	for len(t.marks) > 0 && now-t.marks[0].at > t.options.lease/LeaseParts {
+		t.required = max(t.required, t.marks[0].setup)
+		t.marks = t.marks[1:]
+	}
+	for key, held := range t.leases {
+		if held.until <= now {
+			delete(t.leases, key)
+		}
+	}
+	for name, held := range t.sources {
+		if now-held.at > keptSources*t.options.lease {
+			delete(t.sources, name)
+		}
+	}
+}
+
+// Renew grants or refuses a lease.
+func (t *Table) Renew(now time.Duration, renew *schema.Renew) *schema.Renewed {
+	t.sweep(now)
+	reply := &schema.Renewed{Stable: t.stable, Members: uint32(t.members(now)), Seat: t.options.seat}
+	key := leaseKey{renew.Proxy, renew.Incarnation}
+	held := t.leases[key]
+	switch {
+	case !t.Grants(now):
+		reply.Reason = "REGISTRY_YOUNG"
+	case renew.Applied < t.required:
+		reply.Reason = "LAGS"
+	// A proxy without a lease starts from the newest setup, so that a restart never falls back.
+	case held == nil && renew.Applied < t.stable:
+		reply.Reason = "LAGS"
+	case held == nil && len(t.leases) >= 2*t.options.sourcesMost:
+		reply.Reason = "BUFFER_FULL"
+	default:
+		reply.Granted = true
+		if held == nil {
+			held = &lease{}
+			t.leases[key] = held
+		}
+		held.until = now + t.options.lease
+	}
+	// What is applied counts even where the lease is refused: it may free an acknowledgement.
+	if held != nil {
+		held.applied = max(held.applied, renew.Applied)
+	}
+	return reply
+}
+
+// Bar sets a fence: from now on no lease is granted below the setup. It tells which leases
+// still stand below it.
+func (t *Table) Bar(now time.Duration, setup uint64) *schema.Fenced {
+	t.sweep(now)
+	if !t.Grants(now) {
+		return &schema.Fenced{Seat: t.options.seat}
+	}
+	t.required = max(t.required, setup)
+	fenced := &schema.Fenced{Seat: t.options.seat, Counts: true}
+	for key, held := range t.leases {
+		if held.applied < setup {
+			fenced.Laggards = append(fenced.Laggards, &schema.Laggard{Proxy: key.proxy, Incarnation: key.incarnation,
+				Applied: held.applied, LeftNanos: int64(held.until - now)})
+		}
+	}
+	return fenced
+}
+
+// newerStamp orders the news of one source.
+func newerStamp(a, b *schema.Stamp) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetCounter() > b.GetCounter()
+}
+
+// Merge takes a source's news if it is newer than what is held.
+func (t *Table) Merge(now time.Duration, source *schema.Source) bool {
+	if source == nil || source.Stamp == nil {
+		return false
+	}
+	held := t.sources[source.Name]
+	if held != nil && !newerStamp(source.Stamp, held.source.Stamp) {
+		return false
+	}
+	if held == nil && len(t.sources) >= t.options.sourcesMost {
+		return false
+	}
+	t.sources[source.Name] = &heldSource{source, now}
+	return true
+}
+
+// Tell takes a proxy's report; counts only grow within an incarnation.
+func (t *Table) Tell(now time.Duration, report *schema.Report) bool {
+	if len(report.Counts) > 0 && len(report.Counts) <= t.options.countsMost {
+		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts})
+	}
+	return t.Merge(now, report.Source)
+}
+
+// keepCounts keeps, for one incarnation of a proxy, the report that counted most.
+func (t *Table) keepCounts(given *schema.SourceCounts) {
+	key := leaseKey{given.Proxy, given.Incarnation}
+	held := t.counts[key]
+	if held == nil {
+		t.told = append(t.told, key)
+	}
+	if held == nil || callsIn(given) >= callsIn(held) {
+		t.counts[key] = given
+	}
+	// Counts of incarnations long gone make room, oldest first.
+	for len(t.told) > 4*t.options.sourcesMost {
+		delete(t.counts, t.told[0])
+		t.told = t.told[1:]
+	}
+}
+
+func callsIn(counts *schema.SourceCounts) uint64 {
+	var calls uint64
+	for _, line := range counts.Counts {
+		calls += line.Calls
+	}
+	return calls
+}
+
+// Feed lists the sources that a vector lacks.
+func (t *Table) Feed(now time.Duration, vector map[string]*schema.Stamp) []*schema.Source {
+	t.sweep(now)
+	var news []*schema.Source
+	for name, held := range t.sources {
+		if newerStamp(held.source.Stamp, vector[name]) {
+			news = append(news, held.source)
+		}
+	}
+	sort.Slice(news, func(i, j int) bool { return news[i].Name < news[j].Name })
+	return news
+}
+
+// Vector is what this table has of each source.
+func (t *Table) Vector() map[string]*schema.Stamp {
+	vector := map[string]*schema.Stamp{}
+	for name, held := range t.sources {
+		vector[name] = held.source.Stamp
+	}
+	return vector
+}
+
+// members counts the proxies whose session stands.
+func (t *Table) members(now time.Duration) int {
+	count := 0
+	for _, held := range t.sources {
+		if now-held.at <= t.options.lease {
+			count++
+		}
+	}
+	return count
+}
+
+// Leases lists the leases that stand.
+func (t *Table) Leases(now time.Duration) []*schema.Laggard {
+	t.sweep(now)
+	var listed []*schema.Laggard
+	for key, held := range t.leases {
+		listed = append(listed, &schema.Laggard{Proxy: key.proxy, Incarnation: key.incarnation, Applied: held.applied, LeftNanos: int64(held.until - now)})
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].Proxy < listed[j].Proxy })
+	return listed
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,83 @@
+// Package ring keeps the last log lines in memory and writes them out when something goes wrong.
+package ring
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"meadowhinge/internal/defect"
+)
+
+// Ring is a bounded buffer of log lines.
+type Ring struct {
+	lock   sync.Mutex
+	lines  []string
+	next   int
+	filled bool
+	file   string
+	last   time.Time
+	pause  time.Duration
+}
+
+// New makes a ring of size lines that is written to folder/name.log.
+func New(folder, name string, size int) *Ring {
+	// A storm of defects must not become a storm of disk writes: one dump a second is enough.
+	return &Ring{lines: make([]string, size), file: filepath.Join(folder, name+".log"), pause: time.Second}
+}
+
+// Logger gives the logr front; an Error call dumps the ring.
+func (r *Ring) Logger() logr.Logger {
+	return funcr.New(func(prefix, args string) {
+		r.add(strings.TrimSpace(prefix + " " + args))
+		if strings.Contains(args, `"logger"="dump"`) || strings.Contains(args, `"error"=`) {
+			_ = r.Dump(false)
+		}
+	}, funcr.Options{LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00", Verbosity: 1})
+}
+
+func (r *Ring) add(line string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.lines[r.next] = line
+	r.next++
+	if r.next == len(r.lines) {
+		r.next, r.filled = 0, true
+	}
+}
+
+// Lines gives what the ring holds, oldest first.
+func (r *Ring) Lines() []string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	var ordered []string
+	if r.filled {
+		ordered = append(ordered, r.lines[r.next:]...)
+	}
+	return append(ordered, r.lines[:r.next]...)
+}
+
+// Dump writes the ring out; unless forced, at most once in a while.
+func (r *Ring) Dump(forced bool) error {
+	r.lock.Lock()
+	due := forced || time.Since(r.last) > r.pause
+	if due {
+		r.last = time.Now()
+	}
+	r.lock.Unlock()
+	if !due {
+		return nil
+	}
+	text := strings.Join(r.Lines(), "\n") + "\n"
+	// Written beside and moved into place, so that a dump cut short leaves the one before.
+	if err := os.WriteFile(r.file+".new", []byte(text), 0o640); err != nil {
+		return defect.Wrap(err, defect.DiskFailed, fmt.Sprintf("log ring %s", r.file))
+	}
+	return defect.Wrap(os.Rename(r.file+".new", r.file), defect.DiskFailed, "log ring")
+}
--- /dev/null
+++ b/internal/setup/schema.cue
@@ -0,0 +1,79 @@
+// What an operator may write. Every field is closed: a misspelt one is refused.
+#Name:    =~"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+#Text:    =~"^[^\\x00-\\x1f]{0,512}$"
+#Index:   int & >=0 & <=255
+#Weight:  int & >=0 & <=100000
+#Span:    =~"^([0-9]+(\\.[0-9]+)?(ms|s|m|h))+$"
+#Header:  =~"^[A-Za-z0-9-]{1,64}$"
+
+#Service: {
+	versions: [#Name, ...#Name]
+	fallback: #Name
+	callers: [...#Name]
+}
+
+#Route: {
+	service: #Name
+	prefix:  =~"^/[^?#\\s]{0,255}$"
+	methods: [...("GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE" | "OPTIONS")] | *[]
+	class?:  "once" | "repeatable"
+	horizon: #Span | *"2s"
+	key:     #Header | *"X-User-Key"
+	attributes: {[=~"^[A-Za-z0-9_]{1,64}$"]: #Header}
+	attributes: {...} | *{}
+}
+
+#Clause: {
+	contextKind?: #Name
+	attribute?:   #Name
+	operator:     "in" | "endsWith" | "startsWith" | "matches" | "contains" | "lessThan" | "lessThanOrEqual" | "greaterThan" | "greaterThanOrEqual" | "before" | "after" | "semVerEqual" | "semVerLessThan" | "semVerGreaterThan" | "segmentMatch"
+	values: [...(string | number | bool)]
+	negate?: bool
+}
+
+#Rollout: {
+	contextKind?: #Name
+	bucketBy?:    #Name
+	seed?:        int
+	variations: [{variation: #Index, weight: #Weight}, ...{variation: #Index, weight: #Weight}]
+}
+
+#Flag: {
+	on:           bool
+	salt:         #Text
+	variations: [#Name, ...#Name]
+	offVariation: #Index
+	prerequisites?: [...{key: #Name, variation: #Index}]
+	targets?: [...{contextKind?: #Name, variation: #Index, values: [...string]}]
+	rules?: [...{id: #Name, clauses: [...#Clause], variation?: #Index, rollout?: #Rollout}]
+	fallthrough: {variation?: #Index, rollout?: #Rollout}
+}
+
+#Segment: {
+	salt: #Text
+	included?: [...string]
+	excluded?: [...string]
+	rules?: [...{clauses: [...#Clause], weight?: #Weight, bucketBy?: #Name, contextKind?: #Name}]
+}
+
+#Release: {
+	service: #Name
+	version: #Name
+	target:  number & >=0 & <=100
+	over:    #Span
+}
+
+#Setup: {
+	service?: [#Name]: #Service
+	route?: [#Name]:   #Route
+	flag?: [#Name]:    #Flag
+	segment?: [#Name]: #Segment
+	release?: [#Name]: #Release
+	remove?: {
+		service?: [...#Name]
+		route?: [...#Name]
+		flag?: [...#Name]
+		segment?: [...#Name]
+		release?: [...#Name]
+	}
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,312 @@
+// Package setup is the configuration that operators state: items as stored, checked
+// against each other, and compiled for the planner.
+package setup
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"meadowhinge/internal/flag"
+	"meadowhinge/schema"
+)
+
+// Class says whether a request may be run again.
+type Class string
+
+// The two classes of route.
+const (
+	Once       Class = "once"
+	Repeatable Class = "repeatable"
+)
+
+// Service lists what may be called of a service, and by whom.
+type Service struct {
+	Versions []string `json:"versions"`
+	Fallback string   `json:"fallback"`
+	Callers  []string `json:"callers"`
+
+	allowed map[string]bool
+	callers map[string]bool
+}
+
+// Allows tells whether a version may be called at all.
+func (s *Service) Allows(version string) bool { return s.allowed[version] }
+
+// AllowsCaller tells whether a caller may call the service.
+func (s *Service) AllowsCaller(caller string) bool { return s.callers[caller] }
+
+// Route sends requests with a prefix and method to a service.
+type Route struct {
+	Name       string            `json:"-"`
+	Service    string            `json:"service"`
+	Prefix     string            `json:"prefix"`
+	Methods    []string          `json:"methods"`
+	Class      Class             `json:"class,omitempty"`
+	HorizonIn  string            `json:"horizon"`
+	Key        string            `json:"key"`
+	Attributes map[string]string `json:"attributes"`
+
+	Horizon time.Duration `json:"-"`
+}
+
+// ClassFor gives the retry class of a method on the route.
+func (r *Route) ClassFor(method string) Class {
+	if r.Class != "" {
+		return r.Class
+	}
+	// Only methods that by their meaning change nothing are safe to repeat unasked.
+	if method == "GET" || method == "HEAD" {
+		return Repeatable
+	}
+	return Once
+}
+
+func (r *Route) takes(method string) bool {
+	if len(r.Methods) == 0 {
+		return true
+	}
+	for _, listed := range r.Methods {
+		if listed == method {
+			return true
+		}
+	}
+	return false
+}
+
+// Release is a release plan: the share of a service's calls that a version should get.
+type Release struct {
+	Name    string  `json:"-"`
+	Service string  `json:"service"`
+	Version string  `json:"version"`
+	Target  float64 `json:"target"`
+	OverIn  string  `json:"over"`
+}
+
+// Setup is one stable configuration, compiled; it never changes once made.
+type Setup struct {
+	Sequence uint64
+	Services map[string]*Service
+	Routes   []*Route // longest prefix first
+	Flags    *flag.Set
+	Releases map[string]*Release
+}
+
+// Match finds the route for a path and method.
+func (s *Setup) Match(path, method string) (*Route, bool) {
+	for _, route := range s.routesFrom(path) {
+		if strings.HasPrefix(path, route.Prefix) && route.takes(method) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// routesFrom narrows the routes to those sharing the path's first segment or shorter; the
+// list is ordered by length, so the first hit is the longest.
+func (s *Setup) routesFrom(path string) []*Route { return s.Routes }
+
+// FlagOf names the flag that decides the version of a service.
+func FlagOf(service string) string { return "release." + service }
+
+// Key joins kind and name.
+func Key(kind, name string) string { return kind + "/" + name }
+
+// State is the items by key, tombstones included.
+type State map[string]*schema.Item
+
+// With gives a copy with items merged in: of two copies of an item the newer version stays.
+func (s State) With(items []*schema.Item) State {
+	merged := make(State, len(s)+len(items))
+	for key, item := range s {
+		merged[key] = item
+	}
+	for _, item := range items {
+		key := Key(item.Kind, item.Name)
+		if held, found := merged[key]; !found || Newer(item.Version, held.Version) {
+			merged[key] = item
+		}
+	}
+	return merged
+}
+
+// Newer orders versions by epoch, then sequence.
+func Newer(a, b *schema.Version) bool {
+	if a.GetEpoch() != b.GetEpoch() {
+		return a.GetEpoch() > b.GetEpoch()
+	}
+	return a.GetSequence() > b.GetSequence()
+}
+
+// Items lists the state in a settled order.
+func (s State) Items() []*schema.Item {
+	keys := make([]string, 0, len(s))
+	for key := range s {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	items := make([]*schema.Item, len(keys))
+	for i, key := range keys {
+		items[i] = s[key]
+	}
+	return items
+}
+
+// decodeByKind turns an item's body into its part of the setup.
+var decodeByKind = map[string]func(target *Setup, item *schema.Item) error{
+	"service": func(target *Setup, item *schema.Item) error {
+		service := &Service{}
+		if err := strict(item.Body, service); err != nil {
+			return err
+		}
+		service.allowed, service.callers = set(service.Versions), set(service.Callers)
+		target.Services[item.Name] = service
+		return nil
+	},
+	"route": func(target *Setup, item *schema.Item) error {
+		route := &Route{Name: item.Name}
+		if err := strict(item.Body, route); err != nil {
+			return err
+		}
+		horizon, err := time.ParseDuration(route.HorizonIn)
+		route.Horizon = horizon
+		target.Routes = append(target.Routes, route)
+		return err
+	},
+	"flag": func(target *Setup, item *schema.Item) error {
+		decoded := &flag.Flag{}
+		if err := strict(item.Body, decoded); err != nil {
+			return err
+		}
+		decoded.Key = item.Name
+		target.Flags.Flags[item.Name] = decoded
+		return nil
+	},
+	"segment": func(target *Setup, item *schema.Item) error {
+		decoded := &flag.Segment{}
+		if err := strict(item.Body, decoded); err != nil {
+			return err
+		}
+		decoded.Key = item.Name
+		target.Flags.Segments[item.Name] = decoded
+		return nil
+	},
+	"release": func(target *Setup, item *schema.Item) error {
+		decoded := &Release{Name: item.Name}
+		if err := strict(item.Body, decoded); err != nil {
+			return err
+		}
+		target.Releases[item.Name] = decoded
+		return nil
+	},
+}
+
+func strict(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(target)
+}
+
+func set(names []string) map[string]bool {
+	members := make(map[string]bool, len(names))
+	for _, name := range names {
+		members[name] = true
+	}
+	return members
+}
+
+// Compile makes a setup of the state and lists every fault, each at its path.
+func Compile(state State, sequence uint64) (*Setup, []*schema.Fault) {
+	made := &Setup{
+		Sequence: sequence,
+		Services: map[string]*Service{},
+		Flags:    &flag.Set{Flags: map[string]*flag.Flag{}, Segments: map[string]*flag.Segment{}},
+		Releases: map[string]*Release{},
+	}
+	var faults []*schema.Fault
+	add := func(path, format string, values ...any) {
+		faults = append(faults, &schema.Fault{Path: path, Reason: fmt.Sprintf(format, values...)})
+	}
+	for _, item := range state.Items() {
+		if item.Deleted {
+			continue
+		}
+		decode, known := decodeByKind[item.Kind]
+		if !known {
+			add(item.Kind+"."+item.Name, "kind %q does not exist", item.Kind)
+			continue
+		}
+		if err := decode(made, item); err != nil {
+			add(item.Kind+"."+item.Name, "%v", err)
+		}
+	}
+	for _, fault := range made.Flags.Compile() {
+		add(fault.Path, "%s", fault.Reason)
+	}
+	made.crossCheck(add)
+	sort.SliceStable(made.Routes, func(i, j int) bool { return len(made.Routes[i].Prefix) > len(made.Routes[j].Prefix) })
+	return made, faults
+}
+
+// crossCheck finds what no item shows alone.
+func (s *Setup) crossCheck(add func(path, format string, values ...any)) {
+	for name, service := range s.Services {
+		if !service.Allows(service.Fallback) {
+			add("service."+name+".fallback", "version %q is not in versions", service.Fallback)
+		}
+		decider, found := s.Flags.Flags[FlagOf(name)]
+		if !found {
+			continue
+		}
+		for i, version := range decider.Variations {
+			if !service.Allows(version) {
+				add(fmt.Sprintf("flag.%s.variations[%d]", decider.Key, i), "service %q does not list version %q", name, version)
+			}
+		}
+	}
+	for key := range s.Flags.Flags {
+		if service, decides := strings.CutPrefix(key, FlagOf("")); decides && s.Services[service] == nil {
+			add("flag."+key, "service %q does not exist", service)
+		}
+	}
+	taken := map[string]string{}
+	for _, route := range s.Routes {
+		if s.Services[route.Service] == nil {
+			add("route."+route.Name+".service", "service %q does not exist", route.Service)
+		}
+		if route.Horizon <= 0 {
+			add("route."+route.Name+".horizon", "must be above zero")
+		}
+		methods := route.Methods
+		if len(methods) == 0 {
+			methods = []string{"*"}
+		}
+		for _, method := range methods {
+			place := method + " " + route.Prefix
+			if other, found := taken[place]; found {
+				add("route."+route.Name, "%s is taken by route %q", place, other)
+			}
+			taken[place] = route.Name
+		}
+	}
+	planned := map[string]string{}
+	for name, release := range s.Releases {
+		path := "release." + name
+		service := s.Services[release.Service]
+		if service == nil {
+			add(path+".service", "service %q does not exist", release.Service)
+		} else if !service.Allows(release.Version) {
+			add(path+".version", "service %q does not list version %q", release.Service, release.Version)
+		}
+		if over, err := time.ParseDuration(release.OverIn); err != nil || over <= 0 {
+			add(path+".over", "must be a time above zero")
+		}
+		if other, found := planned[release.Service]; found {
+			add(path, "service %q has the plan %q already", release.Service, other)
+		}
+		planned[release.Service] = name
+	}
+}
--- /dev/null
+++ b/internal/setup/setup_test.go
@@ -0,0 +1,126 @@
+package setup
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"meadowhinge/schema"
+)
+
+const good = `
+service: shop: {versions: ["1.0.0", "2.0.0"], fallback: "1.0.0", callers: ["client"]}
+route: buy: {service: "shop", prefix: "/shop/buy", methods: ["POST"]}
+route: look: {service: "shop", prefix: "/shop", key: "X-Player", attributes: country: "X-Country"}
+flag: "release.shop": {on: true, salt: "s", variations: ["1.0.0", "2.0.0"], offVariation: 0,
+	fallthrough: rollout: variations: [{variation: 0, weight: 90000}, {variation: 1, weight: 10000}]}
+segment: testers: {salt: "t", included: ["ann"]}
+release: r1: {service: "shop", version: "2.0.0", target: 50, over: "10m"}
+`
+
+func stateOf(t *testing.T, text string) (State, []*schema.Fault) {
+	t.Helper()
+	items, faults := Read([]byte(text))
+	for i, item := range items {
+		item.Version = &schema.Version{Epoch: 1, Sequence: uint64(i + 1)}
+	}
+	return State{}.With(items), faults
+}
+
+func TestGoodSetupCompiles(t *testing.T) {
+	state, faults := stateOf(t, good)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	made, faults := Compile(state, 7)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	for _, want := range []struct{ path, method, route string }{
+		{"/shop/buy", "POST", "buy"}, {"/shop/buy", "GET", "look"}, {"/shop/x", "POST", "look"}, {"/other", "GET", ""},
+	} {
+		route, found := made.Match(want.path, want.method)
+		if got := map[bool]func() string{true: func() string { return route.Name }, false: func() string { return "" }}[found](); got != want.route {
+			t.Errorf("%s %s matched %q, want %q", want.method, want.path, got, want.route)
+		}
+	}
+	route, _ := made.Match("/shop/buy", "POST")
+	if route.ClassFor("POST") != Once || route.ClassFor("GET") != Repeatable {
+		t.Error("only GET and HEAD may be repeated unasked")
+	}
+}
+
+// Every fault of a text is named in one answer, by path.
+func TestFaultsAreAllNamed(t *testing.T) {
+	_, faults := stateOf(t, `
+service: shop: {versions: ["1"], fallback: "1", callers: [], colour: "red"}
+route: a: {service: "shop", prefix: "no-slash"}
+release: r: {service: "shop", version: "1", target: 101, over: "10m"}
+`)
+	var paths []string
+	for _, fault := range faults {
+		paths = append(paths, fault.Path)
+	}
+	got := strings.Join(paths, " ")
+	for _, path := range []string{"service.shop.colour", "route.a.prefix", "release.r.target"} {
+		if !strings.Contains(got, path) {
+			t.Errorf("no fault at %s; got %v", path, faults)
+		}
+	}
+}
+
+func TestCrossFaults(t *testing.T) {
+	state, faults := stateOf(t, `
+service: shop: {versions: ["1"], fallback: "2", callers: []}
+route: a: {service: "nowhere", prefix: "/a"}
+route: b: {service: "shop", prefix: "/a"}
+flag: "release.shop": {on: true, salt: "", variations: ["9"], offVariation: 3, fallthrough: {variation: 0},
+	prerequisites: [{key: "release.shop", variation: 0}]}
+flag: odd: {on: true, salt: "", variations: ["x", "y"], offVariation: 0,
+	fallthrough: rollout: variations: [{variation: 0, weight: 5}]}
+flag: re: {on: true, salt: "", variations: ["x"], offVariation: 0, fallthrough: {variation: 0},
+	rules: [{id: "r", variation: 0, clauses: [{attribute: "a", operator: "matches", values: ["("]}]}]}
+release: r1: {service: "shop", version: "7", target: 50, over: "0s"}
+release: r2: {service: "shop", version: "1", target: 50, over: "1s"}
+`)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	_, faults = Compile(state, 1)
+	got := map[string]int{}
+	for _, fault := range faults {
+		got[fault.Path]++
+	}
+	// The plan named second depends on map order, so both are looked for together.
+	got["release"] = got["release.r1"] + got["release.r2"]
+	delete(got, "release.r1")
+	delete(got, "release.r2")
+	want := map[string]int{
+		"service.shop.fallback": 1, "route.a.service": 1, "route.b": 1,
+		"flag.release.shop.variations[0]": 1, "flag.release.shop.offVariation": 1, "flag.release.shop.prerequisites": 1,
+		"flag.odd.fallthrough.rollout": 1, "flag.re.rules[0].clauses[0].values[0]": 1,
+		"release.r1.version": 1, "release.r1.over": 1, "release": 1,
+	}
+	delete(want, "release.r1.version")
+	delete(want, "release.r1.over")
+	delete(got, "release.r1.version")
+	delete(got, "release.r1.over")
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestMergeKeepsNewer(t *testing.T) {
+	older := &schema.Item{Kind: "flag", Name: "a", Version: &schema.Version{Epoch: 1, Sequence: 9}, Body: []byte("old")}
+	newer := &schema.Item{Kind: "flag", Name: "a", Version: &schema.Version{Epoch: 2, Sequence: 1}, Body: []byte("new")}
+	for _, order := range [][]*schema.Item{{older, newer}, {newer, older}} {
+		merged := State{}
+		for _, item := range order {
+			merged = merged.With([]*schema.Item{item})
+		}
+		if string(merged["flag/a"].Body) != "new" {
+			t.Error("an older copy displaced a newer one")
+		}
+	}
+}
