--- /dev/null
+++ b/cmd/rehearsal/main.go
@@ -0,0 +1,79 @@
+// Command rehearsal brings up a fleet on this machine, loads it, breaks it and judges it.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"meadowhinge/internal/options"
+	"meadowhinge/internal/rehearsal"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	set := flag.NewFlagSet("rehearsal", flag.ContinueOnError)
+	name := set.String("deployment", "small", "which fleet: small, wroblewski or kithul")
+	length := set.Duration("length", 20*time.Second, "how long the load lasts")
+	lease := set.Duration("lease", 8*time.Second, "the fleet's lease")
+	seed := set.Uint64("seed", 1, "seed of callers' choices")
+	faults := set.Bool("faults", true, "cause the standard faults during the load")
+	delay := set.Duration("delay", time.Millisecond, "how long a stand-in worker takes for a request")
+	rate := set.Float64("rate", 1, "multiplies the deployment's rate")
+	folder := set.String("folder", "", "where data, logs and the report go (default: a new temporary folder)")
+	binaries := set.String("binaries", "", "where proxy, registry and store are (default: beside this program)")
+	version := set.Bool("version", false, "print the version and leave")
+	if err := ff.Parse(set, args); err != nil {
+		if err == flag.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if *version {
+		fmt.Println("rehearsal", options.Version)
+		return 0
+	}
+	deployment := rehearsal.Deployments[*name]
+	if deployment == nil {
+		fmt.Fprintf(os.Stderr, "rehearsal: no deployment is called %q\n", *name)
+		return 2
+	}
+	if *folder == "" {
+		made, err := os.MkdirTemp("", "rehearsal-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "rehearsal:", err)
+			return 1
+		}
+		*folder = made
+	}
+	if *binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "rehearsal:", err)
+			return 1
+		}
+		*binaries = filepath.Dir(self)
+	}
+	report, err := rehearsal.Run(rehearsal.Options{Deployment: deployment, Folder: *folder, Binaries: *binaries, Length: *length, Lease: *lease,
+		Seed: *seed, Faults: *faults, Delay: *delay, Rate: *rate, Out: os.Stdout})
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "rehearsal: %v (logs in %s)\n", err, *folder)
+		return 1
+	}
+	report.Print(os.Stdout)
+	file := filepath.Join(*folder, "report.json")
+	if err := report.Write(file); err != nil {
+		fmt.Fprintln(os.Stderr, "rehearsal:", err)
+		return 1
+	}
+	fmt.Println("report in", file)
+	if report.Breaches > 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/rehearsal/caller.go
@@ -0,0 +1,134 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/dispatch"
+)
+
+// inFlightMost bounds the calls of one caller that wait for an answer.
+const inFlightMost = 256
+
+// callerTimeout is longer than any horizon, so that the proxy answers first.
+const callerTimeout = 5 * time.Second
+
+// Caller is a stand-in caller at one listener of a proxy. It sends at a steady rate,
+// whatever the answers, and writes down what it got.
+type Caller struct {
+	name, proxy string
+	client      *fasthttp.HostClient
+	routes      []RoutePlan
+	rate        float64
+	ledger      *Ledger
+	now         func() time.Duration
+	serial      atomic.Uint64
+}
+
+// NewCaller makes a caller of the routes, each by its share.
+func NewCaller(name, proxy, address string, routes []RoutePlan, rate float64, ledger *Ledger, now func() time.Duration) *Caller {
+	return &Caller{name: name, proxy: proxy, routes: routes, rate: rate, ledger: ledger, now: now,
+		client: &fasthttp.HostClient{Addr: address, MaxConns: inFlightMost, MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}}
+}
+
+// Run sends until stop is closed, then waits for what is in flight.
+func (c *Caller) Run(stop <-chan struct{}, dice *rand.Rand) {
+	var waiting sync.WaitGroup
+	slots := make(chan struct{}, inFlightMost)
+	begin := time.Now()
+	for sent := 0; ; sent++ {
+		due := begin.Add(time.Duration(float64(sent) / c.rate * float64(time.Second)))
+		select {
+		case <-stop:
+			waiting.Wait()
+			return
+		case <-time.After(time.Until(due)):
+		}
+		route := c.draw(dice.Float64())
+		user := dice.IntN(10000)
+		select {
+		case slots <- struct{}{}:
+		default:
+			continue // a caller has no more than so many calls open at once
+		}
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			c.call(route, user)
+			<-slots
+		}()
+	}
+}
+
+func (c *Caller) draw(at float64) RoutePlan {
+	total := 0.0
+	for _, route := range c.routes {
+		total += route.Share
+	}
+	at *= total
+	for _, route := range c.routes {
+		if at -= route.Share; at < 0 {
+			return route
+		}
+	}
+	return c.routes[len(c.routes)-1]
+}
+
+func (c *Caller) call(route RoutePlan, user int) {
+	entry := CallEntry{Op: fmt.Sprintf("%s@%s-%d", c.name, c.proxy, c.serial.Add(1)), Caller: c.name, Proxy: c.proxy, Service: route.Service,
+		Route: route.Name, Once: route.Once}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://mesh" + route.Prefix + "?n=1")
+	request.Header.SetMethod(route.Method)
+	request.Header.Set(opHeader, entry.Op)
+	request.Header.Set("X-User", "user-"+strconv.Itoa(user))
+	// A false claim of identity, which must never reach a worker.
+	request.Header.Set(dispatch.HeaderCaller, "somebody-else")
+	if route.Method == fasthttp.MethodPost {
+		request.SetBodyString(`{"op":"` + entry.Op + `","filler":"0123456789012345678901234567890123456789"}`)
+		request.Header.SetContentType("application/json")
+	}
+	entry.Sent = c.now()
+	err := c.client.DoTimeout(request, response, callerTimeout)
+	entry.Got = c.now()
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		entry.Outcome = "unsent"
+	case err != nil:
+		entry.Outcome = "unknown"
+	default:
+		c.read(&entry, response)
+	}
+	note(c.ledger, &c.ledger.Calls, entry)
+}
+
+// read takes the proxy's word for what happened, and checks the answer itself.
+func (c *Caller) read(entry *CallEntry, response *fasthttp.Response) {
+	entry.Status = response.StatusCode()
+	entry.Outcome = string(response.Header.Peek(dispatch.HeaderOutcome))
+	entry.Version = string(response.Header.Peek(dispatch.HeaderVersion))
+	entry.Setup, _ = strconv.ParseUint(string(response.Header.Peek(dispatch.HeaderSetup)), 10, 64)
+	entry.Tries, _ = strconv.Atoi(string(response.Header.Peek(dispatch.HeaderTries)))
+	if entry.Outcome == "answered" {
+		var got reply
+		if json.Unmarshal(response.Body(), &got) == nil {
+			entry.Echoed, entry.Whole = got.Op, got.Sum == got.sum()
+		}
+		return
+	}
+	var refusal struct{ Defect, Outcome string }
+	_ = json.Unmarshal(response.Body(), &refusal)
+	entry.Defect, entry.Outcome = refusal.Defect, refusal.Outcome
+}
--- /dev/null
+++ b/internal/rehearsal/certificates.go
@@ -0,0 +1,86 @@
+// Package rehearsal brings up a whole fleet on one machine, puts load and faults on it, and
+// judges by the ledgers of its stand-in callers and workers what never may happen.
+package rehearsal
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"meadowhinge/internal/defect"
+)
+
+// Authority makes the certificates of one mesh.
+type Authority struct {
+	folder string
+	key    *ecdsa.PrivateKey
+	root   *x509.Certificate
+	serial int64
+}
+
+// validity is short: a rehearsal's certificates are of no use after it.
+const validity = 48 * time.Hour
+
+// NewAuthority makes an authority and writes its certificate to folder.
+func NewAuthority(folder string) (*Authority, error) {
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return nil, defect.Wrap(err, defect.DiskFailed, folder)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "key")
+	}
+	a := &Authority{folder: folder, key: key, serial: 1}
+	a.root = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "meadowhinge rehearsal"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(validity)}
+	signed, err := x509.CreateCertificate(rand.Reader, a.root, a.root, &key.PublicKey, key)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "authority")
+	}
+	return a, writePEM(a.File(), []*pem.Block{{Type: "CERTIFICATE", Bytes: signed}})
+}
+
+// File is where the authority's certificate stands.
+func (a *Authority) File() string { return filepath.Join(a.folder, "authority.pem") }
+
+// Issue makes a certificate for role/name that may speak for services.
+func (a *Authority) Issue(role, name string, services []string) (string, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return "", defect.Wrap(err, defect.Internal, "key")
+	}
+	a.serial++
+	request := &x509.Certificate{SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: role + "/" + name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(validity), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		URIs:        []*url.URL{{Scheme: "mesh", Opaque: role + "/" + name}}}
+	for _, service := range services {
+		request.URIs = append(request.URIs, &url.URL{Scheme: "mesh", Opaque: "speaks/" + service})
+	}
+	signed, err := x509.CreateCertificate(rand.Reader, request, a.root, &key.PublicKey, a.key)
+	if err != nil {
+		return "", defect.Wrap(err, defect.Internal, "certificate")
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return "", defect.Wrap(err, defect.Internal, "key")
+	}
+	file := filepath.Join(a.folder, role+"-"+name+".pem")
+	return file, writePEM(file, []*pem.Block{{Type: "CERTIFICATE", Bytes: signed}, {Type: "EC PRIVATE KEY", Bytes: private}})
+}
+
+func writePEM(file string, blocks []*pem.Block) error {
+	var text []byte
+	for _, block := range blocks {
+		text = append(text, pem.EncodeToMemory(block)...)
+	}
+	return defect.Wrap(os.WriteFile(file, text, 0o600), defect.DiskFailed, file)
+}
--- /dev/null
+++ b/internal/rehearsal/ledger.go
@@ -0,0 +1,88 @@
+package rehearsal
+
+import (
+	"sync"
+	"time"
+)
+
+// CallEntry is one request as its caller saw it.
+type CallEntry struct {
+	Op      string        `json:"op"`
+	Caller  string        `json:"caller"`
+	Proxy   string        `json:"proxy"`
+	Service string        `json:"service"`
+	Route   string        `json:"route"`
+	Once    bool          `json:"once"`
+	Sent    time.Duration `json:"sent"`
+	Got     time.Duration `json:"got"`
+	Status  int           `json:"status"` // 0: no answer from the proxy
+	Outcome string        `json:"outcome"`
+	Defect  string        `json:"defect,omitempty"`
+	Version string        `json:"version,omitempty"`
+	Setup   uint64        `json:"setup,omitempty"`
+	Tries   int           `json:"tries"`
+	Echoed  string        `json:"echoed,omitempty"` // the op that the answer says it is for
+	Whole   bool          `json:"whole"`            // the answer's own checksum holds
+}
+
+// RunEntry is one request as a worker ran it.
+type RunEntry struct {
+	Op      string        `json:"op"`
+	Caller  string        `json:"caller"` // as the proxy said
+	Service string        `json:"service"`
+	Version string        `json:"version"`
+	Worker  string        `json:"worker"`
+	At      time.Duration `json:"at"`
+}
+
+// ChangeEntry is one setup change as its operator saw it.
+type ChangeEntry struct {
+	ID           string        `json:"id"`
+	Invalid      bool          `json:"invalid"` // meant to be refused
+	Sent         time.Duration `json:"sent"`
+	Got          time.Duration `json:"got"`
+	Ruling       string        `json:"ruling"`
+	Sequence     uint64        `json:"sequence"`
+	Acknowledged bool          `json:"acknowledged"`
+	Marker       string        `json:"marker,omitempty"` // an item that only an invalid change names
+}
+
+// LeaveEntry is a worker's word that it is leaving or gone, or its death.
+type LeaveEntry struct {
+	Worker string        `json:"worker"`
+	At     time.Duration `json:"at"`
+}
+
+// ShownEntry is a setup as a node showed it to somebody.
+type ShownEntry struct {
+	Node  string        `json:"node"`
+	Asked time.Duration `json:"asked"`
+	Got   time.Duration `json:"got"`
+	Setup uint64        `json:"setup"`
+	Items []string      `json:"items,omitempty"`
+}
+
+// FaultEntry is a fault that the rehearsal caused.
+type FaultEntry struct {
+	What string        `json:"what"`
+	On   string        `json:"on"`
+	At   time.Duration `json:"at"`
+}
+
+// Ledger is all that was seen from outside the mesh.
+type Ledger struct {
+	lock    sync.Mutex
+	Calls   []CallEntry
+	Runs    []RunEntry
+	Changes []ChangeEntry
+	Leaves  []LeaveEntry
+	Shown   []ShownEntry
+	Faults  []FaultEntry
+	Strays  []string // requests that a worker refused because they were not meant for it
+}
+
+func note[T any](l *Ledger, list *[]T, entry T) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	*list = append(*list, entry)
+}
--- /dev/null
+++ b/internal/rehearsal/relay.go
@@ -0,0 +1,132 @@
+package rehearsal
+
+import (
+	"net"
+	"sync"
+
+	"meadowhinge/internal/defect"
+)
+
+// Relay stands in front of a machine's port and lets bytes through, or not, by which
+// machine they come from and which way they go. A cut is silent, as a lost link is.
+type Relay struct {
+	listener net.Listener
+	target   string
+	to       string
+	cuts     *Cuts
+}
+
+// Cuts says which links are cut, each way by itself.
+type Cuts struct {
+	lock  sync.Mutex
+	cut   map[[2]string]bool
+	moved chan struct{}
+}
+
+// NewCuts starts with every link whole.
+func NewCuts() *Cuts { return &Cuts{cut: map[[2]string]bool{}, moved: make(chan struct{})} }
+
+// Set cuts or mends the way from one machine to another.
+func (c *Cuts) Set(from, to string, cut bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if cut {
+		c.cut[[2]string{from, to}] = true
+	} else {
+		delete(c.cut, [2]string{from, to})
+	}
+	close(c.moved)
+	c.moved = make(chan struct{})
+}
+
+// Mend makes every link whole.
+func (c *Cuts) Mend() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.cut = map[[2]string]bool{}
+	close(c.moved)
+	c.moved = make(chan struct{})
+}
+
+// wait returns once the way is open, or false when done closes first.
+func (c *Cuts) wait(from, to string, done <-chan struct{}) bool {
+	for {
+		c.lock.Lock()
+		cut, moved := c.cut[[2]string{from, to}], c.moved
+		c.lock.Unlock()
+		if !cut {
+			return true
+		}
+		select {
+		case <-moved:
+		case <-done:
+			return false
+		}
+	}
+}
+
+// NewRelay listens at address for machine to and passes on to target.
+func NewRelay(address, target, to string, cuts *Cuts) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "relay")
+	}
+	r := &Relay{listener: listener, target: target, to: to, cuts: cuts}
+	go r.serve()
+	return r, nil
+}
+
+func (r *Relay) serve() {
+	for {
+		inward, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(inward)
+	}
+}
+
+func (r *Relay) pass(inward net.Conn) {
+	// Machines dial from their own address, so the peer's address names the machine.
+	from := inward.RemoteAddr().(*net.TCPAddr).IP.String()
+	done := make(chan struct{})
+	var once sync.Once
+	end := func() { once.Do(func() { close(done) }) }
+	if !r.cuts.wait(from, r.to, done) {
+		inward.Close()
+		return
+	}
+	outward, err := net.Dial("tcp", r.target)
+	if err != nil {
+		// A refused connection must look refused from the other side of the relay too.
+		inward.(*net.TCPConn).SetLinger(0)
+		inward.Close()
+		return
+	}
+	move := func(source, sink net.Conn, from, to string) {
+		defer end()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := source.Read(buffer)
+			if n > 0 {
+				if !r.cuts.wait(from, to, done) {
+					return
+				}
+				if _, err := sink.Write(buffer[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+	go move(inward, outward, from, r.to)
+	go move(outward, inward, r.to, from)
+	<-done
+	inward.Close()
+	outward.Close()
+}
+
+// Close ends the relay.
+func (r *Relay) Close() { r.listener.Close() }
--- /dev/null
+++ b/internal/rehearsal/run.go
@@ -0,0 +1,351 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"meadowhinge/internal/defect"
+)
+
+// Options say what to rehearse.
+type Options struct {
+	Deployment *Deployment
+	Folder     string
+	Binaries   string
+	Length     time.Duration // of the load
+	Lease      time.Duration
+	Seed       uint64
+	Faults     bool
+	Delay      time.Duration // that a worker takes for a request
+	Rate       float64       // multiplies the deployment's rate
+	Out        io.Writer
+}
+
+// Report is what a rehearsal found, for machines.
+type Report struct {
+	Deployment string             `json:"deployment"`
+	Seed       uint64             `json:"seed"`
+	Seconds    float64            `json:"seconds"`
+	Findings   []Finding          `json:"findings"`
+	Faults     []FaultEntry       `json:"faults"`
+	Outcomes   map[string]int     `json:"outcomes"`
+	Defects    map[string]int     `json:"defects"`
+	Rate       float64            `json:"callsPerSecond"`
+	LatencyMS  map[string]float64 `json:"latencyMs"`
+	AckMS      map[string]float64 `json:"ackMs"`
+	Rulings    map[string]int     `json:"rulings"`
+	CPU        map[string]float64 `json:"cpuSecondsPer1000Calls"`
+	Unclean    []string           `json:"unclean"`
+	Breaches   int                `json:"breaches"`
+}
+
+// quiet is how long the fleet is left alone at the end, for late runs to show.
+const quiet = 3 * time.Second
+
+// Run brings the fleet up, plays the load and the faults, and judges.
+func Run(o Options) (*Report, error) {
+	say := func(format string, values ...any) { fmt.Fprintf(o.Out, format+"\n", values...) }
+	fleet, err := NewFleet(o.Deployment, o.Folder, o.Binaries, o.Lease)
+	if err != nil {
+		return nil, err
+	}
+	stopped := false
+	defer func() {
+		if !stopped {
+			fleet.Stop()
+		}
+	}()
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	ledger := &Ledger{}
+	for _, process := range append(append([]*Process(nil), fleet.Stores...), fleet.Registries...) {
+		if err := process.Start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := AwaitReady(fleet.Stores, time.Minute); err != nil {
+		return nil, err
+	}
+	if err := AwaitReady(fleet.Registries, time.Minute); err != nil {
+		return nil, err
+	}
+	say("core ready after %.1f s", now().Seconds())
+	operator := NewOperator("first", fleet, ledger, now)
+	if first := operator.Change(0, o.Deployment.SetupText(), ""); !first.Acknowledged {
+		return nil, defect.New(defect.NoMajority, fmt.Sprintf("the first setup was not acknowledged: %+v", first))
+	}
+	for _, process := range fleet.Proxies {
+		if err := process.Start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := AwaitReady(fleet.Proxies, time.Minute); err != nil {
+		return nil, err
+	}
+	say("proxies ready after %.1f s", now().Seconds())
+	cast := &cast{fleet: fleet, options: o, ledger: ledger, now: now}
+	for i, placed := range o.Deployment.placeWorkers() {
+		if err := cast.startWorker(fmt.Sprintf("w%d-%s", i+1, placed.service), placed.edge, placed.service, placed.version); err != nil {
+			return nil, err
+		}
+	}
+	// A moment for the directory to reach every proxy; calls before that are not proper load.
+	time.Sleep(o.Lease / 8)
+
+	stopCalls, stopChanges := make(chan struct{}), make(chan struct{})
+	var calling, changing sync.WaitGroup
+	dice := rand.New(rand.NewPCG(o.Seed, 1))
+	for edge := range o.Deployment.Edges {
+		for _, caller := range cast.callersOn(edge) {
+			calling.Add(1)
+			own := rand.New(rand.NewPCG(o.Seed, dice.Uint64()))
+			go func() {
+				defer calling.Done()
+				caller.Run(stopCalls, own)
+			}()
+		}
+	}
+	for _, name := range []string{"ann", "ben"} {
+		changing.Add(1)
+		own := NewOperator(name, fleet, ledger, now)
+		go func() {
+			defer changing.Done()
+			own.Storm(stopChanges, 500*time.Millisecond)
+		}()
+	}
+	before, loadFrom := cast.cpu(), now()
+	if o.Faults {
+		cast.play(o.Length, say)
+	} else {
+		time.Sleep(o.Length)
+	}
+	close(stopChanges)
+	changing.Wait()
+	close(stopCalls)
+	calling.Wait()
+	loaded := now() - loadFrom
+	after := cast.cpu()
+	time.Sleep(quiet)
+	for core := range o.Deployment.Cores {
+		_, _ = operator.Shown(core)
+	}
+	for _, worker := range cast.workers {
+		worker.Kill()
+	}
+	unclean := fleet.Stop()
+	stopped = true
+	report := cast.report(loaded, before, after)
+	report.Unclean = unclean
+	return report, nil
+}
+
+// cast is everyone outside the mesh.
+type cast struct {
+	fleet   *Fleet
+	options Options
+	ledger  *Ledger
+	now     func() time.Duration
+	workers []*Worker
+	used    map[int]int // workers started so far on each edge
+}
+
+func (c *cast) startWorker(name string, edge int, service, version string) error {
+	if c.used == nil {
+		c.used = map[int]int{}
+	}
+	address := fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorker+c.used[edge])
+	c.used[edge]++
+	return c.startWorkerAt(name, edge, service, version, address)
+}
+
+func (c *cast) startWorkerAt(name string, edge int, service, version, address string) error {
+	worker, err := StartWorker(name, service, version, c.fleet.area(edge), address, fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorkers), c.options.Delay, c.ledger, c.now)
+	if err == nil {
+		c.workers = append(c.workers, worker)
+	}
+	return err
+}
+
+// callersOn makes the callers of an edge: clients, and each service for its internal calls.
+func (c *cast) callersOn(edge int) []*Caller {
+	d := c.options.Deployment
+	rate := d.Rate * c.options.Rate / float64(d.Edges)
+	proxy := c.fleet.Proxies[edge].Name
+	var clients []RoutePlan
+	internal := map[string][]RoutePlan{}
+	for _, route := range d.Routes {
+		if !route.Internal {
+			clients = append(clients, route)
+			continue
+		}
+		for _, service := range d.Services {
+			if service.Name != route.Service {
+				internal[service.Name] = append(internal[service.Name], route)
+			}
+		}
+	}
+	callers := []*Caller{NewCaller(clientKind, proxy, c.fleet.CallerAddress(edge, clientKind), clients, rate, c.ledger, c.now)}
+	// The service whose worker stands on this edge makes this edge's part of the internal calls.
+	for i, placed := range d.placeWorkers() {
+		if placed.edge == edge && len(internal[placed.service]) > 0 && i < d.Edges {
+			callers = append(callers, NewCaller(placed.service, proxy, c.fleet.CallerAddress(edge, placed.service), internal[placed.service], rate*d.Internal, c.ledger, c.now))
+		}
+	}
+	return callers
+}
+
+// play causes the faults of the standard piece, spread over the length of the load: one
+// worker drained, one killed, its address reused, one proxy killed, one core machine killed.
+func (c *cast) play(length time.Duration, say func(string, ...any)) {
+	start := c.now()
+	fault := func(at float64, what, on string, act func()) {
+		time.Sleep(time.Duration(at*float64(length)) - (c.now() - start))
+		note(c.ledger, &c.ledger.Faults, FaultEntry{what, on, c.now()})
+		say("%6.1f s: %s: %s", c.now().Seconds(), what, on)
+		act()
+	}
+	d := c.options.Deployment
+	drained, killed := c.workers[0], c.workers[len(c.workers)-1]
+	lastProxy := c.fleet.Proxies[d.Edges/2]
+	fault(0.10, "worker drained", drained.name, func() { _ = drained.Drain() })
+	fault(0.20, "worker gone", drained.name, func() { drained.Leave() })
+	fault(0.25, "address reused by another service", drained.said.Address, func() {
+		other := d.Services[len(d.Services)-1].Name
+		_ = c.startWorkerAt("reuser-"+other, 0, other, versionOld, drained.said.Address)
+	})
+	fault(0.35, "worker killed", killed.name, func() { killed.Kill() })
+	fault(0.40, "worker of a version no setup lists started", "barred", func() {
+		_ = c.startWorker("barred", 0, d.Services[0].Name, versionBarred)
+	})
+	fault(0.50, "proxy killed", lastProxy.Name, func() { lastProxy.Kill() })
+	fault(0.60, "proxy back", lastProxy.Name, func() { _ = lastProxy.Start() })
+	fault(0.70, "core machine killed", c.fleet.Stores[0].Name, func() {
+		c.fleet.Stores[0].Kill()
+		c.fleet.Registries[0].Kill()
+	})
+	fault(0.85, "core machine back", c.fleet.Stores[0].Name, func() {
+		_ = c.fleet.Stores[0].Start()
+		_ = c.fleet.Registries[0].Start()
+	})
+	fault(1, "end of load", "", func() {})
+}
+
+// cpu is the processor time each program has used so far, in seconds.
+func (c *cast) cpu() map[string]float64 {
+	used := map[string]float64{}
+	for _, process := range c.fleet.All() {
+		process.lock.Lock()
+		if process.cmd != nil && process.cmd.Process != nil {
+			used[filepath.Base(process.program)] += cpuOf(process.cmd.Process.Pid)
+		}
+		process.lock.Unlock()
+	}
+	return used
+}
+
+// cpuOf reads a process's own processor time from the kernel.
+func cpuOf(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	// Fields 14 and 15 are user and system time in hundredths of a second; the name, in
+	// parentheses, may hold spaces.
+	end := 0
+	for i, one := range text {
+		if one == ')' {
+			end = i
+		}
+	}
+	var state string
+	var skip [10]int64
+	var user, system float64
+	_, _ = fmt.Sscan(string(text[end+1:]), &state, &skip[0], &skip[1], &skip[2], &skip[3], &skip[4], &skip[5], &skip[6], &skip[7], &skip[8], &skip[9], &user, &system)
+	return (user + system) / 100
+}
+
+func quantiles(values []float64) map[string]float64 {
+	if len(values) == 0 {
+		return nil
+	}
+	sort.Float64s(values)
+	at := func(part float64) float64 { return values[int(part*float64(len(values)-1))] }
+	return map[string]float64{"p50": at(0.5), "p90": at(0.9), "p99": at(0.99), "max": at(1)}
+}
+
+func (c *cast) report(loaded time.Duration, before, after map[string]float64) *Report {
+	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
+		Faults: c.ledger.Faults, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
+	var latencies, acks []float64
+	for _, call := range c.ledger.Calls {
+		report.Outcomes[call.Outcome]++
+		if call.Defect != "" {
+			report.Defects[call.Defect]++
+		}
+		if call.Outcome == "answered" {
+			latencies = append(latencies, float64(call.Got-call.Sent)/float64(time.Millisecond))
+		}
+	}
+	for _, change := range c.ledger.Changes {
+		report.Rulings[change.Ruling]++
+		if change.Acknowledged {
+			acks = append(acks, float64(change.Got-change.Sent)/float64(time.Millisecond))
+		}
+	}
+	report.Rate = float64(len(c.ledger.Calls)) / loaded.Seconds()
+	report.LatencyMS, report.AckMS = quantiles(latencies), quantiles(acks)
+	for program, used := range after {
+		report.CPU[program] = (used - before[program]) / float64(len(c.ledger.Calls)) * 1000
+	}
+	for _, finding := range report.Findings {
+		report.Breaches += finding.Breaches
+	}
+	return report
+}
+
+// Write saves the report, and the whole ledger beside it for whoever wants to look closer.
+func (r *Report) Write(file string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "report")
+	}
+	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
+}
+
+// Print shows the report to a person.
+func (r *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "%s: %.0f s of load, %.0f calls a second, seed %d\n", r.Deployment, r.Seconds, r.Rate, r.Seed)
+	fmt.Fprintf(out, "outcomes %v, defects %v\n", r.Outcomes, r.Defects)
+	fmt.Fprintf(out, "changes %v, yes after ms %v\n", r.Rulings, r.AckMS)
+	fmt.Fprintf(out, "latency ms %v\n", r.LatencyMS)
+	fmt.Fprintf(out, "processor seconds per 1,000 calls %v\n", r.CPU)
+	for _, finding := range r.Findings {
+		word := "holds"
+		if finding.Breaches > 0 {
+			word = fmt.Sprintf("BROKEN %d times", finding.Breaches)
+		} else if finding.Judged == 0 {
+			word = "NOT JUDGED"
+		}
+		fmt.Fprintf(out, "  %-62s %s (%d judged)\n", finding.Rule, word, finding.Judged)
+		for _, example := range finding.Examples {
+			fmt.Fprintf(out, "      %s\n", example)
+		}
+	}
+	if len(r.Unclean) > 0 {
+		fmt.Fprintf(out, "did not end cleanly: %v\n", r.Unclean)
+	}
+}
+
+// Freeze and Thaw stop a process and let it go on.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
--- /dev/null
+++ b/internal/rehearsal/worker.go
@@ -0,0 +1,185 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
+)
+
+// opHeader carries the name of a request from caller to worker.
+const opHeader = "X-Op"
+
+// reply is what a worker answers; Sum covers Op, Worker and Filler.
+type reply struct {
+	Op     string `json:"op"`
+	Worker string `json:"worker"`
+	Filler string `json:"filler"`
+	Sum    uint32 `json:"sum"`
+}
+
+func (r reply) sum() uint32 {
+	return crc32.ChecksumIEEE([]byte(r.Op + "|" + r.Worker + "|" + r.Filler))
+}
+
+// Worker is a stand-in worker. It runs what bears its token, and writes each run down.
+type Worker struct {
+	name    string
+	said    dispatch.Description
+	describ string // where the proxy beside it takes descriptions
+	ledger  *Ledger
+	now     func() time.Duration
+	delay   time.Duration
+
+	lock     sync.Mutex
+	conns    map[net.Conn]bool
+	listener net.Listener
+	ended    chan struct{}
+	dead     atomic.Bool
+	leaving  atomic.Bool
+	running  atomic.Int64
+}
+
+// beat is how often stand-in workers describe themselves.
+const beat = time.Second
+
+type countedListener struct {
+	net.Listener
+	worker *Worker
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.worker.lock.Lock()
+		l.worker.conns[conn] = true
+		l.worker.lock.Unlock()
+	}
+	return conn, err
+}
+
+// StartWorker begins a worker at an address and keeps describing it to its proxy.
+func StartWorker(name, service, version, area, address, proxyAddress string, delay time.Duration, ledger *Ledger, now func() time.Duration) (*Worker, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "worker")
+	}
+	w := &Worker{name: name, describ: proxyAddress, ledger: ledger, now: now, delay: delay, conns: map[net.Conn]bool{}, listener: listener, ended: make(chan struct{}),
+		said: dispatch.Description{Address: address, Service: service, Version: version, Area: area, Token: fmt.Sprintf("%s-%d", name, now()), BeatMS: beat.Milliseconds()}}
+	server := &fasthttp.Server{Handler: w.handle, NoDefaultServerHeader: true, Concurrency: 10000}
+	go func() { _ = server.Serve(countedListener{listener, w}) }()
+	go w.keepDescribing()
+	return w, nil
+}
+
+func (w *Worker) handle(call *fasthttp.RequestCtx) {
+	if w.dead.Load() {
+		call.HijackSetNoResponse(true)
+		call.Hijack(func(net.Conn) {})
+		return
+	}
+	op := string(call.Request.Header.Peek(opHeader))
+	if string(call.Request.Header.Peek(dispatch.HeaderToken)) != w.said.Token {
+		// Not meant for this worker: it says so, and has not run it.
+		note(w.ledger, &w.ledger.Strays, w.name+" refused "+op)
+		call.Response.Header.Set(dispatch.HeaderRefused, "token")
+		call.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	w.running.Add(1)
+	defer w.running.Add(-1)
+	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
+		Version: w.said.Version, Worker: w.name, At: w.now()})
+	if w.delay > 0 {
+		time.Sleep(w.delay)
+	}
+	answer := reply{Op: op, Worker: w.name, Filler: string(bytes.Repeat([]byte("x"), 200))}
+	answer.Sum = answer.sum()
+	text, _ := json.Marshal(answer)
+	call.SetContentType("application/json")
+	call.SetBody(text)
+}
+
+func (w *Worker) describe(change func(*dispatch.Description)) error {
+	w.lock.Lock()
+	if change != nil {
+		change(&w.said)
+	}
+	said := w.said
+	w.lock.Unlock()
+	said.Load = float64(w.running.Load()) / 100
+	text, _ := json.Marshal(said)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + w.describ + "/v1/worker")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBody(text)
+	if err := fasthttp.DoTimeout(request, response, beat); err != nil {
+		return defect.Wrap(err, defect.LinkLost, w.name)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return defect.New(defect.Malformed, string(response.Body()))
+	}
+	return nil
+}
+
+func (w *Worker) keepDescribing() {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	for {
+		_ = w.describe(nil)
+		select {
+		case <-w.ended:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain says that the worker is emptying, and goes on serving what it has.
+func (w *Worker) Drain() error {
+	w.leaving.Store(true)
+	err := w.describe(func(said *dispatch.Description) { said.Leaving = true })
+	note(w.ledger, &w.ledger.Leaves, LeaveEntry{w.name, w.now()})
+	return err
+}
+
+// Leave says that the worker is gone, waits for what it runs, and ends.
+func (w *Worker) Leave() {
+	_ = w.describe(func(said *dispatch.Description) { said.Gone = true })
+	for w.running.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.Kill()
+}
+
+// Kill ends the worker at once, as a crash does: every connection is reset, nothing said.
+func (w *Worker) Kill() {
+	if w.dead.Swap(true) {
+		return
+	}
+	close(w.ended)
+	w.listener.Close()
+	w.lock.Lock()
+	for conn := range w.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+	w.lock.Unlock()
+	if !w.leaving.Load() {
+		note(w.ledger, &w.ledger.Leaves, LeaveEntry{w.name, w.now()})
+	}
+}
