--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -5,6 +5,8 @@
 package store
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"meadowhinge/internal/setup"
@@ -117,6 +119,7 @@
 	pending  []afterSync
 
 	peers     map[string]*peer
+	others    []string // the peers in the agreed order, so that a run can be replayed
 	phase     phase
 	phaseAt   time.Duration
 	lastPing  time.Duration
@@ -139,6 +142,7 @@
 	for _, name := range options.Order {
 		if name != options.Name {
 			s.peers[name] = &peer{}
+			s.others = append(s.others, name)
 		}
 	}
 	for _, record := range records {
@@ -289,7 +293,8 @@
 // Addresses tells where each other seat was last heard from.
 func (s *Seat) Addresses() map[string]string {
 	addresses := map[string]string{}
-	for name, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		if known.address != "" {
 			addresses[name] = known.address
 		}
@@ -366,7 +371,8 @@
 	if contains(mine, name) {
 		linked[s.options.Name] = true
 	}
-	for other, known := range s.peers {
+	for _, other := range s.others {
+		known := s.peers[other]
 		if !s.hears(known) || known.ping == nil {
 			continue
 		}
@@ -400,7 +406,8 @@
 	if s.phase == active {
 		name, epoch = s.options.Name, s.epoch
 	}
-	for other, known := range s.peers {
+	for _, other := range s.others {
+		known := s.peers[other]
 		if s.hears(known) && known.ping != nil && known.ping.Holder == other && known.ping.Epoch > epoch {
 			name, epoch = other, known.ping.Epoch
 		}
@@ -435,7 +442,7 @@
 	}
 	if !s.pinged || s.now-s.lastPing >= s.options.Silence/pingsPerSilence {
 		s.pinged, s.lastPing = true, s.now
-		for name := range s.peers {
+		for _, name := range s.others {
 			s.sendPing(name)
 		}
 		s.resend()
@@ -445,7 +452,8 @@
 func (s *Seat) sendPing(to string) {
 	ping := &schema.Ping{Mutual: s.mutual(), Unfit: s.unfit(), Promised: s.promised, Epoch: s.epoch, Sequence: s.seq,
 		Stable: s.stable, StableEpoch: s.stableEpoch}
-	for name, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		if s.hears(known) {
 			ping.Heard = append(ping.Heard, name)
 		}
@@ -458,7 +466,8 @@
 
 // resend repeats whatever a lost letter may have held up.
 func (s *Seat) resend() {
-	for name, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		if !s.hears(known) {
 			continue
 		}
@@ -493,14 +502,15 @@
 	}
 	s.readRound++
 	s.phaseAt = s.now
-	for name := range s.peers {
+	for _, name := range s.others {
 		s.send(name, &schema.SeatLetter{Body: &schema.SeatLetter_Read{Read: &schema.Read{Round: s.readRound}}})
 	}
 }
 
 func (s *Seat) stepDown() {
 	s.phase, s.phaseAt = idle, s.now
-	for id, waiting := range s.waiters {
+	for _, id := range slices.Sorted(maps.Keys(s.waiters)) {
+		waiting := s.waiters[id]
 		for _, one := range waiting {
 			s.answer(one, &schema.Submitted{Ticket: one.ticket, Undecided: true})
 		}
@@ -525,11 +535,12 @@
 	// Epochs are dealt out by seat, so that no two seats ever act under the same one.
 	epoch := (max(s.highest, s.promised)/seats+1)*seats + place
 	s.phase, s.phaseAt, s.promised, s.highest = campaigning, s.now, epoch, epoch
-	for _, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		known.vote, known.epoch, known.acked, known.sent, known.confirmed = nil, 0, 0, 0, 0
 	}
 	then := afterSync{promise: epoch}
-	for name := range s.peers {
+	for _, name := range s.others {
 		then.letters = append(then.letters, &schema.SeatLetter{To: name, Body: &schema.SeatLetter_Promise{Promise: &schema.Promise{Epoch: epoch}}})
 	}
 	s.persist(&schema.Record{Promised: epoch}, then)
@@ -676,7 +687,8 @@
 		return
 	}
 	votes, best := 1, s.digest()
-	for _, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		if known.vote == nil {
 			continue
 		}
@@ -692,7 +704,8 @@
 	s.replace(best)
 	s.phase, s.phaseAt = installing, s.now
 	s.persist(&schema.Record{Digest: s.digest()}, afterSync{})
-	for name, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		s.feed(name, known)
 	}
 }
@@ -807,7 +820,8 @@
 	}
 	// The sequence that a majority has reached is the majority-th highest.
 	reached := []uint64{s.syncedSeq}
-	for _, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		if known.epoch == s.epoch {
 			reached = append(reached, known.acked)
 		}
@@ -827,7 +841,8 @@
 	s.advance(reached[s.majority()-1])
 	// Followers show a change only once they know it is stable, so they are told at once.
 	if s.stable != before || s.stableEpoch != beforeEpoch {
-		for name, known := range s.peers {
+		for _, name := range s.others {
+			known := s.peers[name]
 			if known.epoch == s.epoch {
 				s.feed(name, known)
 			}
@@ -842,7 +857,8 @@
 	}
 	known.read = back
 	promised, best := s.promised, s.digest()
-	for _, other := range s.peers {
+	for _, name := range s.others {
+		other := s.peers[name]
 		if other.read == nil || other.read.Round != s.readRound {
 			return
 		}
@@ -940,7 +956,8 @@
 	entry := Admit(s.state, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
 	s.append(entry)
 	s.persist(&schema.Record{Entries: []*schema.Entry{entry}}, afterSync{})
-	for name, known := range s.peers {
+	for _, name := range s.others {
+		known := s.peers[name]
 		// A peer without this epoch's digest gets it by resend; entries before it would be wasted.
 		if known.epoch == s.epoch {
 			s.feed(name, known)
@@ -949,7 +966,8 @@
 }
 
 func (s *Seat) answerWaiters() {
-	for id, waiting := range s.waiters {
+	for _, id := range slices.Sorted(maps.Keys(s.waiters)) {
+		waiting := s.waiters[id]
 		outcome, settled := s.OutcomeOf(id)
 		if !settled {
 			continue
@@ -972,7 +990,7 @@
 }
 
 func (s *Seat) sendConfirm() {
-	for name := range s.peers {
+	for _, name := range s.others {
 		s.send(name, &schema.SeatLetter{Body: &schema.SeatLetter_Confirm{Confirm: &schema.Confirm{Epoch: s.epoch, Round: s.round}}})
 	}
 }
@@ -981,7 +999,8 @@
 	var left []barrier
 	for _, one := range s.barriers {
 		confirmed := 1
-		for _, known := range s.peers {
+		for _, name := range s.others {
+			known := s.peers[name]
 			if known.confirmed >= one.round {
 				confirmed++
 			}
