Test both sides of a dispatch: every order of a few threads, seeded links, whole answers

Cause found on the way: an answer that ends with its connection was passed on as whole, because the library puts the read length in place of the header's. Now the body is read as a stream and the length looked at first. Before: TestAnswersMustBeWhole/ended_by_the_connection failed; after: passes.

--- /dev/null
+++ b/internal/dispatch/carry_test.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/plan"
+	"meadowhinge/schema"
+)
+
+// dataPlant is a fault put into the data plane's own logic, for the checkers to find.
+type dataPlant string
+
+const (
+	plantNone     dataPlant = ""
+	plantFalseNo  dataPlant = "a lost link is taken for one that never opened"
+	plantNoSeen   dataPlant = "the worker's side forgets which requests it has seen"
+	plantNoBudget dataPlant = "the retry budget is without bound"
+)
+
+// scene is one caller's proxy and one stage, with a link between them that fails by seed.
+type scene struct {
+	*stage
+	plant   dataPlant
+	lock    sync.Mutex
+	dice    *rand.Rand
+	faulty  float64
+	carrier *Carrier
+	calls   []sceneCall
+	tries   []time.Duration // of every dispatch after the first of its call
+}
+
+type sceneCall struct {
+	id    string
+	once  bool
+	at    time.Duration
+	ended *Ended
+}
+
+func (s *scene) roll() float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.dice.Float64()
+}
+
+// send is the link: it may never open, lose the request, lose or alter the answer, deliver
+// twice, or take its time.
+func (s *scene) send(ctx context.Context, candidate plan.Candidate, c *schema.Carry) (*schema.Carried, error) {
+	if c.Request[len(c.Request)-2:] != "-1" {
+		s.lock.Lock()
+		s.tries = append(s.tries, s.now())
+		s.lock.Unlock()
+	}
+	lost := defect.New(defect.LinkLost, "lost")
+	if s.plant == plantFalseNo {
+		lost = defect.New(defect.LinkUnopened, "lost")
+	}
+	deliver := func() *schema.Carried {
+		// What arrives is a copy, as it is over a wire.
+		runner := *s.runner
+		if s.plant == plantNoSeen {
+			runner.seen = NewSeen(1)
+		}
+		return proto.Clone(runner.Run(context.WithoutCancel(ctx), client, proto.Clone(c).(*schema.Carry))).(*schema.Carried)
+	}
+	time.Sleep(time.Duration(s.roll() * float64(20*time.Millisecond)))
+	if s.roll() > s.faulty {
+		return deliver(), nil
+	}
+	switch kind := s.roll(); {
+	case kind < 0.3:
+		return nil, defect.New(defect.LinkUnopened, "refused")
+	case kind < 0.45:
+		return nil, lost
+	case kind < 0.6:
+		deliver()
+		return nil, lost
+	case kind < 0.7:
+		// Delivered late, when the caller's proxy has long given up on it.
+		go func() {
+			time.Sleep(time.Duration(s.roll() * float64(3*time.Second)))
+			deliver()
+		}()
+		return nil, lost
+	case kind < 0.8:
+		deliver()
+		return deliver(), nil
+	case kind < 0.9:
+		altered := deliver()
+		altered.Body = append([]byte(nil), altered.Body...)
+		if len(altered.Body) > 0 {
+			altered.Body[0] ^= 1
+		}
+		return altered, nil
+	default:
+		answer := deliver()
+		answer.Request = "another-1"
+		return answer, nil
+	}
+}
+
+// play runs a seed and gives what was breached.
+func play(t *testing.T, seed uint64, plant dataPlant) (breaches []string, answered, refused int) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{stage: newStage(t), plant: plant, dice: rand.New(rand.NewPCG(seed, 3)), faulty: 0.35}
+		ratio, floor := 0.2, 12.0
+		extraRatio, extraFloor := ratio, floor
+		if plant == plantNoBudget {
+			extraFloor = 1e9
+		}
+		s.carrier = (&Carrier{Name: "q", Options: plan.Options{HorizonMost: 2 * time.Second}, View: func() *plan.View { return s.view },
+			AwaitView:  func(ctx context.Context, _ func(*plan.View) bool) { <-ctx.Done() },
+			AwaitLease: func(context.Context) bool { return true }, Leased: func() bool { return true }, Members: func() int { return 1 },
+			Now: s.now, Dice: s.roll, Send: s.send, Soundness: NewSoundness(5, time.Second), Tally: NewTally(64),
+			ExtraRatio: extraRatio, ExtraFloor: extraFloor}).Start(256)
+		candidates := []plan.Candidate{}
+		for i := range 3 {
+			address := fmt.Sprintf("127.0.0.1:%d", i+1)
+			instance, who := s.enter(t, address, "shop", "1", fmt.Sprint("token-", i))
+			candidates = append(candidates, plan.Candidate{Instance: instance, Proxy: "p"})
+			who.answer = func(request string) string {
+				// Workers lose some answers after the work is done.
+				if s.roll() < s.faulty/5 {
+					return ""
+				}
+				return whole(`{"request":"` + request + `"}`)
+			}
+		}
+		s.view = &plan.View{Setup: s.view.Setup, Directory: plan.Directory{"shop": {"1": candidates}}}
+		var waiting sync.WaitGroup
+		for i := range 150 {
+			time.Sleep(time.Duration(s.roll() * float64(30*time.Millisecond)))
+			waiting.Add(1)
+			go func() {
+				defer waiting.Done()
+				call := &Call{Target: "/shop/look", Body: []byte("{}"), Request: plan.Request{Caller: "client", Method: "GET", Path: "/shop/look",
+					Header: func(string) (string, bool) { return fmt.Sprint("user-", i), true }}}
+				if i%2 == 0 {
+					call.Target, call.Request.Path, call.Request.Method = "/shop/buy", "/shop/buy", "POST"
+				}
+				at := s.now()
+				ended := s.carrier.Carry(t.Context(), call)
+				s.lock.Lock()
+				s.calls = append(s.calls, sceneCall{ended.ID, i%2 == 0, at, ended})
+				s.lock.Unlock()
+			}()
+		}
+		waiting.Wait()
+		// Whatever is late arrives before the ledger is read.
+		time.Sleep(10 * time.Second)
+		breaches = s.judge(ratio, floor)
+		for _, call := range s.calls {
+			if call.ended.Err == nil {
+				answered++
+			} else {
+				refused++
+			}
+		}
+	})
+	return breaches, answered, refused
+}
+
+// judge holds the worker's ledger against what the callers were told.
+func (s *scene) judge(ratio, floor float64) (breaches []string) {
+	runs := map[string]int{}
+	for _, one := range s.ledger() {
+		for cut := len(one.request) - 1; cut > 0; cut-- {
+			if one.request[cut] == '-' {
+				runs[one.request[:cut]]++
+				break
+			}
+		}
+	}
+	for _, call := range s.calls {
+		count, ending := runs[call.id], call.ended.Carried.Ending
+		switch {
+		case call.once && count > 1:
+			breaches = append(breaches, fmt.Sprintf("twice: %s ran %d times", call.id, count))
+		case ending == schema.Ending_ENDING_NOT_RUN && count > 0:
+			breaches = append(breaches, fmt.Sprintf("not-run yet run: %s, %s", call.id, call.ended.Carried.Defect))
+		case ending == schema.Ending_ENDING_ANSWERED && !contains(string(call.ended.Carried.Body), `{"request":"`+call.id+"-"):
+			breaches = append(breaches, fmt.Sprintf("not its own: %s got %q", call.id, call.ended.Carried.Body))
+		}
+	}
+	for i, first := range s.tries {
+		extras, calls := 0, 0
+		for _, at := range s.tries[i:] {
+			if at-first <= window {
+				extras++
+			}
+		}
+		for _, call := range s.calls {
+			if call.at >= first-window && call.at <= first+window {
+				calls++
+			}
+		}
+		if float64(extras) > ratio*float64(calls)+floor {
+			breaches = append(breaches, fmt.Sprintf("budget: %d extra tries on %d calls", extras, calls))
+			break
+		}
+	}
+	return breaches
+}
+
+// dataSeeds run in CI; the seeds are fixed.
+const dataSeeds = 60
+
+func TestDataPlaneSeeds(t *testing.T) {
+	answered, refused := 0, 0
+	for seed := uint64(1); seed <= dataSeeds; seed++ {
+		breaches, yes, no := play(t, seed, plantNone)
+		answered, refused = answered+yes, refused+no
+		if len(breaches) > 0 {
+			t.Errorf("seed %d: %v", seed, breaches)
+		}
+	}
+	// With neither answers nor refusals nothing would have been tried.
+	if answered < 50*dataSeeds || refused < 10*dataSeeds {
+		t.Errorf("%d answered and %d refused in %d seeds", answered, refused, dataSeeds)
+	}
+	t.Logf("%d answered, %d refused", answered, refused)
+}
+
+func TestDataPlanePlants(t *testing.T) {
+	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantNoBudget: "budget"} {
+		found := ""
+		for seed := uint64(1); seed <= dataSeeds && found == ""; seed++ {
+			breaches, _, _ := play(t, seed, plant)
+			for _, breach := range breaches {
+				if contains(breach, sign) {
+					found = breach
+				}
+			}
+		}
+		if found == "" {
+			t.Errorf("%q was not found", plant)
+		}
+	}
+}
+
+// In any ten seconds, extra tries stay within the ratio of the calls in them, and the floor.
+func TestBudgetInAnyWindow(t *testing.T) {
+	dice := rand.New(rand.NewPCG(5, 5))
+	for range 200 {
+		budget, floor := NewBudget(0.2), float64(dice.IntN(20))
+		var calls, extras []time.Duration
+		for now := time.Duration(0); now < 40*time.Second; now += time.Duration(dice.Int64N(int64(200 * time.Millisecond))) {
+			if dice.IntN(2) == 0 {
+				budget.Call(now)
+				calls = append(calls, now)
+			}
+			for budget.Spend(now, floor) && dice.IntN(3) > 0 {
+				extras = append(extras, now)
+			}
+		}
+		count := func(list []time.Duration, from time.Duration) (inside int) {
+			for _, at := range list {
+				if at > from && at <= from+window {
+					inside++
+				}
+			}
+			return inside
+		}
+		for _, end := range extras {
+			if got, most := count(extras, end-window), 0.2*float64(count(calls, end-window))+floor; float64(got) > most {
+				t.Fatalf("%d extra tries in the ten seconds before %v, at most %v", got, end, most)
+			}
+		}
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"hash/crc32"
+	"io"
 	"strings"
 	"time"
 
@@ -120,15 +122,15 @@
 		request.Header.Add(header.Name, header.Value)
 	}
 	request.SetBodyRaw(carry.Body)
+	leased, remaining := r.Leased(), left()
 	// The registration is looked up last of all, so that a worker that left meanwhile gets nothing.
 	held, token, refusal := r.Workers.find(carry)
-	remaining := left()
 	switch {
 	case refusal != "":
 		return notRun(refusal, 0)
 	case remaining <= 0 || ctx.Err() != nil:
 		return notRun(defect.HorizonPast, 0)
-	case !r.Leased():
+	case !leased:
 		return notRun(defect.NoLease, 0)
 	}
 	request.SetHost(held.said.Address)
@@ -136,6 +138,7 @@
 	request.Header.Set(HeaderCaller, carry.Caller)
 	request.Header.Set(HeaderRequest, carry.Request)
 	request.Header.Set(HeaderVersion, carry.Version)
+	response.StreamBody = true
 	response.SkipBody = carry.Method == fasthttp.MethodHead
 	err := held.client.DoTimeout(request, response, remaining)
 	if err != nil {
@@ -145,7 +148,7 @@
 		r.Workers.disown(held)
 		return notRun(defect.WrongInstance, 0)
 	}
-	return answerOf(carry, response)
+	return answerOf(carry, response, r.Workers.options.BodyMost)
 }
 
 // outcomeOfError tells what an error from the client proves: only a connection that never
@@ -179,17 +182,29 @@
 }
 
 // answerOf checks that an answer is whole before it counts as one.
-func answerOf(carry *schema.Carry, response *fasthttp.Response) *schema.Carried {
-	length := response.Header.ContentLength()
-	status := response.StatusCode()
-	const identity = -2 // the library's sign for a body that ends when the connection does
-	// Such a body cannot be told from one cut short, so it is never passed on.
-	if length == identity && !bodiless(carry.Method, status) {
-		return unknown(defect.BadAnswer)
-	}
-	body := append([]byte(nil), response.Body()...)
-	if length >= 0 && len(body) != length && !bodiless(carry.Method, status) {
-		return unknown(defect.BadAnswer)
+func answerOf(carry *schema.Carry, response *fasthttp.Response, most int) *schema.Carried {
+	// The length is read before the body, for the library puts its own in place of it after.
+	length, status := response.Header.ContentLength(), response.StatusCode()
+	var body []byte
+	if bodiless(carry.Method, status) {
+		_ = response.CloseBodyStream()
+	} else {
+		// A body that ends when its connection does cannot be told from one cut short.
+		const endsWithConnection = -2
+		if length == endsWithConnection {
+			_ = response.CloseBodyStream()
+			return unknown(defect.BadAnswer)
+		}
+		stream := response.BodyStream()
+		if stream == nil {
+			stream = bytes.NewReader(response.Body())
+		}
+		read, err := io.ReadAll(io.LimitReader(stream, int64(most)+1))
+		closed := response.CloseBodyStream()
+		if err != nil || closed != nil || len(read) > most || (length >= 0 && len(read) != length) {
+			return unknown(defect.BadAnswer)
+		}
+		body = read
 	}
 	if status < 200 || status > 599 {
 		return unknown(defect.BadAnswer)
--- /dev/null
+++ b/internal/dispatch/run_test.go
@@ -0,0 +1,234 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/interleave"
+	"meadowhinge/internal/link"
+	"meadowhinge/schema"
+)
+
+// Every refusal of the worker's side is not-run, and is true.
+func TestRefusalsRunNothing(t *testing.T) {
+	for name, one := range map[string]struct {
+		change func(s *stage, c *schema.Carry)
+		peer   link.Peer
+		want   defect.Kind
+	}{
+		"a caller the peer may not speak for": {func(_ *stage, c *schema.Carry) { c.Caller = "saves" }, client, defect.NotAllowed},
+		"a peer without a certificate":        {func(*stage, *schema.Carry) {}, link.Peer{}, defect.NotAllowed},
+		"an altered body":                     {func(_ *stage, c *schema.Carry) { c.Body = []byte("x") }, client, defect.Malformed},
+		"an instance that is no more":         {func(_ *stage, c *schema.Carry) { c.Instance = "p/old/1" }, client, defect.WrongInstance},
+		"another version":                     {func(_ *stage, c *schema.Carry) { c.Version = "2" }, client, defect.WrongInstance},
+		"another service":                     {func(_ *stage, c *schema.Carry) { c.Service = "saves" }, client, defect.WrongInstance},
+		"a version no setup lists":            {func(_ *stage, c *schema.Carry) { c.Version = "9" }, client, defect.VersionBarred},
+		"a service no setup lists":            {func(_ *stage, c *schema.Carry) { c.Service = "nowhere" }, client, defect.VersionBarred},
+		"a plan by rules long replaced":       {func(_ *stage, c *schema.Carry) { c.Setup = 3 }, client, defect.StalePlan},
+		"no time left":                        {func(_ *stage, c *schema.Carry) { c.LeftNanos = 0 }, client, defect.HorizonPast},
+		"a proxy without a lease":             {func(s *stage, _ *schema.Carry) { s.runner.Leased = func() bool { return false } }, client, defect.NoLease},
+		"a worker that is leaving": {func(s *stage, _ *schema.Carry) {
+			said := s.saying("127.0.0.1:1", s.actors["127.0.0.1:1"])
+			said.Leaving = true
+			_, _ = s.workers.Describe(said)
+		}, client, defect.Leaving},
+		"a worker that fell silent": {func(s *stage, _ *schema.Carry) {
+			time.Sleep(4 * time.Second)
+			s.workers.Sweep()
+		}, client, defect.WrongInstance},
+		"an address now another's, told": {func(s *stage, _ *schema.Carry) {
+			s.actors["127.0.0.1:1"] = &actor{token: "new", service: "saves", version: "1"}
+			_, _ = s.workers.Describe(s.saying("127.0.0.1:1", s.actors["127.0.0.1:1"]))
+		}, client, defect.WrongInstance},
+		"an address now another's, not yet told": {func(s *stage, _ *schema.Carry) {
+			s.actors["127.0.0.1:1"] = &actor{token: "new", service: "saves", version: "1"}
+		}, client, defect.WrongInstance},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(t)
+				instance, _ := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+				c := carry("r1", instance)
+				one.change(s, c)
+				got := s.runner.Run(t.Context(), one.peer, c)
+				if got.Ending != schema.Ending_ENDING_NOT_RUN || got.Defect != string(one.want) {
+					t.Errorf("ended %v with %s, want not run with %s", got.Ending, got.Defect, one.want)
+				}
+				if runs := s.ledger(); len(runs) > 0 {
+					t.Errorf("it ran: %v", runs)
+				}
+			})
+		})
+	}
+}
+
+// What a worker answers is passed on only if it is certainly whole.
+func TestAnswersMustBeWhole(t *testing.T) {
+	for name, one := range map[string]struct {
+		answer string
+		want   schema.Ending
+	}{
+		"whole":                        {whole(`{"a":1}`), schema.Ending_ENDING_ANSWERED},
+		"whole, in chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: Content-Length\r\n\r\n3\r\nabc\r\n0\r\n\r\n", schema.Ending_ENDING_ANSWERED},
+		"an error of the worker's":     {"HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", schema.Ending_ENDING_ANSWERED},
+		"cut short":                    {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", schema.Ending_ENDING_UNKNOWN},
+		"cut short in a chunk":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", schema.Ending_ENDING_UNKNOWN},
+		"ended by the connection":      {"HTTP/1.1 200 OK\r\n\r\nabc", schema.Ending_ENDING_UNKNOWN},
+		"garbage for a status":         {"HTTP/1.1 9 ?\r\nContent-Length: 0\r\n\r\n", schema.Ending_ENDING_UNKNOWN},
+		"no HTTP":                      {"this is not an answer at all\r\n\r\n", schema.Ending_ENDING_UNKNOWN},
+		"JSON that is not":             {strings.Replace(whole(`{"a":1}`), `{"a":1}`, `{"a":1]`, 1), schema.Ending_ENDING_UNKNOWN},
+		"larger than is taken":         {whole(`"` + strings.Repeat("x", 5000) + `"`), schema.Ending_ENDING_UNKNOWN},
+		"nothing, the work being done": {"", schema.Ending_ENDING_UNKNOWN},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(t)
+				instance, who := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+				who.answer = func(string) string {
+					// A cut answer is followed by the end of the connection.
+					if one.want == schema.Ending_ENDING_UNKNOWN {
+						go func() {
+							time.Sleep(time.Millisecond)
+							s.lock.Lock()
+							defer s.lock.Unlock()
+							for _, conn := range s.conns["127.0.0.1:1"][2:] {
+								conn.Close()
+							}
+						}()
+					}
+					return one.answer
+				}
+				if got := s.runner.Run(t.Context(), client, carry("r1", instance)); got.Ending != one.want {
+					t.Errorf("ended %v with %s, want %v", got.Ending, got.Defect, one.want)
+				}
+			})
+		})
+	}
+}
+
+// A worker gets no call after it said it is leaving, and a request runs once however often
+// it is delivered: in every order of two deliveries and the worker's word.
+func TestEveryOrderOfDeliveryAndLeaving(t *testing.T) {
+	explore := func(planted bool) interleave.Outcome {
+		return interleave.Explore(t, 20000, func(t *testing.T, run *interleave.Run) func() error {
+			s := newStage(t)
+			instance, who := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+			var leftAt int
+			for _, name := range []string{"first", "again"} {
+				run.Go(name, func(yield func()) {
+					mine := *s.runner
+					mine.Leased = func() bool { yield(); return true }
+					if planted {
+						mine.seen = NewSeen(8) // each delivery with a memory of its own
+					}
+					mine.Run(t.Context(), client, carry("r1", instance))
+				})
+			}
+			run.Go("leaving", func(yield func()) {
+				said := s.saying("127.0.0.1:1", who)
+				said.Leaving = true
+				yield()
+				_, _ = s.workers.Describe(said)
+				leftAt = len(s.ledger()) + 1
+			})
+			return func() error {
+				runs := s.ledger()
+				if len(runs) > 1 {
+					return fmt.Errorf("ran %d times", len(runs))
+				}
+				if leftAt > 0 && len(runs) >= leftAt {
+					return fmt.Errorf("ran after the worker left")
+				}
+				return nil
+			}
+		})
+	}
+	if broken := explore(true); broken.Failure == "" {
+		t.Error("the planted fault was not found")
+	}
+	sound := explore(false)
+	if sound.Failure != "" {
+		t.Error(sound.Failure)
+	}
+	t.Logf("%d orders", sound.Orders)
+}
+
+// Of three callers with one key, one runs; the others get its answer, in every order.
+func TestEveryOrderOfOneKey(t *testing.T) {
+	explore := func(planted bool) interleave.Outcome {
+		return interleave.Explore(t, 20000, func(t *testing.T, run *interleave.Run) func() error {
+			memory := NewMemory(8)
+			runs, answered := 0, 0
+			for _, name := range []string{"a", "b", "c"} {
+				run.Go(name, func(yield func()) {
+					key := "key"
+					if planted {
+						key += name
+					}
+					got := memory.Do(t.Context(), key, []byte("body"), func(string) (*schema.Carried, string) {
+						yield()
+						runs++
+						return &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200, Body: []byte("one")}, "w"
+					})
+					if string(got.Body) == "one" {
+						answered++
+					}
+				})
+			}
+			return func() error {
+				if runs > 1 {
+					return fmt.Errorf("ran %d times", runs)
+				}
+				if answered > 0 && runs == 0 {
+					return fmt.Errorf("answered and never ran")
+				}
+				return nil
+			}
+		})
+	}
+	if explore(true).Failure == "" {
+		t.Error("the planted fault was not found")
+	}
+	if sound := explore(false); sound.Failure != "" {
+		t.Error(sound.Failure)
+	}
+}
+
+// The memory's other answers.
+func TestMemory(t *testing.T) {
+	memory := NewMemory(2)
+	runs := 0
+	try := func(key, body string, ending schema.Ending, at string) *schema.Carried {
+		return memory.Do(context.Background(), key, []byte(body), func(string) (*schema.Carried, string) {
+			runs++
+			return &schema.Carried{Ending: ending}, at
+		})
+	}
+	unknownEnding, notRunEnding, answered := schema.Ending_ENDING_UNKNOWN, schema.Ending_ENDING_NOT_RUN, schema.Ending_ENDING_ANSWERED
+	for i, one := range []struct {
+		key, body string
+		ending    schema.Ending
+		at        string
+		want      schema.Ending
+		ran       int
+	}{
+		{"k", "b", notRunEnding, "", notRunEnding, 1},    // not run: the key is free again
+		{"k", "b", unknownEnding, "w", unknownEnding, 2}, // unknown at a place
+		{"k", "b", notRunEnding, "w", unknownEnding, 3},  // a repeat there that did not run leaves the first unknown
+		{"k", "x", answered, "w", notRunEnding, 3},       // the key with another body
+		{"k", "b", answered, "w", answered, 4},           // the place can tell after all
+		{"k", "b", answered, "w", answered, 4},           // from memory
+		{"u", "b", unknownEnding, "", unknownEnding, 5},  // unknown where nobody can tell
+		{"u", "b", answered, "", unknownEnding, 5},       // stays unknown, and is not run
+		{"v", "b", answered, "", answered, 6},            // makes room: the oldest goes
+	} {
+		if got := try(one.key, one.body, one.ending, one.at); got.Ending != one.want || runs != one.ran {
+			t.Errorf("step %d: ended %v after %d runs, want %v after %d", i, got.Ending, runs, one.want, one.ran)
+		}
+	}
+}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -156,7 +156,7 @@
 }
 
 func (w *Workers) clientFor(address string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{Addr: address, MaxConns: w.options.ConnsMost, MaxResponseBodySize: w.options.BodyMost,
+	return &fasthttp.HostClient{Addr: address, MaxConns: w.options.ConnsMost, StreamResponseBody: true,
 		// Retries are decided by the plan alone; the library must never make one of its own.
 		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true, DisableHeaderNamesNormalizing: true, DisablePathNormalizing: true,
