--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,7 +164,7 @@
 	explore := func(planted bool) interleave.Outcome {
 		return interleave.Explore(t, 20000, func(t *testing.T, run *interleave.Run) func() error {
 			memory := NewMemory(8)
-			runs, answered := 0, 0
+			var runs, answered atomic.Int32
 			for _, name := range []string{"a", "b", "c"} {
 				run.Go(name, func(yield func()) {
 					key := "key"
@@ -172,19 +173,19 @@
 					}
 					got := memory.Do(t.Context(), key, []byte("body"), func(string) (*schema.Carried, string) {
 						yield()
-						runs++
+						runs.Add(1)
 						return &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200, Body: []byte("one")}, "w"
 					})
 					if string(got.Body) == "one" {
-						answered++
+						answered.Add(1)
 					}
 				})
 			}
 			return func() error {
-				if runs > 1 {
-					return fmt.Errorf("ran %d times", runs)
+				if runs.Load() > 1 {
+					return fmt.Errorf("ran %d times", runs.Load())
 				}
-				if answered > 0 && runs == 0 {
+				if answered.Load() > 0 && runs.Load() == 0 {
 					return fmt.Errorf("answered and never ran")
 				}
 				return nil
