--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -2,10 +2,13 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -22,7 +25,8 @@
 	length := set.Duration("length", 20*time.Second, "how long the load lasts")
 	lease := set.Duration("lease", 8*time.Second, "the fleet's lease")
 	seed := set.Uint64("seed", 1, "seed of callers' choices")
-	faults := set.Bool("faults", true, "cause the standard faults during the load")
+	play := set.String("play", "standard", "which faults: none, standard or harsh")
+	keep := set.Bool("keep", false, "bring the fleet up without load and let it stand until Ctrl-C")
 	delay := set.Duration("delay", time.Millisecond, "how long a stand-in worker takes for a request")
 	rate := set.Float64("rate", 1, "multiplies the deployment's rate")
 	folder := set.String("folder", "", "where data, logs and the report go (default: a new temporary folder)")
@@ -59,12 +63,21 @@
 		}
 		*binaries = filepath.Dir(self)
 	}
+	var standing <-chan struct{}
+	if *keep {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		standing = ctx.Done()
+	}
 	report, err := rehearsal.Run(rehearsal.Options{Deployment: deployment, Folder: *folder, Binaries: *binaries, Length: *length, Lease: *lease,
-		Seed: *seed, Faults: *faults, Delay: *delay, Rate: *rate, LeaveBound: 2 * time.Second, Out: os.Stdout})
+		Seed: *seed, Play: *play, Keep: standing, Delay: *delay, Rate: *rate, LeaveBound: 2 * time.Second, Out: os.Stdout})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "rehearsal: %v (logs in %s)\n", err, *folder)
 		return 1
 	}
+	if report == nil {
+		return 0
+	}
 	report.Print(os.Stdout)
 	file := filepath.Join(*folder, "report.json")
 	if err := report.Write(file); err != nil {
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -39,6 +39,8 @@
 	probe   string
 	log     string
 
+	settings map[string]string
+
 	lock sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -189,7 +191,7 @@
 }
 
 // NewFleet lays out a fleet in a folder; nothing runs yet.
-func NewFleet(d *Deployment, folder, binaries string, lease time.Duration) (*Fleet, error) {
+func NewFleet(d *Deployment, folder, binaries string, lease time.Duration, relayEdges bool) (*Fleet, error) {
 	authority, err := NewAuthority(filepath.Join(folder, "certificates"))
 	if err != nil {
 		return nil, err
@@ -247,8 +249,18 @@
 			callers = append(callers, caller+"="+f.CallerAddress(i, caller))
 		}
 		name := fmt.Sprintf("edge-%d", i+1)
+		face := f.edge(i)
+		if relayEdges {
+			face = gate(face)
+			relay, err := NewRelay(fmt.Sprintf("%s:%d", face, portHop), fmt.Sprintf("%s:%d", f.edge(i), portHop), f.edge(i), f.Cuts)
+			if err != nil {
+				return nil, err
+			}
+			f.relays = append(f.relays, relay)
+		}
 		proxy, err := f.process("proxy", name, f.callersAt(), fmt.Sprintf("%s:%d", f.edge(i), portProbe), map[string]string{
-			"name": name, "area": f.area(i), "listen": fmt.Sprintf("%s:%d", f.edge(i), portHop), "seeds": join(gates, d.Cores, portRegistry, -1),
+			"advertise": fmt.Sprintf("%s:%d", face, portHop),
+			"name":      name, "area": f.area(i), "listen": fmt.Sprintf("%s:%d", f.edge(i), portHop), "seeds": join(gates, d.Cores, portRegistry, -1),
 			"callers": strings.Join(callers, ","), "workers-listen": fmt.Sprintf("%s:%d", f.edge(i), portWorkers), "lease": lease.String()})
 		if err != nil {
 			return nil, err
@@ -268,17 +280,22 @@
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		return nil, defect.Wrap(err, defect.DiskFailed, folder)
 	}
+	process := &Process{Name: program + "/" + name, program: filepath.Join(f.binaries, program), args: []string{"-settings", filepath.Join(folder, "settings")},
+		probe: probe, log: filepath.Join(folder, "output"), settings: settings}
 	settings["certificate"], settings["authority"], settings["data"], settings["probe-listen"] = certificate, f.authority.File(), filepath.Join(folder, "data"), probe
+	return process, process.configure(nil)
+}
+
+// configure writes the settings file anew, with changes.
+func (p *Process) configure(changes map[string]string) error {
 	var text strings.Builder
-	for key, value := range settings {
-		fmt.Fprintf(&text, "%s %s\n", key, value)
+	for key, value := range changes {
+		p.settings[key] = value
 	}
-	file := filepath.Join(folder, "settings")
-	if err := os.WriteFile(file, []byte(text.String()), 0o640); err != nil {
-		return nil, defect.Wrap(err, defect.DiskFailed, file)
+	for key, value := range p.settings {
+		fmt.Fprintf(&text, "%s %s\n", key, value)
 	}
-	return &Process{Name: program + "/" + name, program: filepath.Join(f.binaries, program), args: []string{"-settings", file}, probe: probe,
-		log: filepath.Join(folder, "output")}, nil
+	return defect.Wrap(os.WriteFile(p.args[1], []byte(text.String()), 0o640), defect.DiskFailed, p.Name)
 }
 
 // All lists every process, the core first.
@@ -336,6 +353,39 @@
 	return unclean
 }
 
+// MoveCore lets a core machine come back at another address, without its disk, as a
+// replacement does. Its old address stays dead; the others learn the new one from it.
+func (f *Fleet) MoveCore(i int) error {
+	moved := fmt.Sprintf("127.%d.3.%d", f.net, i+1)
+	for _, one := range []struct {
+		process *Process
+		port    int
+		probe   int
+	}{{f.Stores[i], portStore, portStoProbe}, {f.Registries[i], portRegistry, portRegProbe}} {
+		one.process.Kill()
+		if err := one.process.Wipe(); err != nil {
+			return err
+		}
+		relay, err := NewRelay(fmt.Sprintf("%s:%d", gate(moved), one.port), fmt.Sprintf("%s:%d", moved, one.port), f.core(i), f.Cuts)
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, relay)
+		one.process.probe = fmt.Sprintf("%s:%d", moved, one.probe)
+		changes := map[string]string{"listen": fmt.Sprintf("%s:%d", moved, one.port), "advertise": fmt.Sprintf("%s:%d", gate(moved), one.port), "probe-listen": one.process.probe}
+		if one.port == portRegistry {
+			changes["store"] = fmt.Sprintf("%s:%d", moved, portStore)
+		}
+		if err := one.process.configure(changes); err != nil {
+			return err
+		}
+		if err := one.process.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Wipe empties a process's data folder, as a machine that comes back without its disk.
 func (p *Process) Wipe() error {
 	folder := filepath.Join(filepath.Dir(p.log), "data")
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -17,7 +17,7 @@
 		t.Fatalf("%v: %s", err, out)
 	}
 	report, err := Run(Options{Deployment: Deployments["small"], Folder: t.TempDir(), Binaries: binaries, Length: 20 * time.Second, Lease: 3 * time.Second,
-		Seed: 1, Faults: true, Rate: 0.5, LeaveBound: 20 * time.Second, Out: t.Output()})
+		Seed: 1, Play: "standard", Rate: 0.5, LeaveBound: 20 * time.Second, Out: t.Output()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/rehearsal/play.go
@@ -0,0 +1,194 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Play is a piece of faults, each at its part of the length of the load.
+type Play struct {
+	relayEdges bool // links between edges go through relays too, so that they can be cut
+	acts       []act
+}
+
+type act struct {
+	at   float64
+	what string
+	do   func(*cast) (on string)
+}
+
+// Plays are the pieces by name.
+var Plays = map[string]*Play{
+	"none":     {},
+	"standard": {acts: standard},
+	"harsh":    {relayEdges: true, acts: harsh},
+}
+
+// play goes through a piece and waits for the end of the load's time.
+func (c *cast) play(piece *Play, length time.Duration, say func(string, ...any)) {
+	start := c.now()
+	for _, one := range piece.acts {
+		time.Sleep(time.Duration(one.at*float64(length)) - (c.now() - start))
+		entry := FaultEntry{What: one.what, At: c.now()}
+		entry.On = one.do(c)
+		note(c.ledger, &c.ledger.Faults, entry)
+		say("%6.1f s: %s: %s", entry.At.Seconds(), entry.What, entry.On)
+	}
+	time.Sleep(length - (c.now() - start))
+}
+
+func (c *cast) firstWorker() *Worker { return c.workers[0] }
+
+// killCore ends a core machine's processes at once; startCore brings them back.
+func (c *cast) killCore(i int) string {
+	c.fleet.Stores[i].Kill()
+	c.fleet.Registries[i].Kill()
+	return c.fleet.Stores[i].Name
+}
+
+func (c *cast) startCore(i int) string {
+	return fmt.Sprint(c.fleet.Stores[i].Name, " ", c.fleet.Stores[i].Start(), c.fleet.Registries[i].Start())
+}
+
+// each does something to every process of a core machine.
+func (c *cast) each(i int, do func(*Process)) string {
+	do(c.fleet.Stores[i])
+	do(c.fleet.Registries[i])
+	return c.fleet.Stores[i].Name
+}
+
+// cut sets the ways between core machines for which chosen holds.
+func (c *cast) cut(chosen func(i, j int) bool) string {
+	var named []string
+	for i := range c.options.Deployment.Cores {
+		for j := range c.options.Deployment.Cores {
+			if i != j && chosen(i, j) {
+				c.fleet.Cuts.Set(c.fleet.core(i), c.fleet.core(j), true)
+				named = append(named, fmt.Sprintf("%c>%c", 'a'+i, 'a'+j))
+			}
+		}
+	}
+	return strings.Join(named, " ")
+}
+
+// cutEdge cuts an edge machine off from everyone, both ways.
+func (c *cast) cutEdge(edge int) string {
+	d := c.options.Deployment
+	for i := range d.Cores {
+		c.fleet.Cuts.Set(c.fleet.core(i), c.fleet.edge(edge), true)
+		c.fleet.Cuts.Set(c.fleet.edge(edge), c.fleet.core(i), true)
+	}
+	for other := range d.Edges {
+		if other != edge {
+			c.fleet.Cuts.Set(c.fleet.edge(other), c.fleet.edge(edge), true)
+			c.fleet.Cuts.Set(c.fleet.edge(edge), c.fleet.edge(other), true)
+		}
+	}
+	return c.fleet.Proxies[edge].Name
+}
+
+func (c *cast) mend() string { c.fleet.Cuts.Mend(); return "all links" }
+
+// replace starts a successor on the machine of a worker, then drains and ends it; the
+// address it frees goes to a worker of another service.
+func (c *cast) replace(i int) string {
+	old := c.workers[i]
+	edge := c.edgeOf[old.name]
+	_ = c.startWorker(old.name+"-next", edge, old.said.Service, old.said.Version)
+	_ = old.Drain()
+	go func() {
+		time.Sleep(leaveAfter)
+		old.Leave()
+		for _, service := range c.options.Deployment.Services {
+			if service.Name != old.said.Service {
+				_ = c.startWorkerAt(old.name+"-reuser", edge, service.Name, versionOld, old.said.Address)
+				return
+			}
+		}
+	}()
+	return old.name
+}
+
+// leaveAfter is how long a replaced worker goes on before it ends.
+const leaveAfter = time.Second
+
+// standard is what any quick rehearsal goes through.
+var standard = []act{
+	{0.10, "worker drained", func(c *cast) string { _ = c.firstWorker().Drain(); return c.firstWorker().name }},
+	{0.20, "worker gone", func(c *cast) string { c.firstWorker().Leave(); return c.firstWorker().name }},
+	{0.25, "address reused by another service", func(c *cast) string {
+		d := c.options.Deployment
+		other := d.Services[len(d.Services)-1].Name
+		_ = c.startWorkerAt("reuser-"+other, 0, other, versionOld, c.firstWorker().said.Address)
+		return c.firstWorker().said.Address
+	}},
+	{0.35, "worker killed", func(c *cast) string {
+		killed := c.workers[c.options.Deployment.Edges-1]
+		killed.Kill()
+		return killed.name
+	}},
+	{0.40, "worker of a version no setup lists", func(c *cast) string {
+		_ = c.startWorker("barred", 0, c.options.Deployment.Services[0].Name, versionBarred)
+		return "barred"
+	}},
+	{0.50, "proxy killed", func(c *cast) string { c.middle().Kill(); return c.middle().Name }},
+	{0.60, "proxy back", func(c *cast) string { _ = c.middle().Start(); return c.middle().Name }},
+	{0.70, "core machine killed", func(c *cast) string { return c.killCore(0) }},
+	{0.85, "core machine back", func(c *cast) string { return c.startCore(0) }},
+}
+
+func (c *cast) middle() *Process { return c.fleet.Proxies[c.options.Deployment.Edges/2] }
+
+// harsh is every other fault of the brief that processes on one machine can show. It wants
+// two minutes or more, so that each fault has time to close.
+var harsh = []act{
+	{0.02, "workers replaced one by one", func(c *cast) string { return c.replace(0) }},
+	{0.05, "workers replaced one by one", func(c *cast) string { return c.replace(1) }},
+	{0.08, "proxy restarted politely", func(c *cast) string {
+		go func() {
+			c.middle().Stop(15 * time.Second)
+			_ = c.middle().Start()
+		}()
+		return c.middle().Name
+	}},
+	{0.16, "proxy frozen", func(c *cast) string { c.fleet.Proxies[1].Freeze(); return c.fleet.Proxies[1].Name }},
+	{0.24, "proxy thawed", func(c *cast) string { c.fleet.Proxies[1].Thaw(); return c.fleet.Proxies[1].Name }},
+	{0.27, "core machine frozen", func(c *cast) string { return c.each(0, (*Process).Freeze) }},
+	{0.33, "core machine thawed", func(c *cast) string { return c.each(0, (*Process).Thaw) }},
+	{0.37, "core split 2-1", func(c *cast) string { return c.cut(func(i, j int) bool { return i == 0 || j == 0 }) }},
+	{0.43, "mended", (*cast).mend},
+	{0.46, "core split 1-1-1", func(c *cast) string { return c.cut(func(int, int) bool { return true }) }},
+	{0.50, "mended", (*cast).mend},
+	{0.54, "one-way link loss in the core", func(c *cast) string { return c.cut(func(i, j int) bool { return i == 1 && j == 0 }) }},
+	{0.58, "mended", (*cast).mend},
+	{0.61, "edge machine cut off", func(c *cast) string { return c.cutEdge(2) }},
+	{0.68, "mended", (*cast).mend},
+	{0.71, "core machine back empty at a new address", func(c *cast) string {
+		if err := c.fleet.MoveCore(1); err != nil {
+			return err.Error()
+		}
+		return c.fleet.Stores[1].Name
+	}},
+	{0.82, "setup grows by two hundred routes", func(c *cast) string {
+		var text strings.Builder
+		service := c.options.Deployment.Services[0].Name
+		for i := range 200 {
+			fmt.Fprintf(&text, "route: \"grown-%d\": {service: %q, prefix: \"/grown/%d\"}\n", i, service, i)
+		}
+		change := NewOperator("grower", c.fleet, c.ledger, c.now).Change(0, text.String(), "")
+		return change.Ruling
+	}},
+	{0.86, "a third of the proxies killed at once", func(c *cast) string {
+		for i := 0; i < len(c.fleet.Proxies); i += 3 {
+			c.fleet.Proxies[i].Kill()
+		}
+		return fmt.Sprint((len(c.fleet.Proxies) + 2) / 3)
+	}},
+	{0.90, "proxies back", func(c *cast) string {
+		for i := 0; i < len(c.fleet.Proxies); i += 3 {
+			_ = c.fleet.Proxies[i].Start()
+		}
+		return ""
+	}},
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -23,9 +23,10 @@
 	Length     time.Duration // of the load
 	Lease      time.Duration
 	Seed       uint64
-	Faults     bool
-	Delay      time.Duration // that a worker takes for a request
-	Rate       float64       // multiplies the deployment's rate
+	Play       string          // which piece of faults, by name; none for no faults
+	Keep       <-chan struct{} // if set: no load, the fleet just stands until it closes
+	Delay      time.Duration   // that a worker takes for a request
+	Rate       float64         // multiplies the deployment's rate
 	LeaveBound time.Duration
 	Out        io.Writer
 }
@@ -56,7 +57,11 @@
 // Run brings the fleet up, plays the load and the faults, and judges.
 func Run(o Options) (*Report, error) {
 	say := func(format string, values ...any) { fmt.Fprintf(o.Out, format+"\n", values...) }
-	fleet, err := NewFleet(o.Deployment, o.Folder, o.Binaries, o.Lease)
+	piece, known := Plays[o.Play]
+	if !known {
+		return nil, defect.New(defect.BadOptions, fmt.Sprintf("no play is called %q", o.Play))
+	}
+	fleet, err := NewFleet(o.Deployment, o.Folder, o.Binaries, o.Lease, piece.relayEdges)
 	if err != nil {
 		return nil, err
 	}
@@ -103,6 +108,11 @@
 	// A moment for the directory to reach every proxy; calls before that are not proper load.
 	time.Sleep(o.Lease / 8)
 
+	if o.Keep != nil {
+		say("operator interface at %s, clients' listener at %s; Ctrl-C ends it", fleet.Operator(0), fleet.CallerAddress(0, clientKind))
+		<-o.Keep
+		return nil, nil
+	}
 	stopCalls, stopChanges := make(chan struct{}), make(chan struct{})
 	var calling, changing sync.WaitGroup
 	dice := rand.New(rand.NewPCG(o.Seed, 1))
@@ -125,11 +135,7 @@
 		}()
 	}
 	before, loadFrom := cast.cpu(), now()
-	if o.Faults {
-		cast.play(o.Length, say)
-	} else {
-		time.Sleep(o.Length)
-	}
+	cast.play(piece, o.Length, say)
 	close(stopChanges)
 	changing.Wait()
 	close(stopCalls)
@@ -157,12 +163,13 @@
 	ledger  *Ledger
 	now     func() time.Duration
 	workers []*Worker
-	used    map[int]int // workers started so far on each edge
+	used    map[int]int    // workers started so far on each edge
+	edgeOf  map[string]int // by worker
 }
 
 func (c *cast) startWorker(name string, edge int, service, version string) error {
 	if c.used == nil {
-		c.used = map[int]int{}
+		c.used, c.edgeOf = map[int]int{}, map[string]int{}
 	}
 	address := fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorker+c.used[edge])
 	c.used[edge]++
@@ -173,6 +180,7 @@
 	worker, err := StartWorker(name, service, version, c.fleet.area(edge), address, fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorkers), c.options.Delay, c.ledger, c.now)
 	if err == nil {
 		c.workers = append(c.workers, worker)
+		c.edgeOf[name] = edge
 	}
 	return err
 }
@@ -205,42 +213,6 @@
 	return callers
 }
 
-// play causes the faults of the standard piece, spread over the length of the load: one
-// worker drained, one killed, its address reused, one proxy killed, one core machine killed.
-func (c *cast) play(length time.Duration, say func(string, ...any)) {
-	start := c.now()
-	fault := func(at float64, what, on string, act func()) {
-		time.Sleep(time.Duration(at*float64(length)) - (c.now() - start))
-		note(c.ledger, &c.ledger.Faults, FaultEntry{what, on, c.now()})
-		say("%6.1f s: %s: %s", c.now().Seconds(), what, on)
-		act()
-	}
-	d := c.options.Deployment
-	drained, killed := c.workers[0], c.workers[len(c.workers)-1]
-	lastProxy := c.fleet.Proxies[d.Edges/2]
-	fault(0.10, "worker drained", drained.name, func() { _ = drained.Drain() })
-	fault(0.20, "worker gone", drained.name, func() { drained.Leave() })
-	fault(0.25, "address reused by another service", drained.said.Address, func() {
-		other := d.Services[len(d.Services)-1].Name
-		_ = c.startWorkerAt("reuser-"+other, 0, other, versionOld, drained.said.Address)
-	})
-	fault(0.35, "worker killed", killed.name, func() { killed.Kill() })
-	fault(0.40, "worker of a version no setup lists started", "barred", func() {
-		_ = c.startWorker("barred", 0, d.Services[0].Name, versionBarred)
-	})
-	fault(0.50, "proxy killed", lastProxy.Name, func() { lastProxy.Kill() })
-	fault(0.60, "proxy back", lastProxy.Name, func() { _ = lastProxy.Start() })
-	fault(0.70, "core machine killed", c.fleet.Stores[0].Name, func() {
-		c.fleet.Stores[0].Kill()
-		c.fleet.Registries[0].Kill()
-	})
-	fault(0.85, "core machine back", c.fleet.Stores[0].Name, func() {
-		_ = c.fleet.Stores[0].Start()
-		_ = c.fleet.Registries[0].Start()
-	})
-	fault(1, "end of load", "", func() {})
-}
-
 // cpu is the processor time each program has used so far, in seconds.
 func (c *cast) cpu() map[string]float64 {
 	used := map[string]float64{}
