--- a/internal/setup/read.go
+++ b/internal/setup/read.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"encoding/json"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -44,8 +45,19 @@
 		return nil, faultsOf(err)
 	}
 	whole := reader.schema.Unify(given)
-	if err := whole.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		return nil, faultsOf(err)
+	if err := whole.Validate(cue.Concrete(true), cue.Final(), cue.All()); err != nil {
+		// A bad value in a struct hides its misspelt fields from CUE, so those are looked for apart.
+		faults := faultsOf(err)
+		seen := map[string]bool{}
+		for _, fault := range faults {
+			seen[fault.Path] = true
+		}
+		strangers(reader.schema, given, nil, func(path string) {
+			if !seen[path] {
+				faults = append(faults, &schema.Fault{Path: path, Reason: "field not allowed"})
+			}
+		})
+		return nil, faults
 	}
 	body, err := whole.MarshalJSON()
 	if err != nil {
@@ -85,12 +97,39 @@
 	return items, nil
 }
 
+// strangers walks what was given beside the schema and names each field that is not in it.
+func strangers(allowed, given cue.Value, path []string, found func(path string)) {
+	if list, err := given.List(); err == nil {
+		for i := 0; list.Next(); i++ {
+			strangers(allowed.LookupPath(cue.MakePath(cue.AnyIndex)), list.Value(), append(path, strconv.Itoa(i)), found)
+		}
+		return
+	}
+	fields, err := given.Fields()
+	if err != nil || !allowed.Exists() || allowed.IncompleteKind() != cue.StructKind {
+		return
+	}
+	for fields.Next() {
+		selector := fields.Selector()
+		at := append(path[:len(path):len(path)], selector.String())
+		if !allowed.Allows(selector) {
+			found(strings.Join(at, "."))
+			continue
+		}
+		next := allowed.LookupPath(cue.MakePath(selector.Optional()))
+		if !next.Exists() {
+			next = allowed.LookupPath(cue.MakePath(cue.AnyString))
+		}
+		strangers(next, fields.Value(), at, found)
+	}
+}
+
 // faultsOf lists every error CUE found, once each.
 func faultsOf(err error) []*schema.Fault {
 	var faults []*schema.Fault
 	seen := map[string]bool{}
 	for _, found := range errors.Errors(err) {
-		path := strings.Join(found.Path(), ".")
+		path := strings.TrimPrefix(strings.Join(found.Path(), "."), "#Setup.")
 		format, values := found.Msg()
 		reason := strings.TrimSpace(errors.Details(errors.Newf(found.Position(), format, values...), nil))
 		reason, _, _ = strings.Cut(reason, "\n")
--- a/internal/setup/schema.cue
+++ b/internal/setup/schema.cue
@@ -7,7 +7,7 @@
 #Header:  =~"^[A-Za-z0-9-]{1,64}$"
 
 #Service: {
-	versions: [#Name, ...#Name]
+	versions: [...#Name]
 	fallback: #Name
 	callers: [...#Name]
 }
@@ -35,13 +35,13 @@
 	contextKind?: #Name
 	bucketBy?:    #Name
 	seed?:        int
-	variations: [{variation: #Index, weight: #Weight}, ...{variation: #Index, weight: #Weight}]
+	variations: [...{variation: #Index, weight: #Weight}]
 }
 
 #Flag: {
 	on:           bool
 	salt:         #Text
-	variations: [#Name, ...#Name]
+	variations: [...#Name]
 	offVariation: #Index
 	prerequisites?: [...{key: #Name, variation: #Index}]
 	targets?: [...{contextKind?: #Name, variation: #Index, values: [...string]}]
