--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -53,6 +53,7 @@
 	Dice       plan.Dice
 	Send       Sender
 	Soundness  *Soundness
+	Trials     *Trials
 	Tally      *Tally
 	ExtraRatio float64
 	ExtraFloor float64
@@ -115,7 +116,7 @@
 }
 
 func (c *Carrier) plan(request *plan.Request) (*plan.Plan, error) {
-	return plan.Make(c.View(), request, c.Options, c.Soundness, c.Now(), c.Dice)
+	return plan.Make(c.View(), request, c.Options, Facts{c.Soundness, c.Trials}, c.Now(), c.Dice)
 }
 
 func (c *Carrier) budget(service string) *Budget {
@@ -123,6 +124,12 @@
 	return budget
 }
 
+// heldNow tells whether the plan's version is on trial and may not be used any more.
+func (c *Carrier) heldNow(view *plan.View, made *plan.Plan) bool {
+	version, planned := view.Setup.OnTrial(made.Service)
+	return planned && version == made.Verdict.Version && c.Trials.Held(made.Service, version, c.Now())
+}
+
 // listed tells whether a worker is still in the directory.
 func listed(view *plan.View, service, version, instance string) bool {
 	for _, one := range view.Directory[service][version] {
@@ -169,7 +176,7 @@
 				return end(notRun(defect.HorizonPast, 0))
 			case !c.Leased():
 				return end(notRun(defect.NoLease, 0))
-			case view.Setup.Sequence != ended.Plan.Verdict.Setup:
+			case view.Setup.Sequence != ended.Plan.Verdict.Setup || c.heldNow(view, ended.Plan):
 				replan = true
 			case !listed(view, ended.Plan.Service, ended.Plan.Verdict.Version, candidate.Instance):
 				continue
@@ -259,7 +266,16 @@
 		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name}
 	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	var ending schema.Ending
+	var status int32
 	c.Soundness.Begin(candidate.Instance)
+	if _, planned := c.View().Setup.OnTrial(ended.Plan.Service); planned {
+		tried := c.Trials.Begin(ended.Plan.Service, ended.Plan.Verdict.Version, c.Now())
+		defer func() {
+			// What was proved not to have run says nothing of the version.
+			c.Trials.End(tried, c.Now(), ending == schema.Ending_ENDING_UNKNOWN || status >= 500)
+		}()
+	}
 	carried, err := c.Send(bounded, candidate, carry)
 	switch {
 	case err != nil && defect.KindOf(err) == defect.LinkUnopened:
@@ -270,6 +286,7 @@
 	case carried.Request != carry.Request || uint64(len(carried.Body)) != carried.Length || crc32.ChecksumIEEE(carried.Body) != carried.Checksum:
 		carried = unknown(defect.BadAnswer)
 	}
+	ending, status = carried.Ending, carried.Status
 	failed := carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500
 	c.Soundness.End(candidate.Instance, c.Now(), failed)
 	return carried
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -17,6 +17,8 @@
 // Exceptions to the flag's verdict; each is counted under its own reason.
 const (
 	ReasonPoolEmpty flag.Reason = "POOL_EMPTY"
+	// ReasonHeld: the version is on trial, and this proxy may not try it out just now.
+	ReasonHeld flag.Reason = "HELD"
 )
 
 // CallerKind is the context kind that tells which service calls, and from where.
@@ -78,6 +80,8 @@
 	InFlight(instance string) int
 	// Ejected tells whether the worker failed too often to be tried first.
 	Ejected(instance string, now time.Duration) bool
+	// Held tells whether a version on trial must not be used now.
+	Held(service, version string, now time.Duration) bool
 }
 
 // Options are the planner's bounds.
@@ -116,6 +120,11 @@
 		made.Horizon = min(made.Horizon, request.Asked)
 	}
 	made.Verdict = decide(view, service, route, request, options)
+	// The brake: a version that a release plan tries out gets no call it may not have.
+	if version, planned := view.Setup.OnTrial(route.Service); planned && version == made.Verdict.Version && facts.Held(route.Service, version, now) {
+		made.Verdict.Evaluated = made.Verdict.Version
+		made.Verdict.Version, made.Verdict.Reason = service.Fallback, ReasonHeld
+	}
 	pool := view.Directory[route.Service][made.Verdict.Version]
 	// An empty pool would turn proper callers away; the fallback version is allowed to serve them.
 	if len(pool) == 0 && made.Verdict.Version != service.Fallback {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -32,7 +33,7 @@
 // Ratios to the lease.
 const (
 	renewParts  = registry.LeaseParts
-	tellParts   = 2 * registry.LeaseParts // workers' loads and counts are told twice as often as leases are renewed
+	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
 	pollParts   = 2
 	retryParts  = 40
 	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
@@ -61,6 +62,7 @@
 	calls   *ants.Pool
 	hops    *ants.Pool
 	health  *dispatch.Soundness
+	trials  *dispatch.Trials
 
 	lock     sync.Mutex
 	held     *session.Lease
@@ -205,9 +207,10 @@
 		Outdated: func(sequence uint64) bool {
 			return s.journal.View().outdated(sequence, s.now(), s.lease/renewParts)
 		}}, int(given.Remembered))
+	s.trials = dispatch.NewTrials(time.Duration(given.Trial), given.TrialFailures, func() int { return int(s.members.Load()) })
 	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.incarnation,
 		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
-		View:    s.view, Leased: s.isLeased, Now: s.now, Dice: rand.Float64, Soundness: s.health, Tally: s.tally,
+		View:    s.view, Leased: s.isLeased, Now: s.now, Dice: rand.Float64, Soundness: s.health, Trials: s.trials, Tally: s.tally,
 		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor),
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held picture) bool { return ready(held.view) })
@@ -250,6 +253,7 @@
 	LeaseMS  int64            `json:"leaseMs"`
 	Members  int64            `json:"members"`
 	Sources  int              `json:"sources"`
+	Known    int              `json:"knownWorkers"` // in the whole mesh
 	Workers  []*schema.Worker `json:"workers"`
 	Refused  uint64           `json:"refusedPeers"`
 	InCalls  int              `json:"callsInFlight"`
@@ -258,7 +262,13 @@
 
 func (s *Server) status() Status {
 	held := s.journal.View()
-	return Status{Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.isLeased(), LeaseMS: (s.until.Load() - int64(s.now())) / int64(time.Millisecond),
+	known := 0
+	for _, byVersion := range held.view.Directory {
+		for _, pool := range byVersion {
+			known += len(pool)
+		}
+	}
+	return Status{Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.isLeased(), LeaseMS: (s.until.Load() - int64(s.now())) / int64(time.Millisecond),
 		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
 		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
 }
@@ -270,7 +280,15 @@
 	}
 	server := &fasthttp.Server{Name: "meadowhinge", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, Concurrency: int(s.options.Buffer) * 4,
 		MaxRequestBodySize: bodyMost, ReadTimeout: time.Duration(s.options.HorizonMost), IdleTimeout: time.Minute, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true, Handler: handler,
+		DisablePreParseMultipartForm: true, StreamRequestBody: true,
+		Handler: func(call *fasthttp.RequestCtx) {
+			if err := readBody(call, bodyMost); err != nil {
+				daemon.Refuse(call, err, "not-run", nil)
+				call.SetConnectionClose()
+				return
+			}
+			handler(call)
+		},
 		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
 			kind := defect.Malformed
 			if err == fasthttp.ErrBodyTooLarge {
@@ -283,6 +301,28 @@
 	return server, nil
 }
 
+// drainParts is how many times the bound is read and dropped of a body that is too large: a
+// connection closed on unread bytes is reset, and the caller would never see the refusal.
+const drainParts = 16
+
+// readBody takes a request's body into memory if it is within the bound.
+func readBody(call *fasthttp.RequestCtx, most int) error {
+	if !call.Request.IsBodyStream() {
+		return nil
+	}
+	stream := call.RequestBodyStream()
+	body, err := io.ReadAll(io.LimitReader(stream, int64(most)+1))
+	if err != nil {
+		return defect.Wrap(err, defect.Malformed, "body")
+	}
+	if len(body) > most {
+		_, _ = io.CopyN(io.Discard, stream, int64(most)*drainParts)
+		return defect.New(defect.TooLarge, fmt.Sprintf("more than %d bytes", most))
+	}
+	call.Request.SetBody(body)
+	return nil
+}
+
 // retryAfter tells a caller that was refused when to come back.
 const retryAfterSeconds = "1"
 
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -270,12 +270,19 @@
 		s.health.Keep(listed)
 		address, at := s.feedAddress()
 		bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-		_, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
+		asked := s.now()
+		told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
 			Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts()})
 		cancel()
-		if err != nil && ctx.Err() == nil {
+		if err == nil {
+			s.trials.Granted(asked, told.Trials)
+		} else if ctx.Err() == nil {
 			s.moveOn(at)
 		}
+		s.trials.Forget(func(service string) bool {
+			_, planned := s.view().Setup.OnTrial(service)
+			return planned
+		})
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -37,14 +38,16 @@
 	started time.Time
 	born    uint64
 
-	lock   sync.Mutex
-	table  *Table
-	state  setup.State
-	setup  *setup.Setup
-	cores  map[string]*schema.Core
-	moved  chan struct{}
-	store  schema.DRPCStoreClient
-	folded uint64
+	lock     sync.Mutex
+	table    *Table
+	state    setup.State
+	setup    *setup.Setup
+	cores    map[string]*schema.Core
+	moved    chan struct{}
+	store    schema.DRPCStoreClient
+	stale    atomic.Uint64 // steps refused because a later epoch had the release duty
+	trials   []*schema.Trial
+	trialsAt time.Duration // when the release duty last handed them out
 }
 
 // Run serves a registry until ctx ends.
@@ -82,6 +85,7 @@
 	}
 	go s.follow(ctx)
 	go s.catchUp(ctx)
+	go s.steer(ctx)
 	for _, seed := range options.List(given.Seeds) {
 		go s.pullFrom(ctx, seed)
 	}
@@ -309,7 +313,7 @@
 }
 
 // Tell takes a proxy's workers and counts.
-func (s *Server) Tell(ctx context.Context, report *schema.Report) (*schema.Nothing, error) {
+func (s *Server) Tell(ctx context.Context, report *schema.Report) (*schema.Told, error) {
 	if err := s.isProxy(ctx, report.Proxy); err != nil {
 		return nil, err
 	}
@@ -321,7 +325,7 @@
 	if s.table.Tell(s.now(), report) {
 		s.announce()
 	}
-	return &schema.Nothing{}, nil
+	return &schema.Told{Trials: s.trialsHere()}, nil
 }
 
 // Bar sets a fence for another registry.
@@ -335,10 +339,13 @@
 }
 
 // Counts gives the counts held here to another registry.
-func (s *Server) Counts(ctx context.Context, _ *schema.CountsAsk) (*schema.CountsBack, error) {
+func (s *Server) Counts(ctx context.Context, ask *schema.CountsAsk) (*schema.CountsBack, error) {
 	if err := s.isRegistry(ctx); err != nil {
 		return nil, err
 	}
+	if ask.Duty != "" {
+		s.takeTrials(ask.Trials)
+	}
 	return s.countsHere(), nil
 }
 
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -75,6 +75,7 @@
 		"GET /v1/setup":    s.pageSetup,
 		"GET /v1/verdicts": s.pageVerdicts,
 		"GET /v1/workers":  s.pageWorkers,
+		"GET /v1/releases": s.pageReleases,
 		"GET /v1/status":   s.pageStatus,
 		"POST /v1/explain": s.pageExplain,
 	}
@@ -219,8 +220,13 @@
 	answers := others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
 		return peer.Counts(ctx, &schema.CountsAsk{})
 	})
+	return mostOf(append(answers, s.countsHere()))
+}
+
+// mostOf keeps, of each proxy's incarnation, the telling that counted most.
+func mostOf(answers []*schema.CountsBack) []*schema.SourceCounts {
 	most := map[leaseKey]*schema.SourceCounts{}
-	for _, answer := range append(answers, s.countsHere()) {
+	for _, answer := range answers {
 		for _, counts := range answer.Sources {
 			key := leaseKey{counts.Proxy, counts.Incarnation}
 			if held := most[key]; held == nil || callsIn(counts) > callsIn(held) {
@@ -235,6 +241,16 @@
 	return all
 }
 
+// compiled is the stable setup; it is compiled only when somebody asks.
+func (s *Server) compiled() *setup.Setup {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.setup == nil {
+		s.setup, _ = setup.Compile(s.state, s.table.stable)
+	}
+	return s.setup
+}
+
 // VerdictLine is one line of verdict counts.
 type VerdictLine struct {
 	Flag      string  `json:"flag"`
@@ -354,18 +370,17 @@
 func (noFacts) InFlight(string) int                { return 0 }
 func (noFacts) Ejected(string, time.Duration) bool { return false }
 
+func (noFacts) Held(string, string, time.Duration) bool { return false }
+
 func (s *Server) pageExplain(call *fasthttp.RequestCtx) {
 	question := &Question{}
 	if err := json.Unmarshal(call.PostBody(), question); err != nil {
 		daemon.Refuse(call, defect.Wrap(err, defect.Malformed, "question"), "", nil)
 		return
 	}
+	compiled := s.compiled()
 	s.lock.Lock()
-	// The setup is only compiled where it is asked for; a registry decides no calls.
-	if s.setup == nil {
-		s.setup, _ = setup.Compile(s.state, s.table.stable)
-	}
-	view := &plan.View{Setup: s.setup, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil)}
+	view := &plan.View{Setup: compiled, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil)}
 	s.lock.Unlock()
 	headers := map[string]string{}
 	for name, value := range question.Headers {
--- a/internal/rehearsal/caller.go
+++ b/internal/rehearsal/caller.go
@@ -124,7 +124,7 @@
 	if entry.Outcome == "answered" {
 		var got reply
 		if json.Unmarshal(response.Body(), &got) == nil {
-			entry.Echoed, entry.Whole = got.Op, got.Sum == got.sum()
+			entry.Echoed, entry.Worker, entry.Whole = got.Op, got.Worker, got.Sum == got.sum()
 		}
 		return
 	}
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -130,7 +131,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-var probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var probes = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // Fleet is a whole mesh on one machine.
 type Fleet struct {
@@ -328,6 +329,30 @@
 	return nil
 }
 
+// awaitKnown waits until every proxy knows so many workers.
+func awaitKnown(proxies []*Process, workers int, patience time.Duration) error {
+	deadline := time.Now().Add(patience)
+	for _, process := range proxies {
+		for {
+			var status struct {
+				Known int `json:"knownWorkers"`
+			}
+			if response, err := probes.Get("http://" + process.probe + "/status"); err == nil {
+				_ = json.NewDecoder(response.Body).Decode(&status)
+				response.Body.Close()
+			}
+			if status.Known >= workers {
+				break
+			}
+			if time.Now().After(deadline) {
+				return defect.New(defect.Internal, fmt.Sprintf("%s knows %d workers of %d", process.Name, status.Known, workers))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
 // Stop ends everything; it names the processes that did not end cleanly.
 func (f *Fleet) Stop() []string {
 	f.Cuts.Mend()
--- a/internal/rehearsal/ledger.go
+++ b/internal/rehearsal/ledger.go
@@ -22,7 +22,8 @@
 	Setup   uint64        `json:"setup,omitempty"`
 	Tries   int           `json:"tries"`
 	Echoed  string        `json:"echoed,omitempty"` // the op that the answer says it is for
-	Whole   bool          `json:"whole"`            // the answer's own checksum holds
+	Worker  string        `json:"worker,omitempty"`
+	Whole   bool          `json:"whole"` // the answer's own checksum holds
 }
 
 // RunEntry is one request as a worker ran it.
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,17 +36,18 @@
 
 // Report is what a rehearsal found, for machines.
 type Report struct {
-	Deployment string             `json:"deployment"`
-	Seed       uint64             `json:"seed"`
-	Seconds    float64            `json:"seconds"`
-	Findings   []Finding          `json:"findings"`
-	Faults     []FaultEntry       `json:"faults"`
-	Outcomes   map[string]int     `json:"outcomes"`
-	Defects    map[string]int     `json:"defects"`
-	Rate       float64            `json:"callsPerSecond"`
-	LatencyMS  map[string]float64 `json:"latencyMs"`
-	AckMS      map[string]float64 `json:"ackMs"`
-	Rulings    map[string]int     `json:"rulings"`
+	Deployment string         `json:"deployment"`
+	Seed       uint64         `json:"seed"`
+	Seconds    float64        `json:"seconds"`
+	Findings   []Finding      `json:"findings"`
+	Faults     []FaultEntry   `json:"faults"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Defects    map[string]int `json:"defects"`
+	Rate       float64        `json:"callsPerSecond"`
+	// LatencyMS is by the way a call took: past the mesh, through one proxy, through two.
+	LatencyMS map[string]map[string]float64 `json:"latencyMs"`
+	AckMS     map[string]float64            `json:"ackMs"`
+	Rulings   map[string]int                `json:"rulings"`
 	// Acknowledged is how many changes got their yes.
 	Acknowledged int                `json:"acknowledged"`
 	CPU          map[string]float64 `json:"cpuSecondsPer1000Calls"`
@@ -105,9 +109,10 @@
 			return nil, err
 		}
 	}
-	// A moment for the directory to reach every proxy; calls before that are not proper load.
-	time.Sleep(o.Lease / 8)
-
+	// Calls before every proxy knows every worker are not proper load.
+	if err := awaitKnown(fleet.Proxies, len(cast.workers), time.Minute); err != nil {
+		return nil, err
+	}
 	if o.Standing != nil {
 		o.Standing(fleet)
 		for _, worker := range cast.workers {
@@ -137,6 +142,11 @@
 			own.Storm(stopChanges, 500*time.Millisecond)
 		}()
 	}
+	changing.Add(1)
+	go func() {
+		defer changing.Done()
+		cast.measureDirect(stopChanges)
+	}()
 	before, loadFrom := cast.cpu(), now()
 	cast.play(piece, o.Length, say)
 	close(stopChanges)
@@ -168,6 +178,7 @@
 	workers []*Worker
 	used    map[int]int    // workers started so far on each edge
 	edgeOf  map[string]int // by worker
+	direct  []float64      // milliseconds of calls past the mesh
 }
 
 func (c *cast) startWorker(name string, edge int, service, version string) error {
@@ -216,6 +227,24 @@
 	return callers
 }
 
+// directEvery is how often a call is sent past the mesh.
+const directEvery = 100 * time.Millisecond
+
+func (c *cast) measureDirect(stop <-chan struct{}) {
+	// A worker that no standard fault touches.
+	measured := c.workers[1]
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(directEvery):
+		}
+		if took, err := measured.Direct(); err == nil {
+			c.direct = append(c.direct, float64(took)/float64(time.Millisecond))
+		}
+	}
+}
+
 // cpu is the processor time each program has used so far, in seconds.
 func (c *cast) cpu() map[string]float64 {
 	used := map[string]float64{}
@@ -262,14 +291,19 @@
 func (c *cast) report(loaded time.Duration, before, after map[string]float64) *Report {
 	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
 		Faults: c.ledger.Faults, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
-	var latencies, acks []float64
+	var one, two, acks []float64
 	for _, call := range c.ledger.Calls {
 		report.Outcomes[call.Outcome]++
 		if call.Defect != "" {
 			report.Defects[call.Defect]++
 		}
 		if call.Outcome == "answered" {
-			latencies = append(latencies, float64(call.Got-call.Sent)/float64(time.Millisecond))
+			took := float64(call.Got-call.Sent) / float64(time.Millisecond)
+			if edge, found := c.edgeOf[call.Worker]; found && c.fleet.Proxies[edge].Name == call.Proxy {
+				one = append(one, took)
+			} else {
+				two = append(two, took)
+			}
 		}
 	}
 	for _, change := range c.ledger.Changes {
@@ -280,7 +314,8 @@
 		}
 	}
 	report.Rate = float64(len(c.ledger.Calls)) / loaded.Seconds()
-	report.LatencyMS, report.AckMS = quantiles(latencies), quantiles(acks)
+	report.LatencyMS = map[string]map[string]float64{"direct": quantiles(c.direct), "one proxy": quantiles(one), "two proxies": quantiles(two)}
+	report.AckMS = quantiles(acks)
 	for program, used := range after {
 		report.CPU[program] = (used - before[program]) / float64(len(c.ledger.Calls)) * 1000
 	}
@@ -299,13 +334,24 @@
 	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
 }
 
+// figures lists named numbers in a settled order.
+func figures(values map[string]float64) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		parts = append(parts, fmt.Sprintf("%s %.3g", name, values[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // Print shows the report to a person.
 func (r *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "%s: %.0f s of load, %.0f calls a second, seed %d\n", r.Deployment, r.Seconds, r.Rate, r.Seed)
 	fmt.Fprintf(out, "outcomes %v, defects %v\n", r.Outcomes, r.Defects)
-	fmt.Fprintf(out, "changes %v, yes after ms %v\n", r.Rulings, r.AckMS)
-	fmt.Fprintf(out, "latency ms %v\n", r.LatencyMS)
-	fmt.Fprintf(out, "processor seconds per 1,000 calls %v\n", r.CPU)
+	fmt.Fprintf(out, "changes %v, yes after ms: %s\n", r.Rulings, figures(r.AckMS))
+	for _, way := range []string{"direct", "one proxy", "two proxies"} {
+		fmt.Fprintf(out, "latency ms, %s: %s\n", way, figures(r.LatencyMS[way]))
+	}
+	fmt.Fprintf(out, "processor seconds per 1,000 calls: %s\n", figures(r.CPU))
 	for _, finding := range r.Findings {
 		word := "holds"
 		if finding.Breaches > 0 {
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -97,8 +97,21 @@
 	}
 	w.running.Add(1)
 	defer w.running.Add(-1)
+	// What is sent past the mesh, to measure what the mesh adds, is not of its ledger.
+	if string(call.Path()) == directPath {
+		w.answer(call, op)
+		return
+	}
 	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
 		Version: w.said.Version, Worker: w.name, At: w.now()})
+	w.answer(call, op)
+}
+
+// directPath is for calls past the mesh.
+const directPath = "/direct"
+
+// answer does the work and answers.
+func (w *Worker) answer(call *fasthttp.RequestCtx, op string) {
 	if w.delay > 0 {
 		time.Sleep(w.delay)
 	}
@@ -134,6 +147,18 @@
 	return nil
 }
 
+// Direct sends one call straight to the worker and tells how long it took.
+func (w *Worker) Direct() (time.Duration, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + w.said.Address + directPath)
+	request.Header.Set(dispatch.HeaderToken, w.said.Token)
+	begin := time.Now()
+	err := fasthttp.DoTimeout(request, response, beat)
+	return time.Since(begin), defect.Wrap(err, defect.WorkerLost, w.name)
+}
+
 func (w *Worker) keepDescribing() {
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
--- /dev/null
+++ b/internal/release/release.go
@@ -0,0 +1,216 @@
+// Package release steers release plans: from what was counted of the old and the new version
+// to the next set point, or to a stop. It is a step function; the registry that has the
+// release duty drives it.
+package release
+
+import (
+	"math"
+	"time"
+
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// The states of a plan.
+const (
+	Trial = "trial" // the new version gets little, until enough is known of it on each route
+	Ramp  = "ramp"  // its share rises over the plan's time
+	Hold  = "hold"  // its share stays, as the operator wants or for want of evidence
+	Done  = "done"  // the target is reached
+	Back  = "back"  // turned back: the flag is off
+)
+
+// Options bound the steering.
+type Options struct {
+	TrialShare   float64 // percent that a version gets before it is known
+	CallsEnough  uint64  // of the new version on a route, to know it there
+	FailuresMost uint64  // of the new version since its trial began, before it may be turned back
+	Excess       float64 // failures as a part of calls that the new version may have above the old
+	Times        float64 // and as a multiple of the old version's
+	SlowTimes    float64 // mean time as a multiple of the old version's that counts as failing
+	Steps        int     // that a ramp is made in
+}
+
+// Defaults are starting values; each is a setting of this package's callers.
+var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, SlowTimes: 5, Steps: 20}
+
+// Count is what was seen of a version on a route.
+type Count struct {
+	Calls, Failures uint64
+	Spent           time.Duration
+}
+
+func (c *Count) add(other Count) {
+	c.Calls, c.Failures, c.Spent = c.Calls+other.Calls, c.Failures+other.Failures, c.Spent+other.Spent
+}
+
+func (c Count) rate() float64 {
+	if c.Calls == 0 {
+		return 0
+	}
+	return float64(c.Failures) / float64(c.Calls)
+}
+
+func (c Count) mean() float64 {
+	if c.Calls == 0 {
+		return 0
+	}
+	return float64(c.Spent) / float64(c.Calls)
+}
+
+// Evidence is what was counted of a service's versions, by route.
+type Evidence struct {
+	Old, New map[string]Count
+}
+
+// Gather sorts counts of a service into evidence; whatever is not the new version is the old.
+func Gather(counts []*schema.SourceCounts, service, version string) Evidence {
+	evidence := Evidence{Old: map[string]Count{}, New: map[string]Count{}}
+	for _, source := range counts {
+		for _, line := range source.Counts {
+			// What did not run says nothing of a version.
+			if line.Service != service || line.Outcome == "not-run" {
+				continue
+			}
+			side := evidence.Old
+			if line.Variation == version {
+				side = evidence.New
+			}
+			sum := side[line.Route]
+			sum.add(Count{line.Calls, line.Failures, time.Duration(line.Nanos)})
+			side[line.Route] = sum
+		}
+	}
+	return evidence
+}
+
+// Since is the evidence that came after an earlier gathering.
+func (e Evidence) Since(before Evidence) Evidence {
+	minus := func(now, then map[string]Count) map[string]Count {
+		left := map[string]Count{}
+		for route, count := range now {
+			was := then[route]
+			// A proxy's counts can vanish with it; what is left is then not less than nothing.
+			left[route] = Count{count.Calls - min(was.Calls, count.Calls), count.Failures - min(was.Failures, count.Failures), count.Spent - min(was.Spent, count.Spent)}
+		}
+		return left
+	}
+	return Evidence{Old: minus(e.Old, before.Old), New: minus(e.New, before.New)}
+}
+
+func total(counts map[string]Count) (sum Count) {
+	for _, count := range counts {
+		sum.add(count)
+	}
+	return sum
+}
+
+// Share is the new version's part of the calls, in percent.
+func (e Evidence) Share() float64 {
+	before, after := total(e.Old), total(e.New)
+	if before.Calls+after.Calls == 0 {
+		return 0
+	}
+	return 100 * float64(after.Calls) / float64(before.Calls+after.Calls)
+}
+
+// Bad tells whether the new version fails, over all or on one route, and in what way. What
+// hits both versions alike is not held against the new one.
+func (o Options) Bad(evidence Evidence) (string, bool) {
+	judge := func(before, after Count, where string) (string, bool) {
+		if after.Failures >= o.FailuresMost && after.rate() > o.Times*before.rate()+o.Excess {
+			return "fails " + where, true
+		}
+		if after.Calls >= o.CallsEnough && before.Calls >= o.CallsEnough && after.mean() > o.SlowTimes*before.mean() {
+			return "is slow " + where, true
+		}
+		return "", false
+	}
+	if reason, bad := judge(total(evidence.Old), total(evidence.New), "on the whole"); bad {
+		return reason, true
+	}
+	for route, after := range evidence.New {
+		if reason, bad := judge(evidence.Old[route], after, "on route "+route); bad {
+			return reason, true
+		}
+	}
+	return "", false
+}
+
+// known tells whether the new version has been seen enough on every route that the old one
+// serves, and is no worse there.
+func (o Options) known(evidence Evidence) bool {
+	any := false
+	for route, before := range evidence.Old {
+		// A route that hardly anyone calls cannot hold a release up for ever.
+		if before.Calls < 10*o.CallsEnough {
+			continue
+		}
+		any = true
+		if after := evidence.New[route]; after.Calls < o.CallsEnough || after.rate() > o.Times*before.rate()+o.Excess {
+			return false
+		}
+	}
+	return any || total(evidence.New).Calls >= o.CallsEnough
+}
+
+// Step decides the next progress of a plan. whole is the evidence since the plan began,
+// lately what came since the last step, passed the time since then.
+func (o Options) Step(plan *setup.Release, before setup.Progress, whole, lately Evidence, passed time.Duration) setup.Progress {
+	after := before
+	if before.State == Back {
+		return after
+	}
+	if plan.Pace == "back" {
+		after.State, after.Reason, after.Share, after.Weight = Back, "the operator turned it back", 0, 0
+		return after
+	}
+	for _, evidence := range []Evidence{lately, whole} {
+		if reason, bad := o.Bad(evidence); bad {
+			after.State, after.Reason, after.Share, after.Weight = Back, "the version "+reason, 0, 0
+			return after
+		}
+	}
+	if plan.Pace == "hold" {
+		after.State, after.Reason = Hold, "the operator holds it"
+		return after
+	}
+	trial := min(o.TrialShare, plan.Target)
+	switch {
+	case !o.known(whole):
+		after.State, after.Reason, after.Share = Trial, "not yet seen enough on each route", trial
+	case total(lately.New).Calls < o.CallsEnough/uint64(3) && before.Share < plan.Target:
+		after.State, after.Reason = Hold, "too few calls to go on by"
+		after.Share = max(before.Share, trial)
+	default:
+		after.Elapsed += int64(passed)
+		after.Share = max(trial, min(plan.Target, plan.Target*float64(after.Elapsed)/float64(plan.Over)))
+		after.State, after.Reason = Ramp, "no worse than the old version"
+		if after.Share >= plan.Target {
+			after.State, after.Reason = Done, "the target is reached"
+		}
+	}
+	after.Weight = o.weight(before, after, lately.Share())
+	return after
+}
+
+// weight turns a set point into the flag's weight. Contexts do not all call alike, so the
+// share that was measured corrects it, within bounds, and never above the trial's share.
+func (o Options) weight(before, after setup.Progress, measured float64) int {
+	wanted := after.Share
+	weight := wanted
+	if before.Weight > 0 && measured > 0 && math.Abs(before.Share-wanted) < 1e-9 {
+		weight = float64(before.Weight)/1000 + (wanted-measured)/2
+	}
+	weight = max(wanted/2, min(weight, wanted*1.5))
+	if after.State == Trial {
+		weight = min(weight, o.TrialShare)
+	}
+	return int(min(100, weight) * 1000)
+}
+
+// Differs tells whether a step is worth a change of setup.
+func Differs(before, after setup.Progress) bool {
+	return before.State != after.State || before.Reason != after.Reason || math.Abs(before.Share-after.Share) >= 0.5 ||
+		math.Abs(float64(before.Weight-after.Weight)) >= 500
+}
--- a/internal/setup/schema.cue
+++ b/internal/setup/schema.cue
@@ -61,6 +61,7 @@
 	version: #Name
 	target:  number & >=0 & <=100
 	over:    #Span
+	pace:    "go" | "hold" | "back" | *"go"
 }
 
 #Setup: {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -86,6 +86,22 @@
 	Version string  `json:"version"`
 	Target  float64 `json:"target"`
 	OverIn  string  `json:"over"`
+	Pace    string  `json:"pace"`
+
+	Over time.Duration `json:"-"`
+}
+
+// Progress is how far a release plan has come; the release duty writes it with each step, so
+// that whoever has the duty next goes on from there.
+type Progress struct {
+	Duty    uint64  `json:"duty"`    // the epoch of the release duty that wrote it; it never goes down
+	Holder  string  `json:"holder"`  // the seat that had the duty
+	Set     string  `json:"set"`     // the plan this is the progress of, as it was stated
+	State   string  `json:"state"`   // trial, ramp, hold, done, back
+	Reason  string  `json:"reason"`  // why it is so
+	Share   float64 `json:"share"`   // set point now, in percent
+	Weight  int     `json:"weight"`  // of the new version, as written to the flag
+	Elapsed int64   `json:"elapsed"` // of the ramp, in nanoseconds
 }
 
 // Setup is one stable configuration, compiled; it never changes once made.
@@ -95,6 +111,7 @@
 	Routes   []*Route // longest prefix first
 	Flags    *flag.Set
 	Releases map[string]*Release
+	Progress map[string]*Progress // by release
 }
 
 // Match finds the route for a path and method.
@@ -107,6 +124,16 @@
 	return nil, false
 }
 
+// OnTrial names the version of a service that a release plan is trying out.
+func (s *Setup) OnTrial(service string) (version string, planned bool) {
+	for _, release := range s.Releases {
+		if release.Service == service {
+			return release.Version, true
+		}
+	}
+	return "", false
+}
+
 // FlagOf names the flag that decides the version of a service.
 func FlagOf(service string) string { return "release." + service }
 
@@ -197,7 +224,17 @@
 		if err := strict(item.Body, decoded); err != nil {
 			return err
 		}
+		over, err := time.ParseDuration(decoded.OverIn)
+		decoded.Over = over
 		target.Releases[item.Name] = decoded
+		return err
+	},
+	"progress": func(target *Setup, item *schema.Item) error {
+		decoded := &Progress{}
+		if err := strict(item.Body, decoded); err != nil {
+			return err
+		}
+		target.Progress[item.Name] = decoded
 		return nil
 	},
 }
@@ -223,6 +260,7 @@
 		Services: map[string]*Service{},
 		Flags:    &flag.Set{Flags: map[string]*flag.Flag{}, Segments: map[string]*flag.Segment{}},
 		Releases: map[string]*Release{},
+		Progress: map[string]*Progress{},
 	}
 	var faults []*schema.Fault
 	add := func(path, format string, values ...any) {
@@ -306,12 +344,26 @@
 		} else if !service.Allows(release.Version) {
 			add(path+".version", "service %q does not list version %q", release.Service, release.Version)
 		}
-		if over, err := time.ParseDuration(release.OverIn); err != nil || over <= 0 {
+		if release.Over <= 0 {
 			add(path+".over", "must be a time above zero")
 		}
+		if decider := s.Flags.Flags[FlagOf(release.Service)]; decider == nil || !slices.Contains(decider.Variations, release.Version) {
+			add(path, "flag %q does not have the variation %q", FlagOf(release.Service), release.Version)
+		} else if service != nil && release.Version == service.Fallback {
+			add(path+".version", "is the fallback version, which has no other to be weighed against")
+		}
 		if other, found := planned[release.Service]; found {
 			add(path, "service %q has the plan %q already", release.Service, other)
 		}
 		planned[release.Service] = name
 	}
 }
+
+// DutyOf is the release duty's epoch in a progress item.
+func DutyOf(item *schema.Item) uint64 {
+	progress := &Progress{}
+	if strict(item.Body, progress) != nil {
+		return 0
+	}
+	return progress.Duty
+}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -96,7 +96,7 @@
 		"service.shop.fallback": 1, "route.a.service": 1, "route.b": 1,
 		"flag.release.shop.variations[0]": 1, "flag.release.shop.offVariation": 1, "flag.release.shop.prerequisites": 1,
 		"flag.odd.fallthrough.rollout": 1, "flag.re.rules[0].clauses[0].values[0]": 1,
-		"release.r1.version": 1, "release.r1.over": 1, "release.r2": 1,
+		"release.r1.version": 1, "release.r1.over": 1, "release.r1": 1, "release.r2": 2,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -1066,6 +1066,13 @@
 	if entry.Outcome.Ruling == schema.Ruling_RULING_CONFLICT {
 		return entry
 	}
+	// A duty that has passed on may not write what its successor has written under a later epoch.
+	for _, item := range change.Items {
+		if held := state[setup.Key(item.Kind, item.Name)]; item.Kind == "progress" && !item.Deleted && held != nil && !held.Deleted && setup.DutyOf(item) < setup.DutyOf(held) {
+			entry.Outcome.Ruling = schema.Ruling_RULING_STALE
+			return entry
+		}
+	}
 	var items []*schema.Item
 	for _, item := range change.Items {
 		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version})
