--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -108,6 +108,19 @@
 	if err != nil {
 		return &failure{exitUsage, defect.Wrap(err, defect.BadOptions, "setup")}
 	}
+	return c.send(id, text)
+}
+
+// release states a plan; flags that are not given have their presets.
+func (c *client) release(name string, plan *registry.ShownRelease) error {
+	if plan.Service == "" || plan.Version == "" {
+		return &failure{exitUsage, defect.New(defect.BadOptions, "release: needs -service and -version")}
+	}
+	return c.send("", []byte(fmt.Sprintf("release: %q: {service: %q, version: %q, target: %v, over: %q, pace: %q}\n", name, plan.Service, plan.Version, plan.Target, plan.Over, plan.Pace)))
+}
+
+// send states a change against what stands now, and waits for what becomes of it.
+func (c *client) send(id string, text []byte) error {
 	submission := registry.Submission{ID: id, Setup: string(text), Expected: map[string]uint64{}}
 	if id == "" {
 		drawn := make([]byte, 8)
@@ -118,7 +131,7 @@
 	var shown registry.Shown
 	wasJSON := c.asJSON
 	c.asJSON = false
-	_, err = c.get("/v1/setup", &shown)
+	_, err := c.get("/v1/setup", &shown)
 	c.asJSON = wasJSON
 	if err != nil {
 		return err
@@ -225,7 +238,32 @@
 	area := explainSet.String("area", "", "zone the call comes from")
 	headers := explainSet.String("headers", "", "name=value by comma")
 
+	releaseSet := flag.NewFlagSet("release", flag.ContinueOnError)
+	plan := &registry.ShownRelease{}
+	releaseSet.StringVar(&plan.Service, "service", "", "the service")
+	releaseSet.StringVar(&plan.Version, "version", "", "the version to bring in")
+	releaseSet.Float64Var(&plan.Target, "target", 100, "the share it should end with, in percent")
+	releaseSet.StringVar(&plan.Over, "over", "10m", "the time to get there")
+	releaseSet.StringVar(&plan.Pace, "pace", "go", "go, hold, or back (turn back to the fallback version)")
+
 	commands := []*ffcli.Command{
+		command("release", "release -service S -version V [-target PERCENT] [-over TIME] [-pace go|hold|back] NAME", "state a release plan, or change one's target, time or pace", releaseSet, 1,
+			func(args []string) error { return c.release(args[0], plan) }),
+		command("cancel", "cancel NAME", "end a release plan; the flag stays as it is", nil, 1, func(args []string) error {
+			return c.send("", []byte(fmt.Sprintf("remove: release: [%q]\n", args[0])))
+		}),
+		command("releases", "releases", "show release plans: the set point beside the measured share", nil, 0, func([]string) error {
+			var shown []registry.ShownRelease
+			if done, err := c.get("/v1/releases", &shown); done || err != nil {
+				return err
+			}
+			var rows [][]any
+			for _, one := range shown {
+				rows = append(rows, []any{one.Name, one.Service, one.Version, one.Target, one.Over, one.Pace, one.State, fmt.Sprintf("%.1f", one.Share), fmt.Sprintf("%.1f", one.Measured), one.Reason})
+			}
+			c.table("NAME SERVICE VERSION TARGET OVER PACE STATE SET-POINT MEASURED REASON", rows)
+			return nil
+		}),
 		command("apply", "apply [-id ID] FILE", "state a setup change, written in CUE; - reads standard input", applySet, 1,
 			func(args []string) error { return c.apply(args[0], *id) }),
 		command("outcome", "outcome ID", "tell what became of a change", nil, 1, func(args []string) error {
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -419,6 +419,11 @@
 				laggards[one.Proxy] = true
 			}
 			if fence.Take(answer) {
+				s.lock.Lock()
+				if traced := s.table.traces[sequence]; traced != nil && traced.yes == 0 {
+					traced.yes = s.now()
+				}
+				s.lock.Unlock()
 				return nil
 			}
 		}
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -87,6 +87,10 @@
 				s.pageOutcome(call, id)
 				return
 			}
+			if id, asks := strings.CutPrefix(path, "/v1/trace/"); asks && call.IsGet() {
+				s.pageTrace(call, id)
+				return
+			}
 			page, known := pages[string(call.Method())+" "+path]
 			if !known {
 				daemon.Refuse(call, defect.New(defect.NoRoute, path), "", nil)
@@ -182,6 +186,68 @@
 	daemon.Answer(call, fasthttp.StatusOK, answer)
 }
 
+// Trace is what one core machine saw of a change; times are those of its own clock.
+type Trace struct {
+	Seat         string               `json:"seat"`
+	Known        bool                 `json:"known"` // by the store here
+	Ruling       string               `json:"ruling,omitempty"`
+	Sequence     uint64               `json:"sequence,omitempty"`
+	Epoch        uint64               `json:"epoch,omitempty"`
+	Holder       string               `json:"holder,omitempty"` // of the admission duty
+	Taken        time.Time            `json:"taken"`
+	Synced       time.Time            `json:"synced"`
+	Stable       time.Time            `json:"stable"`
+	Seen         time.Time            `json:"seen"`         // by the registry here
+	Acknowledged time.Time            `json:"acknowledged"` // to the operator, by the registry here
+	Applied      map[string]time.Time `json:"applied"`      // by proxy, as told to the registry here
+	Missing      []string             `json:"missing"`      // proxies with a lease here that have not applied it
+	StoreSilent  bool                 `json:"storeSilent"`
+}
+
+// pageTrace tells what this core machine saw of a change.
+func (s *Server) pageTrace(call *fasthttp.RequestCtx, id string) {
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	defer cancel()
+	shown := Trace{Seat: s.options.Seat, Applied: map[string]time.Time{}}
+	traced, err := s.store.Trace(bounded, &schema.Ask{ChangeId: id})
+	if err != nil {
+		shown.StoreSilent = true
+		daemon.Answer(call, fasthttp.StatusOK, shown)
+		return
+	}
+	wall := func(nanos int64) time.Time {
+		if nanos == 0 {
+			return time.Time{}
+		}
+		return time.Unix(0, nanos)
+	}
+	shown.Known, shown.Holder = traced.Known, traced.Holder
+	shown.Taken, shown.Synced, shown.Stable = wall(traced.Taken), wall(traced.Synced), wall(traced.Stable)
+	if traced.Known {
+		shown.Ruling, shown.Sequence, shown.Epoch = rulings[traced.Outcome.Ruling].name, traced.Outcome.Version.Sequence, traced.Outcome.Version.Epoch
+		s.lock.Lock()
+		here := func(at time.Duration) time.Time {
+			if at == 0 {
+				return time.Time{}
+			}
+			return s.started.Add(at)
+		}
+		if seen := s.table.traces[shown.Sequence]; seen != nil {
+			shown.Seen, shown.Acknowledged = here(seen.seen), here(seen.yes)
+			for proxy, at := range seen.applied {
+				shown.Applied[proxy] = here(at)
+			}
+		}
+		for _, held := range s.table.Leases(s.now()) {
+			if held.Applied < shown.Sequence {
+				shown.Missing = append(shown.Missing, held.Proxy)
+			}
+		}
+		s.lock.Unlock()
+	}
+	daemon.Answer(call, fasthttp.StatusOK, shown)
+}
+
 // ShownItem is an item as operators see it.
 type ShownItem struct {
 	Kind    string          `json:"kind"`
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -56,11 +56,23 @@
 	sources  map[string]*heldSource
 	counts   map[leaseKey]*schema.SourceCounts
 	told     []leaseKey // counts, oldest first
+	traces   map[uint64]*trace
+	newest   uint64 // sequence traced last
 }
 
+// trace is when a setup was where, as far as this registry saw.
+type trace struct {
+	seen    time.Duration
+	yes     time.Duration
+	applied map[string]time.Duration // by proxy
+}
+
+// tracesKept is how many setups the tracer can still be told of.
+const tracesKept = 1024
+
 // NewTable makes the memory of a registry that has just started.
 func NewTable(options TableOptions) *Table {
-	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}}
+	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}}
 }
 
 // SetCurrent tells that the registry knows at least what was stable when it started.
@@ -71,6 +83,11 @@
 	if setup <= t.stable {
 		return
 	}
+	for sequence := max(t.newest+1, setup-min(setup, tracesKept)+1); sequence <= setup; sequence++ {
+		t.traces[sequence] = &trace{seen: now, applied: map[string]time.Duration{}}
+		delete(t.traces, sequence-min(sequence, tracesKept))
+	}
+	t.newest = setup
 	t.stable = setup
 	t.marks = append(t.marks, stableMark{setup, now})
 }
@@ -125,6 +142,11 @@
 	}
 	// What is applied counts even where the lease is refused: it may free an acknowledgement.
 	if held != nil {
+		for sequence := max(held.applied+1, renew.Applied-min(renew.Applied, tracesKept)+1); sequence <= renew.Applied; sequence++ {
+			if traced := t.traces[sequence]; traced != nil && traced.applied[renew.Proxy] == 0 {
+				traced.applied[renew.Proxy] = now
+			}
+		}
 		held.applied = max(held.applied, renew.Applied)
 	}
 	return reply
--- a/internal/rehearsal/deployment.go
+++ b/internal/rehearsal/deployment.go
@@ -104,12 +104,12 @@
 `, service, versionOld, versionNew, mark, 100000-newWeight, newWeight)
 }
 
-// SetupText is the first setup of the fleet, in CUE.
-func (d *Deployment) SetupText() string {
+// SetupText is the first setup of the fleet, in CUE, with the new version at a weight.
+func (d *Deployment) SetupText(newWeight int) string {
 	var text strings.Builder
 	for _, service := range d.Services {
 		fmt.Fprintf(&text, "service: %q: {versions: [%q, %q], fallback: %q, callers: %s}\n", service.Name, versionOld, versionNew, versionOld, quoted(d.callersOf(service.Name)))
-		text.WriteString(d.FlagText(service.Name, 50000, 0))
+		text.WriteString(d.FlagText(service.Name, newWeight, 0))
 	}
 	for _, route := range d.Routes {
 		class := "repeatable"
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -13,6 +14,10 @@
 	budgetWindow = 10 * time.Second
 	budgetRatio  = 0.2
 	budgetFloor  = 60
+	badRatio     = 0.1
+	badFloor     = 50
+	badFailures  = 50
+	badBound     = 5 * time.Second
 )
 
 // Finding is the judgement of one never-rule.
@@ -191,6 +196,37 @@
 			}
 		}
 	}},
+	{"a bad version gets 1/10 + 50 at most, none 5 s after failure 50", func(l *Ledger, _ *Deployment, f *Finding) {
+		for _, bad := range l.Bad {
+			var failures []time.Duration
+			all, its := 0, []time.Duration{}
+			for _, run := range l.Runs {
+				if run.Service != bad.Service || run.At < bad.From {
+					continue
+				}
+				all++
+				if run.Version == bad.Version {
+					its = append(its, run.At)
+					if run.Ill {
+						failures = append(failures, run.At)
+					}
+				}
+			}
+			f.Judged += all
+			if float64(len(its)) > badRatio*float64(all)+badFloor {
+				f.breach("%s %s got %d of %d calls after it turned bad", bad.Service, bad.Version, len(its), all)
+			}
+			slices.Sort(failures)
+			if len(failures) < badFailures {
+				continue
+			}
+			for _, at := range its {
+				if at > failures[badFailures-1]+badBound {
+					f.breach("%s %s got a call %v after failure 50", bad.Service, bad.Version, at-failures[badFailures-1])
+				}
+			}
+		}
+	}},
 	{"extra tries stay within 1/5 + 60 in any 10 s", func(l *Ledger, _ *Deployment, f *Finding) {
 		byService := map[string][]CallEntry{}
 		for _, call := range l.Calls {
--- a/internal/rehearsal/judge_test.go
+++ b/internal/rehearsal/judge_test.go
@@ -16,6 +16,7 @@
 		},
 		Runs:    []RunEntry{{Op: "1", Caller: "client", Service: "shop", Version: versionOld, Worker: "w", At: 10 * s}},
 		Changes: []ChangeEntry{{ID: "c", Got: 9 * s, Ruling: "accepted", Sequence: 5, Acknowledged: true}, {ID: "bad", Invalid: true, Ruling: "invalid", Marker: "route/bad"}},
+		Bad:     []BadEntry{{Service: "shop", Version: versionNew}},
 		Leaves:  []LeaveEntry{{Worker: "w", At: 9 * s}},
 		Shown:   []ShownEntry{{Node: "registry/a", Asked: 10 * s, Got: 10 * s, Setup: 5, Items: []string{"route/ok"}}},
 	}
@@ -36,6 +37,11 @@
 			l.Shown = append(l.Shown, ShownEntry{Node: "registry/a", Asked: 11 * s, Got: 11 * s, Setup: 4})
 		},
 		func(l *Ledger) { l.Shown[0].Items = append(l.Shown[0].Items, "route/bad") },
+		func(l *Ledger) {
+			for i := range 60 {
+				l.Runs = append(l.Runs, RunEntry{Service: "shop", Version: versionNew, Ill: true, At: time.Duration(i) * s})
+			}
+		},
 		func(l *Ledger) { l.Calls[1].Tries = 100 },
 	}
 	if len(breaches) != len(checkers) {
--- a/internal/rehearsal/ledger.go
+++ b/internal/rehearsal/ledger.go
@@ -34,6 +34,24 @@
 	Version string        `json:"version"`
 	Worker  string        `json:"worker"`
 	At      time.Duration `json:"at"`
+	Ill     bool          `json:"ill"` // it failed, or was far too slow
+}
+
+// BadEntry is a version that is bad from a time on.
+type BadEntry struct {
+	Service string        `json:"service"`
+	Version string        `json:"version"`
+	From    time.Duration `json:"from"`
+}
+
+// ShareEntry is a release plan as its operator saw it.
+type ShareEntry struct {
+	At       time.Duration `json:"at"`
+	Release  string        `json:"release"`
+	State    string        `json:"state"`
+	Reason   string        `json:"reason"`
+	SetPoint float64       `json:"setPoint"`
+	Measured float64       `json:"measured"` // of the calls since the last look
 }
 
 // ChangeEntry is one setup change as its operator saw it.
@@ -79,6 +97,8 @@
 	Leaves  []LeaveEntry
 	Shown   []ShownEntry
 	Faults  []FaultEntry
+	Bad     []BadEntry
+	Shares  []ShareEntry
 	// LeaveBound is how long after leaving a worker may still get calls: the rule's 2 s, or
 	// more where the machine is not to be trusted with time.
 	LeaveBound time.Duration
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -98,8 +98,9 @@
 `, name, service, name, name, name), "route/" + name
 }
 
-// Storm states change after change until stop is closed, an invalid one every so often.
-func (o *Operator) Storm(stop <-chan struct{}, pause time.Duration) {
+// Storm states change after change until stop is closed, an invalid one every so
+// often. With spareFlags the flags are left to the release plans.
+func (o *Operator) Storm(stop <-chan struct{}, pause time.Duration, spareFlags bool) {
 	for turn := 0; ; turn++ {
 		select {
 		case <-stop:
@@ -114,6 +115,20 @@
 		}
 		service := o.fleet.Deployment.Services[turn%len(o.fleet.Deployment.Services)].Name
 		o.writing++
-		o.Change(core, o.fleet.Deployment.FlagText(service, 30000+turn%5*10000, o.writing), "")
+		text := o.fleet.Deployment.FlagText(service, 30000+turn%5*10000, o.writing)
+		if spareFlags {
+			text = fmt.Sprintf("segment: %q: {salt: \"%d\"}\n", "storm-"+service, o.writing)
+		}
+		o.Change(core, text, "")
+	}
+}
+
+// Releases reads the release plans at a core machine.
+func (o *Operator) Releases(core int) ([]registry.ShownRelease, error) {
+	var shown []registry.ShownRelease
+	status, err := o.ask(core, http.MethodGet, "/v1/releases", nil, &shown)
+	if err == nil && status != http.StatusOK {
+		err = defect.New(defect.NoMajority, fmt.Sprint(status))
 	}
+	return shown, err
 }
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -9,6 +9,7 @@
 // Play is a piece of faults, each at its part of the length of the load.
 type Play struct {
 	relayEdges bool // links between edges go through relays too, so that they can be cut
+	releases   bool // flags start with the old version only, and plans move them
 	acts       []act
 }
 
@@ -23,6 +24,8 @@
 	"none":     {},
 	"standard": {acts: standard},
 	"harsh":    {relayEdges: true, acts: harsh},
+	"release":  {releases: true, acts: releasing},
+	"brake":    {releases: true, acts: braking},
 }
 
 // play goes through a piece and waits for the end of the load's time.
@@ -192,3 +195,107 @@
 		return ""
 	}},
 }
+
+// release states a plan for a service.
+func (c *cast) release(service string, target float64, over time.Duration) string {
+	operator := NewOperator("release-"+service, c.fleet, c.ledger, c.now)
+	text := fmt.Sprintf("release: %q: {service: %q, version: %q, target: %v, over: %q}\n", "to-"+service, service, versionNew, target, over)
+	return service + " " + operator.Change(1, text, "").Ruling
+}
+
+// fall makes every worker of a service's new version ill.
+func (c *cast) fall(service string, ill *Illness) string {
+	note(c.ledger, &c.ledger.Bad, BadEntry{service, versionNew, c.now()})
+	for _, worker := range c.workers {
+		if worker.said.Service == service && worker.said.Version == versionNew {
+			worker.Fall(ill)
+		}
+	}
+	return service
+}
+
+// service names the i-th service of the deployment.
+func (c *cast) service(i int) string {
+	return c.options.Deployment.Services[i%len(c.options.Deployment.Services)].Name
+}
+
+// part is a part of the load's length.
+func (c *cast) part(of float64) time.Duration {
+	return (time.Duration(of * float64(c.options.Length))).Round(time.Second)
+}
+
+// watchReleases writes down set point and measured share as time goes on.
+func (c *cast) watchReleases(stop <-chan struct{}, say func(string, ...any)) {
+	operator := NewOperator("watcher", c.fleet, c.ledger, c.now)
+	seen, last := 0, map[string]string{}
+	for turn := 0; ; turn++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(2 * time.Second):
+		}
+		shown, err := operator.Releases(turn % c.options.Deployment.Cores)
+		if err != nil {
+			continue
+		}
+		c.ledger.lock.Lock()
+		runs := c.ledger.Runs[seen:]
+		seen = len(c.ledger.Runs)
+		c.ledger.lock.Unlock()
+		for _, one := range shown {
+			all, new := 0, 0
+			for _, run := range runs {
+				if run.Service == one.Service {
+					all++
+					if run.Version == one.Version {
+						new++
+					}
+				}
+			}
+			entry := ShareEntry{At: c.now(), Release: one.Name, State: one.State, Reason: one.Reason, SetPoint: one.Share, Measured: 100 * float64(new) / float64(max(1, all))}
+			note(c.ledger, &c.ledger.Shares, entry)
+			if word := one.State + " " + one.Reason; last[one.Name] != word {
+				last[one.Name] = word
+				say("%6.1f s: plan %s: %s, set point %.1f, measured %.1f", entry.At.Seconds(), one.Name, word, entry.SetPoint, entry.Measured)
+			}
+		}
+	}
+}
+
+// releasing brings a good version in while the registry that steers is lost.
+var releasing = []act{
+	{0.02, "release plan stated", func(c *cast) string { return c.release(c.service(0), 50, c.part(0.5)) }},
+	{0.30, "core machine killed", func(c *cast) string { return c.killCore(0) }},
+	{0.45, "core machine back", func(c *cast) string { return c.startCore(0) }},
+	{0.60, "core machine killed", func(c *cast) string { return c.killCore(1) }},
+	{0.70, "core machine back", func(c *cast) string { return c.startCore(1) }},
+}
+
+// braking lets new versions be bad in each way.
+var braking = []act{
+	{0.00, "a good version, to turn bad late", func(c *cast) string { return c.release(c.service(3), 60, c.part(0.2)) }},
+	{0.05, "bad from the start", func(c *cast) string {
+		return c.fall(c.service(0), &Illness{Fails: true}) + ", " + c.release(c.service(0), 50, c.part(0.3))
+	}},
+	{0.25, "bad on one route only", func(c *cast) string {
+		if len(c.options.Deployment.Services) < 4 {
+			return "left out"
+		}
+		service := c.service(1)
+		for _, route := range c.options.Deployment.Routes {
+			if route.Service == service && !route.Internal {
+				return c.fall(service, &Illness{Prefix: route.Prefix, Fails: true}) + ", " + c.release(service, 50, c.part(0.3))
+			}
+		}
+		return ""
+	}},
+	{0.40, "slow", func(c *cast) string {
+		if len(c.options.Deployment.Services) < 4 {
+			return "left out"
+		}
+		return c.fall(c.service(2), &Illness{Delay: 300 * time.Millisecond}) + ", " + c.release(c.service(2), 50, c.part(0.3))
+	}},
+	{0.70, "core split 1-1-1", func(c *cast) string { return c.cut(func(int, int) bool { return true }) }},
+	{0.72, "bad late, the core being split", func(c *cast) string { return c.fall(c.service(3), &Illness{Fails: true}) }},
+	{0.85, "mended", (*cast).mend},
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -52,6 +52,7 @@
 	Acknowledged int                `json:"acknowledged"`
 	CPU          map[string]float64 `json:"cpuSecondsPer1000Calls"`
 	Unclean      []string           `json:"unclean"`
+	Shares       []ShareEntry       `json:"shares,omitempty"`
 	Breaches     int                `json:"breaches"`
 }
 
@@ -91,7 +92,7 @@
 	}
 	say("core ready after %.1f s", now().Seconds())
 	operator := NewOperator("first", fleet, ledger, now)
-	if first := operator.Change(0, o.Deployment.SetupText(), ""); !first.Acknowledged {
+	if first := operator.Change(0, o.Deployment.SetupText(map[bool]int{false: 50000}[piece.releases]), ""); !first.Acknowledged {
 		return nil, defect.New(defect.NoMajority, fmt.Sprintf("the first setup was not acknowledged: %+v", first))
 	}
 	for _, process := range fleet.Proxies {
@@ -139,7 +140,7 @@
 		own := NewOperator(name, fleet, ledger, now)
 		go func() {
 			defer changing.Done()
-			own.Storm(stopChanges, 500*time.Millisecond)
+			own.Storm(stopChanges, 500*time.Millisecond, piece.releases)
 		}()
 	}
 	changing.Add(1)
@@ -147,6 +148,13 @@
 		defer changing.Done()
 		cast.measureDirect(stopChanges)
 	}()
+	if piece.releases {
+		changing.Add(1)
+		go func() {
+			defer changing.Done()
+			cast.watchReleases(stopChanges, say)
+		}()
+	}
 	before, loadFrom := cast.cpu(), now()
 	cast.play(piece, o.Length, say)
 	close(stopChanges)
@@ -290,7 +298,7 @@
 
 func (c *cast) report(loaded time.Duration, before, after map[string]float64) *Report {
 	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
-		Faults: c.ledger.Faults, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
+		Faults: c.ledger.Faults, Shares: c.ledger.Shares, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
 	var one, two, acks []float64
 	for _, call := range c.ledger.Calls {
 		report.Outcomes[call.Outcome]++
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,19 @@
 	dead     atomic.Bool
 	leaving  atomic.Bool
 	running  atomic.Int64
+	illness  atomic.Pointer[Illness]
 }
 
+// Illness is how a bad version behaves.
+type Illness struct {
+	Prefix string        // only on paths with it; empty for all
+	Fails  bool          // answers 500
+	Delay  time.Duration // takes this much longer
+}
+
+// Fall makes the worker ill, or well with nil.
+func (w *Worker) Fall(ill *Illness) { w.illness.Store(ill) }
+
 // beat is how often stand-in workers describe themselves.
 const beat = time.Second
 
@@ -102,9 +114,17 @@
 		w.answer(call, op)
 		return
 	}
+	ill := w.illness.Load()
+	struck := ill != nil && strings.HasPrefix(string(call.Path()), ill.Prefix)
 	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
-		Version: w.said.Version, Worker: w.name, At: w.now()})
+		Version: w.said.Version, Worker: w.name, At: w.now(), Ill: struck})
+	if struck {
+		time.Sleep(ill.Delay)
+	}
 	w.answer(call, op)
+	if struck && ill.Fails {
+		call.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
 }
 
 // directPath is for calls past the mesh.
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -33,6 +33,8 @@
 	nextID   uint64
 	moved    chan struct{} // closed and replaced when the stable state moves
 	lastSeen uint64
+	reached  [3]uint64
+	times    map[uint64]*[3]int64 // by sequence: when it was taken, synced, stable
 	outboxes map[string]chan *schema.SeatLetter
 	writes   []Persist     // waiting to be synced; bounded by what the seat admits
 	wake     chan struct{} // tells the writer that there is something to do
@@ -85,7 +87,7 @@
 	if address == "" {
 		address = given.Listen
 	}
-	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), tickets: map[string]chan any{},
+	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
 		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{},
 		wake: make(chan struct{}, 1), failure: make(chan error, 1)}
 	s.seat = NewSeat(Options{Name: given.Seat, Order: order, Address: address, Silence: time.Duration(given.Silence),
@@ -164,6 +166,7 @@
 			s.end(one.Back.Ticket, one.Back)
 		}
 	}
+	s.noteTimes()
 	if stable, _ := s.seat.Stable(); stable != s.lastSeen {
 		s.lastSeen = stable
 		close(s.moved)
@@ -171,6 +174,45 @@
 	}
 }
 
+// timesKept is how many sequences the tracer can still be told of.
+const timesKept = 4096
+
+// noteTimes writes down when sequences were first taken, synced and stable here; the caller
+// holds the lock.
+func (s *Server) noteTimes() {
+	now := s.seat.Reached()
+	if now == s.reached {
+		return
+	}
+	wall := time.Now().UnixNano()
+	for stage := range now {
+		// A digest can bring many sequences at once; only the last of them were ever asked about.
+		from := max(s.reached[stage]+1, now[stage]-min(now[stage], timesKept)+1)
+		for sequence := from; sequence <= now[stage]; sequence++ {
+			if s.times[sequence] == nil {
+				s.times[sequence] = &[3]int64{}
+			}
+			s.times[sequence][stage] = wall
+			delete(s.times, sequence-min(sequence, timesKept))
+		}
+	}
+	s.reached = now
+}
+
+// Trace tells when a change was where in this store.
+func (s *Server) Trace(_ context.Context, ask *schema.Ask) (*schema.SeatTrace, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	trace := &schema.SeatTrace{Seat: s.options.Seat, Holder: s.seat.Status().Holder}
+	trace.Outcome, trace.Known = s.seat.Admitted(ask.ChangeId)
+	if trace.Known {
+		if times := s.times[trace.Outcome.Version.Sequence]; times != nil {
+			trace.Taken, trace.Synced, trace.Stable = times[0], times[1], times[2]
+		}
+	}
+	return trace, nil
+}
+
 func (s *Server) end(ticket string, result any) {
 	if waiting, found := s.tickets[ticket]; found {
 		delete(s.tickets, ticket)
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -286,6 +286,15 @@
 	return outcome, true
 }
 
+// Admitted tells what was decided of a change, whether or not that is stable yet.
+func (s *Seat) Admitted(changeID string) (*schema.Outcome, bool) {
+	outcome, found := s.outcomes[changeID]
+	return outcome, found
+}
+
+// Reached is how far this seat has come: taken, synced and stable sequences.
+func (s *Seat) Reached() [3]uint64 { return [3]uint64{s.seq, s.syncedSeq, s.stable} }
+
 // Status is what an operator sees of the seat.
 func (s *Seat) Status() *schema.SeatStatus {
 	status := &schema.SeatStatus{Seat: s.options.Name, Holder: s.holder(), Epoch: s.epoch, Promised: s.promised, Sequence: s.seq,
