--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -259,35 +259,51 @@
 func (s *Server) tell(ctx context.Context) {
 	ticker := time.NewTicker(s.lease / tellParts)
 	defer ticker.Stop()
-	for {
-		s.workers.Sweep()
-		source := s.source()
-		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: 2 * s.lease})
-		listed := map[string]bool{}
-		for instance := range view.since {
-			listed[instance] = true
+	changed := true
+	for turn := 0; ; turn++ {
+		// Loads and liveness are told every renewParts-th of a lease, a change at once; counts
+		// oftener, but only while a release plan hangs on them.
+		due := changed || turn%(tellParts/renewParts) == 0
+		if len(s.view().Setup.Releases) > 0 || due {
+			s.tellOnce(ctx, due)
 		}
-		s.health.Keep(listed)
-		address, at := s.feedAddress()
-		bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-		asked := s.now()
-		told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
-			Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts()})
-		cancel()
-		if err == nil {
-			s.trials.Granted(asked, told.Trials)
-		} else if ctx.Err() == nil {
-			s.moveOn(at)
-		}
-		s.trials.Forget(func(service string) bool {
-			_, planned := s.view().Setup.OnTrial(service)
-			return planned
-		})
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			changed = false
 		case <-s.tellNow:
+			changed = true
+		}
+	}
+}
+
+// tellOnce reports counts, and with whole this proxy's workers too.
+func (s *Server) tellOnce(ctx context.Context, whole bool) {
+	var source *schema.Source
+	if whole {
+		s.workers.Sweep()
+		source = s.source()
+		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: 2 * s.lease})
+		listed := map[string]bool{}
+		for instance := range view.since {
+			listed[instance] = true
 		}
+		s.health.Keep(listed)
+	}
+	address, at := s.feedAddress()
+	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
+	asked := s.now()
+	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
+		Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts()})
+	cancel()
+	if err == nil {
+		s.trials.Granted(asked, told.Trials)
+	} else if ctx.Err() == nil {
+		s.moveOn(at)
 	}
+	s.trials.Forget(func(service string) bool {
+		_, planned := s.view().Setup.OnTrial(service)
+		return planned
+	})
 }
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -26,6 +26,7 @@
 	"harsh":    {relayEdges: true, acts: harsh},
 	"release":  {releases: true, acts: releasing},
 	"brake":    {releases: true, acts: braking},
+	"split":    {releases: true, acts: brakingSplit},
 }
 
 // play goes through a piece and waits for the end of the load's time.
@@ -295,7 +296,13 @@
 		}
 		return c.fall(c.service(2), &Illness{Delay: 300 * time.Millisecond}) + ", " + c.release(c.service(2), 50, c.part(0.3))
 	}},
-	{0.70, "core split 1-1-1", func(c *cast) string { return c.cut(func(int, int) bool { return true }) }},
-	{0.72, "bad late, the core being split", func(c *cast) string { return c.fall(c.service(3), &Illness{Fails: true}) }},
-	{0.85, "mended", (*cast).mend},
+	{0.70, "bad late, at a high share", func(c *cast) string { return c.fall(c.service(3), &Illness{Fails: true}) }},
+}
+
+// brakingSplit lets a version turn bad just as the core falls apart.
+var brakingSplit = []act{
+	{0.00, "a good version, to turn bad late", func(c *cast) string { return c.release(c.service(0), 60, c.part(0.2)) }},
+	{0.60, "core split 1-1-1", func(c *cast) string { return c.cut(func(int, int) bool { return true }) }},
+	{0.60, "bad late, the core being split", func(c *cast) string { return c.fall(c.service(0), &Illness{Fails: true}) }},
+	{0.80, "mended", (*cast).mend},
 }
