--- /dev/null
+++ b/cmd/tracer/main_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"meadowhinge/internal/registry"
+)
+
+func core(t *testing.T, trace registry.Trace) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(out).Encode(trace) }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestTracer(t *testing.T) {
+	at := time.Unix(1000, 0)
+	holder := core(t, registry.Trace{Seat: "a", Known: true, Ruling: "accepted", Sequence: 7, Epoch: 3, Holder: "a", Taken: at, Synced: at.Add(time.Millisecond),
+		Stable: at.Add(2 * time.Millisecond), Seen: at.Add(3 * time.Millisecond), Acknowledged: at.Add(9 * time.Millisecond),
+		Applied: map[string]time.Time{"edge-1": at.Add(5 * time.Millisecond)}, Missing: []string{"edge-2"}})
+	stranger := core(t, registry.Trace{Seat: "b"})
+	storeless := core(t, registry.Trace{Seat: "c", StoreSilent: true})
+	gone := httptest.NewServer(http.NotFoundHandler())
+	dead := strings.TrimPrefix(gone.URL, "http://")
+	gone.Close()
+	for name, one := range map[string]struct {
+		args  []string
+		code  int
+		parts []string
+	}{
+		"a change, with one core machine dead": {[]string{"-registries", holder + "," + stranger + "," + dead, "x"}, 0, []string{"accepted as 7 in epoch 3", "store a took it",
+			"store a synced it", "registry a had it", "proxy edge-1 applied it", "registry a acknowledged it", "missing: store b", "missing: proxy edge-2", dead}},
+		"an unknown change":   {[]string{"-registries", stranger, "x"}, exitUnknown, []string{"UNKNOWN_CHANGE"}},
+		"nobody answers":      {[]string{"-registries", dead, "x"}, exitUnreachable, []string{"NO_MAJORITY", dead}},
+		"no store answers":    {[]string{"-registries", storeless, "x"}, exitUnreachable, []string{"no store answered"}},
+		"no change named":     {[]string{"-registries", holder}, exitUsage, []string{"usage"}},
+		"not an address":      {[]string{"-registries", "here", "x"}, exitUsage, []string{"BAD_OPTIONS", `"here"`}},
+		"a flag nobody knows": {[]string{"-colour", "x"}, exitUsage, []string{"colour"}},
+		"help":                {[]string{"-help"}, 0, []string{"usage"}},
+		"JSON":                {[]string{"-json", "-registries", holder, "x"}, 0, []string{`"sequence": 7`}},
+	} {
+		var out bytes.Buffer
+		if code := run(one.args, &out, &out); code != one.code {
+			t.Errorf("%s: exit %d, want %d: %s", name, code, one.code, out.String())
+		}
+		for _, part := range one.parts {
+			if !strings.Contains(out.String(), part) {
+				t.Errorf("%s: no %q in\n%s", name, part, out.String())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/trial_test.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"meadowhinge/schema"
+)
+
+// A proxy of a fleet of ten, which may take forty failures in all: four are its part.
+func onTrial(now time.Duration) *Trials {
+	trials := NewTrials(time.Second, 40, func() int { return 10 })
+	trials.Granted(now, []*schema.Trial{{Service: "shop", Version: "2"}})
+	return trials
+}
+
+func call(t *Trials, version string, now time.Duration, failed bool) {
+	t.End(t.Begin("shop", version, now), now+time.Millisecond, failed)
+}
+
+func TestTrialNeedsAGrant(t *testing.T) {
+	if !NewTrials(time.Second, 40, func() int { return 10 }).Held("shop", "2", 0) {
+		t.Error("without a grant it is not held")
+	}
+	trials := onTrial(0)
+	if trials.Held("shop", "2", time.Second-1) || !trials.Held("shop", "2", time.Second) {
+		t.Error("the grant does not last as long as it should")
+	}
+	if !trials.Held("shop", "3", 0) {
+		t.Error("a grant for one version counts for another")
+	}
+	// A stop outlasts any later grant for the same version, and no other.
+	trials.Granted(0, []*schema.Trial{{Service: "shop", Version: "2", Stopped: true}})
+	trials.Granted(0, []*schema.Trial{{Service: "shop", Version: "2"}})
+	if !trials.Held("shop", "2", 0) {
+		t.Error("a stop was taken back by a grant")
+	}
+	trials.Granted(0, []*schema.Trial{{Service: "shop", Version: "3"}})
+	if trials.Held("shop", "3", 0) {
+		t.Error("a stop holds another version")
+	}
+	trials.Forget(func(string) bool { return false })
+	if !trials.Held("shop", "3", 0) {
+		t.Error("a grant outlasts its plan")
+	}
+}
+
+func TestTrialTakesItsPartOfFailures(t *testing.T) {
+	for name, one := range map[string]struct {
+		old, new, oldFailed, newFailed int
+		held                           bool
+	}{
+		"no failures":              {100, 100, 0, 0, false},
+		"fewer than its part":      {100, 10, 0, 3, false},
+		"its part":                 {100, 10, 0, 4, true},
+		"both versions fail alike": {100, 20, 40, 8, false},
+		"a few in very many":       {1000, 1000, 0, 10, false},
+	} {
+		trials := onTrial(0)
+		for i := range one.old {
+			call(trials, "1", 0, i < one.oldFailed)
+		}
+		for i := range one.new {
+			call(trials, "2", 0, i < one.newFailed)
+		}
+		if got := trials.Held("shop", "2", 0); got != one.held {
+			t.Errorf("%s: held %v", name, got)
+		}
+	}
+}
+
+// Calls that hang count before they end: else all that are sent meanwhile would be lost too.
+func TestHangingCallsCount(t *testing.T) {
+	trials := onTrial(0)
+	for range 20 {
+		call(trials, "1", 0, false)
+	}
+	var open []*TrialCall
+	for range 4 {
+		open = append(open, trials.Begin("shop", "2", 0))
+	}
+	if trials.Held("shop", "2", 10*time.Millisecond) {
+		t.Error("held before the calls took long")
+	}
+	if !trials.Held("shop", "2", 100*time.Millisecond) {
+		t.Error("not held while four calls hang")
+	}
+	// What was long ago is forgotten, as long as the grant is renewed.
+	for _, one := range open {
+		trials.End(one, 100*time.Millisecond, false)
+	}
+	later := window + time.Second
+	trials.Granted(later, []*schema.Trial{{Service: "shop", Version: "2"}})
+	if trials.Held("shop", "2", later) {
+		t.Error("held for what happened longer ago than the window")
+	}
+}
