--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -73,6 +73,9 @@
 // roundsMost is how often a plan is made anew within one call before it is given up.
 const roundsMost = 4
 
+// repeatParts is the part of the time left that one try of a repeatable call may take.
+const repeatParts = 2
+
 // Carry plans a call and carries it out.
 func (c *Carrier) Carry(ctx context.Context, call *Call) *Ended {
 	began := c.Now()
@@ -264,7 +267,12 @@
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
 		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
 		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name}
-	bounded, cancel := context.WithTimeout(ctx, left)
+	// A call that may be repeated leaves itself time to be, should this proxy hang.
+	patience := left
+	if ended.Plan.Class == setup.Repeatable {
+		patience = left / repeatParts
+	}
+	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var ending schema.Ending
 	var status int32
@@ -277,6 +285,11 @@
 		}()
 	}
 	carried, err := c.Send(bounded, candidate, carry)
+	if err != nil {
+		c.Soundness.Unreached(candidate.Proxy, c.Now())
+	} else {
+		c.Soundness.Reached(candidate.Proxy)
+	}
 	switch {
 	case err != nil && defect.KindOf(err) == defect.LinkUnopened:
 		carried = notRun(defect.LinkUnopened, 0)
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/puzpuzpuz/xsync/v4"
+
+	"meadowhinge/internal/plan"
 )
 
 // worker is what this process has seen of a worker.
@@ -17,13 +19,14 @@
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
 type Soundness struct {
 	facts    *xsync.Map[string, *workerFacts]
+	lost     *xsync.Map[string, time.Duration] // proxies that were not reached, and until when that counts
 	most     int64
 	ejection time.Duration
 }
 
 // NewSoundness ejects a worker for a time after so many failures in a row.
 func NewSoundness(most int64, ejection time.Duration) *Soundness {
-	return &Soundness{facts: xsync.NewMap[string, *workerFacts](), most: most, ejection: ejection}
+	return &Soundness{facts: xsync.NewMap[string, *workerFacts](), lost: xsync.NewMap[string, time.Duration](), most: most, ejection: ejection}
 }
 
 func (s *Soundness) of(instance string) *workerFacts {
@@ -39,12 +42,22 @@
 	return 0
 }
 
-// Ejected tells whether a worker failed too often of late.
-func (s *Soundness) Ejected(instance string, now time.Duration) bool {
-	facts, found := s.facts.Load(instance)
+// Ejected tells whether a worker failed too often of late, or its proxy was not reached.
+func (s *Soundness) Ejected(worker plan.Candidate, now time.Duration) bool {
+	if until, lost := s.lost.Load(worker.Proxy); lost && now < until {
+		return true
+	}
+	facts, found := s.facts.Load(worker.Instance)
 	return found && int64(now) < facts.until.Load()
 }
 
+// Unreached notes that a proxy gave no answer. One miss is enough: unlike a worker's error
+// it says the same of every worker behind it, and each further try would hang as long.
+func (s *Soundness) Unreached(proxy string, now time.Duration) { s.lost.Store(proxy, now+s.ejection) }
+
+// Reached notes that a proxy answered.
+func (s *Soundness) Reached(proxy string) { s.lost.Delete(proxy) }
+
 // Begin notes a call sent to a worker.
 func (s *Soundness) Begin(instance string) { s.of(instance).inFlight.Add(1) }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -78,8 +78,9 @@
 type Facts interface {
 	// InFlight is how many calls this process has at a worker now.
 	InFlight(instance string) int
-	// Ejected tells whether the worker failed too often to be tried first.
-	Ejected(instance string, now time.Duration) bool
+	// Ejected tells whether the worker failed too often to be tried first, or its proxy
+	// could not be reached.
+	Ejected(worker Candidate, now time.Duration) bool
 	// Held tells whether a version on trial must not be used now.
 	Held(service, version string, now time.Duration) bool
 }
@@ -210,7 +211,7 @@
 	var sound, ejected []Candidate
 	for _, one := range pool {
 		// Beyond the ratio nobody more is ejected: when all fail alike, none is the outlier.
-		if facts.Ejected(one.Instance, now) && len(ejected) < len(pool)/ejectedMost {
+		if facts.Ejected(one, now) && len(ejected) < len(pool)/ejectedMost {
 			ejected = append(ejected, one)
 		} else {
 			sound = append(sound, one)
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -18,9 +18,9 @@
 	held     bool
 }
 
-func (f facts) InFlight(instance string) int                  { return f.inFlight[instance] }
-func (f facts) Ejected(instance string, _ time.Duration) bool { return f.ejected[instance] }
-func (f facts) Held(string, string, time.Duration) bool       { return f.held }
+func (f facts) InFlight(instance string) int                { return f.inFlight[instance] }
+func (f facts) Ejected(one Candidate, _ time.Duration) bool { return f.ejected[one.Instance] }
+func (f facts) Held(string, string, time.Duration) bool     { return f.held }
 
 func viewOf(t *testing.T, directory Directory, more string) *View {
 	t.Helper()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,8 @@
 	renewParts  = registry.LeaseParts
 	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
 	pollParts   = 2
+	sweepParts  = 2 // a proxy silent for this part of a lease, while others are heard, is dropped
+	dialParts   = 16
 	retryParts  = 40
 	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
 	tallyLines  = 4096
@@ -81,7 +83,7 @@
 
 // Run serves a proxy until ctx ends.
 func Run(ctx context.Context, frame *daemon.Frame, given *schema.ProxyOptions) error {
-	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen), link.WithDial(time.Duration(given.Lease)/dialParts))
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -284,7 +284,7 @@
 	if whole {
 		s.workers.Sweep()
 		source = s.source()
-		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: 2 * s.lease})
+		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: s.lease / sweepParts})
 		listed := map[string]bool{}
 		for instance := range view.since {
 			listed[instance] = true
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -19,7 +19,7 @@
 	Items   []*schema.Item
 	Whole   bool
 	Sources []*schema.Source
-	Sweep   time.Duration // drop sources not heard from for this long
+	Sweep   time.Duration // drop sources not heard from for this long, if others are
 }
 
 type known struct {
@@ -66,8 +66,16 @@
 	}
 	if len(event.Sources) > 0 || event.Sweep > 0 {
 		after.sources = make(map[string]known, len(before.sources)+1)
+		fresh := 0
+		for _, held := range before.sources {
+			if event.At-held.at <= event.Sweep {
+				fresh++
+			}
+		}
+		// When most are silent it is the feed that failed, not they: then all are kept.
+		sweeps := event.Sweep > 0 && 2*fresh > len(before.sources)
 		for name, held := range before.sources {
-			if event.Sweep == 0 || event.At-held.at <= event.Sweep {
+			if !sweeps || event.At-held.at <= event.Sweep {
 				after.sources[name] = held
 			}
 		}
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -433,8 +433,8 @@
 // noFacts is for plans that are explained, not carried out.
 type noFacts struct{}
 
-func (noFacts) InFlight(string) int                { return 0 }
-func (noFacts) Ejected(string, time.Duration) bool { return false }
+func (noFacts) InFlight(string) int                        { return 0 }
+func (noFacts) Ejected(plan.Candidate, time.Duration) bool { return false }
 
 func (noFacts) Held(string, string, time.Duration) bool { return false }
 
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -40,6 +40,7 @@
 	Seed       uint64         `json:"seed"`
 	Seconds    float64        `json:"seconds"`
 	Findings   []Finding      `json:"findings"`
+	Phases     []Phase        `json:"phases"`
 	Faults     []FaultEntry   `json:"faults"`
 	Outcomes   map[string]int `json:"outcomes"`
 	Defects    map[string]int `json:"defects"`
@@ -56,6 +57,42 @@
 	Breaches     int                `json:"breaches"`
 }
 
+// Phase is what callers got from one fault to the next.
+type Phase struct {
+	Fault   string         `json:"fault"`
+	On      string         `json:"on"`
+	Calls   int            `json:"calls"`
+	Away    int            `json:"turnedAway"` // proper calls that got the mesh's own error
+	Unsent  int            `json:"unsent"`     // whose own proxy was not there
+	Defects map[string]int `json:"defects,omitempty"`
+	// BackAfter is when, in seconds after the fault, the last call was turned away.
+	BackAfter float64 `json:"backAfterSeconds"`
+}
+
+// phases sorts the calls by the fault before them.
+func phases(ledger *Ledger) []Phase {
+	faults := append([]FaultEntry{{What: "before any fault"}}, ledger.Faults...)
+	list := make([]Phase, len(faults))
+	for i, fault := range faults {
+		list[i] = Phase{Fault: fault.What, On: fault.On, Defects: map[string]int{}}
+	}
+	for _, call := range ledger.Calls {
+		i := sort.Search(len(faults), func(i int) bool { return faults[i].At > call.Sent }) - 1
+		phase := &list[max(0, i)]
+		phase.Calls++
+		switch call.Outcome {
+		case "answered":
+		case "unsent":
+			phase.Unsent++
+		default:
+			phase.Away++
+			phase.Defects[call.Defect]++
+			phase.BackAfter = max(phase.BackAfter, (call.Got - faults[max(0, i)].At).Seconds())
+		}
+	}
+	return list
+}
+
 // quiet is how long the fleet is left alone at the end, for late runs to show.
 const quiet = 3 * time.Second
 
@@ -298,7 +335,7 @@
 
 func (c *cast) report(loaded time.Duration, before, after map[string]float64) *Report {
 	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
-		Faults: c.ledger.Faults, Shares: c.ledger.Shares, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
+		Phases: phases(c.ledger), Faults: c.ledger.Faults, Shares: c.ledger.Shares, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
 	var one, two, acks []float64
 	for _, call := range c.ledger.Calls {
 		report.Outcomes[call.Outcome]++
@@ -360,6 +397,11 @@
 		fmt.Fprintf(out, "latency ms, %s: %s\n", way, figures(r.LatencyMS[way]))
 	}
 	fmt.Fprintf(out, "processor seconds per 1,000 calls: %s\n", figures(r.CPU))
+	for _, phase := range r.Phases {
+		if phase.Away+phase.Unsent > 0 {
+			fmt.Fprintf(out, "  after %s (%s): %d of %d turned away, %d unsent, %v, the last after %.1f s\n", phase.Fault, phase.On, phase.Away, phase.Calls, phase.Unsent, phase.Defects, phase.BackAfter)
+		}
+	}
 	for _, finding := range r.Findings {
 		word := "holds"
 		if finding.Breaches > 0 {
