--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,6 +25,9 @@
 // protocol is the version of what our processes say; ALPN refuses any other at the handshake.
 const protocol = "meadowhinge/1"
 
+// messageMost bounds one message, in bytes; a whole setup must fit.
+const messageMost = 64 << 20
+
 // Peer is who stands at the other end, as its certificate says.
 type Peer struct {
 	Role     string // proxy, registry, store
@@ -63,7 +66,6 @@
 	config *tls.Config
 	pool   *drpcpool.Pool[string, *drpcconn.Conn]
 	dial   time.Duration
-	most   int
 	self   Peer
 	from   net.Addr
 
@@ -86,9 +88,6 @@
 	}
 }
 
-// WithMessageMost bounds one message, in bytes.
-func WithMessageMost(most int) Option { return func(e *Ends) { e.most = most } }
-
 // Load reads the credentials of this process.
 func Load(certificateFile, authorityFile string, changes ...Option) (*Ends, error) {
 	pair, err := tls.LoadX509KeyPair(certificateFile, certificateFile)
@@ -107,7 +106,7 @@
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, "certificate")
 	}
-	ends := &Ends{dial: time.Second, most: 64 << 20, self: peerOf(leaf)}
+	ends := &Ends{dial: time.Second, self: peerOf(leaf)}
 	for _, change := range changes {
 		change(ends)
 	}
@@ -140,7 +139,7 @@
 func (e *Ends) Self() Peer { return e.self }
 
 func (e *Ends) limits() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: e.most}}
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: messageMost}}
 }
 
 // open dials; its error marks a link that never came up: nothing can have reached the other side.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -126,6 +126,7 @@
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
 	frame.Page("/status", func() any { return s.status() })
+	frame.Page("/events", func() any { return s.events() })
 	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
 		return err
 	}
@@ -275,6 +276,27 @@
 		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
 }
 
+// ShownEvent is an event of the journal, in short.
+type ShownEvent struct {
+	At      string   `json:"at"` // since the proxy started
+	Setup   uint64   `json:"setup,omitempty"`
+	Items   int      `json:"items,omitempty"`
+	Sources []string `json:"sources,omitempty"`
+}
+
+// events lists the last events that this proxy's view was folded from.
+func (s *Server) events() []ShownEvent {
+	shown := []ShownEvent{}
+	for _, event := range s.journal.Last() {
+		one := ShownEvent{At: event.At.String(), Setup: event.Setup, Items: len(event.Items)}
+		for _, source := range event.Sources {
+			one.Sources = append(one.Sources, source.Name)
+		}
+		shown = append(shown, one)
+	}
+	return shown
+}
+
 func (s *Server) listen(address string, handler fasthttp.RequestHandler, bodyMost int) (*fasthttp.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -36,7 +36,7 @@
 func (r *Ring) Logger() logr.Logger {
 	return funcr.New(func(prefix, args string) {
 		r.add(strings.TrimSpace(prefix + " " + args))
-		if strings.Contains(args, `"logger"="dump"`) || strings.Contains(args, `"error"=`) {
+		if strings.Contains(args, `"error"=`) {
 			_ = r.Dump(false)
 		}
 	}, funcr.Options{LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00", Verbosity: 1})
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,44 @@
+package ring
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The ring keeps its last lines, stays silent while all is well, and is written out with an error.
+func TestRing(t *testing.T) {
+	folder := t.TempDir()
+	kept := New(folder, "proxy", 5)
+	log := kept.Logger()
+	for i := range 12 {
+		log.V(1).Info("event", "number", i)
+	}
+	if files, _ := os.ReadDir(folder); len(files) > 0 {
+		t.Error("written out though nothing went wrong")
+	}
+	if lines := kept.Lines(); len(lines) != 5 || !strings.Contains(lines[0], `"number"=7`) || !strings.Contains(lines[4], `"number"=11`) {
+		t.Errorf("kept %q", lines)
+	}
+	log.Error(errors.New("it broke"), "failed")
+	text, err := os.ReadFile(filepath.Join(folder, "proxy.log"))
+	if err != nil || strings.Count(string(text), "\n") != 5 || !strings.Contains(string(text), "it broke") {
+		t.Errorf("wrote %q, %v", text, err)
+	}
+	// A storm of errors is one dump, until somebody asks for more.
+	for i := range 3 {
+		log.Error(fmt.Errorf("again %d", i), "failed")
+	}
+	if text, _ := os.ReadFile(filepath.Join(folder, "proxy.log")); strings.Contains(string(text), "again") {
+		t.Error("each error of a storm was written out")
+	}
+	if err := kept.Dump(true); err != nil {
+		t.Error(err)
+	}
+	if text, _ := os.ReadFile(filepath.Join(folder, "proxy.log")); !strings.Contains(string(text), "again 2") {
+		t.Error("a forced dump was not written")
+	}
+}
