--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -352,7 +352,7 @@
 func (s *Server) countsHere() *schema.CountsBack {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	back := &schema.CountsBack{}
+	back := &schema.CountsBack{Telling: uint32(s.table.telling(s.now()))}
 	for _, counts := range s.table.counts {
 		back.Sources = append(back.Sources, counts)
 	}
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -23,18 +23,14 @@
 	stepParts  = LeaseParts     // the shortest time between two steps of a plan
 )
 
-// brakeWindow is how far back the brake looks, in gatherings.
-const brakeWindow = 20
-
 // course is what the duty remembers of a plan; all that must outlive it is in its progress.
 type course struct {
-	started bool
-	first   release.Evidence
-	lately  release.Evidence
-	recent  []release.Evidence
-	steppedAt,
-	lookedAt time.Duration
-	stopped string // why, once the brake was pulled
+	started   bool
+	first     release.Evidence
+	lately    release.Evidence
+	brake     release.Brake
+	steppedAt time.Duration
+	stopped   string // why, once the brake was pulled
 }
 
 // trialsHere is what this registry may pass on to its proxies; the caller holds the lock.
@@ -104,7 +100,7 @@
 			trials = append(trials, &schema.Trial{Service: planned.Service, Version: planned.Version, Stopped: stopped})
 		}
 		s.takeTrials(trials)
-		counts := s.gather(ctx, trials)
+		counts, heard := s.gather(ctx, trials)
 		for name := range compiled.Progress {
 			if compiled.Releases[name] == nil {
 				s.write(ctx, serial, []*schema.Item{{Kind: "progress", Name: name, Deleted: true}})
@@ -114,7 +110,7 @@
 			if courses[name] == nil {
 				courses[name] = &course{}
 			}
-			s.steerOne(ctx, serial, compiled, planned, courses[name], release.Gather(counts, planned.Service, planned.Version))
+			s.steerOne(ctx, serial, compiled, planned, courses[name], release.Gather(counts, planned.Service, planned.Version), heard)
 		}
 		for name := range courses {
 			if compiled.Releases[name] == nil {
@@ -124,15 +120,24 @@
 	}
 }
 
-// gather collects the counts of all registries reached, handing out trials with the call.
-func (s *Server) gather(ctx context.Context, trials []*schema.Trial) []*schema.SourceCounts {
-	return mostOf(append(others(ctx, s, s.lease/trialParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
+// gather collects the counts of all registries reached, handing out trials with the call. It
+// tells of what part of the fleet they are.
+func (s *Server) gather(ctx context.Context, trials []*schema.Trial) ([]*schema.SourceCounts, float64) {
+	answers := append(others(ctx, s, s.lease/trialParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
 		return peer.Counts(ctx, &schema.CountsAsk{Duty: s.options.Seat, Trials: trials})
-	}), s.countsHere()))
+	}), s.countsHere())
+	telling := 0
+	for _, answer := range answers {
+		telling += int(answer.Telling)
+	}
+	s.lock.Lock()
+	members := s.table.members(s.now())
+	s.lock.Unlock()
+	return mostOf(answers), float64(telling) / float64(max(1, members))
 }
 
 // steerOne brakes or steps one plan.
-func (s *Server) steerOne(ctx context.Context, serial int, compiled *setup.Setup, planned *setup.Release, held *course, evidence release.Evidence) {
+func (s *Server) steerOne(ctx context.Context, serial int, compiled *setup.Setup, planned *setup.Release, held *course, evidence release.Evidence, heard float64) {
 	now := s.now()
 	before := setup.Progress{}
 	identity := planned.Service + " " + planned.Version
@@ -140,14 +145,9 @@
 		before = *known
 	}
 	if !held.started {
-		held.started, held.first, held.lately, held.steppedAt, held.lookedAt = true, evidence, evidence, now, now
-	}
-	// The brake looks back a few seconds only, so that a long good past hides nothing.
-	held.recent = append(held.recent, evidence)
-	if len(held.recent) > brakeWindow {
-		held.recent = held.recent[1:]
+		held.started, held.first, held.lately, held.steppedAt = true, evidence, evidence, now
 	}
-	if reason, bad := release.Defaults.Bad(evidence.Since(held.recent[0])); bad && held.stopped == "" && before.State != release.Back {
+	if reason, bad := held.brake.Look(release.Defaults, evidence, heard); bad && held.stopped == "" && before.State != release.Back {
 		held.stopped = reason
 		s.stopTrial(planned)
 		s.log.V(1).Info("brake", "release", planned.Name, "reason", reason)
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -56,6 +56,7 @@
 	sources  map[string]*heldSource
 	counts   map[leaseKey]*schema.SourceCounts
 	told     []leaseKey // counts, oldest first
+	toldAt   map[leaseKey]time.Duration
 	traces   map[uint64]*trace
 	newest   uint64 // sequence traced last
 }
@@ -72,7 +73,7 @@
 
 // NewTable makes the memory of a registry that has just started.
 func NewTable(options TableOptions) *Table {
-	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}}
+	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}, toldAt: map[leaseKey]time.Duration{}}
 }
 
 // SetCurrent tells that the registry knows at least what was stable when it started.
@@ -196,12 +197,26 @@
 
 // Tell takes a proxy's report; counts only grow within an incarnation.
 func (t *Table) Tell(now time.Duration, report *schema.Report) bool {
+	t.toldAt[leaseKey{report.Proxy, report.Incarnation}] = now
 	if len(report.Counts) > 0 && len(report.Counts) <= t.options.CountsMost {
 		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts})
 	}
 	return t.Merge(now, report.Source)
 }
 
+// telling counts the proxies that told something within an eighth of a lease.
+func (t *Table) telling(now time.Duration) int {
+	count := 0
+	for key, at := range t.toldAt {
+		if now-at <= t.options.Lease/LeaseParts {
+			count++
+		} else if now-at > keptSources*t.options.Lease {
+			delete(t.toldAt, key)
+		}
+	}
+	return count
+}
+
 // keepCounts keeps, for one incarnation of a proxy, the report that counted most.
 func (t *Table) keepCounts(given *schema.SourceCounts) {
 	key := leaseKey{given.Proxy, given.Incarnation}
--- /dev/null
+++ b/internal/release/brake.go
@@ -0,0 +1,28 @@
+package release
+
+// Ratios of the brake's windows to one gathering of counts.
+const (
+	shortWindow = 4  // a burst of failures shows here, however many good calls came before
+	longWindow  = 20 // and a slower one here
+)
+
+// Brake keeps the last gatherings of a plan's evidence and tells when the version must be
+// stopped at once.
+type Brake struct{ recent []Evidence }
+
+// Look takes a gathering. heard is the part of the fleet that it tells of: a duty that hears
+// half of the proxies judges by half of the failures, for the rest fail unheard.
+func (b *Brake) Look(options Options, evidence Evidence, heard float64) (reason string, bad bool) {
+	b.recent = append(b.recent, evidence)
+	if len(b.recent) > longWindow+1 {
+		b.recent = b.recent[1:]
+	}
+	options.FailuresMost = max(1, uint64(float64(options.FailuresMost)*min(1, heard)))
+	for _, window := range []int{shortWindow, longWindow} {
+		from := max(0, len(b.recent)-1-window)
+		if reason, bad = options.Bad(evidence.Since(b.recent[from])); bad {
+			return reason, true
+		}
+	}
+	return "", false
+}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -27,12 +27,13 @@
 	FailuresMost uint64  // of the new version since its trial began, before it may be turned back
 	Excess       float64 // failures as a part of calls that the new version may have above the old
 	Times        float64 // and as a multiple of the old version's
+	Certain      float64 // standard errors by which it must exceed the old version's, or it may be chance
 	SlowTimes    float64 // mean time as a multiple of the old version's that counts as failing
 	Steps        int     // that a ramp is made in
 }
 
 // Defaults are starting values; each is a setting of this package's callers.
-var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, SlowTimes: 5, Steps: 20}
+var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20}
 
 // Count is what was seen of a version on a route.
 type Count struct {
@@ -58,6 +59,18 @@
 	return float64(c.Spent) / float64(c.Calls)
 }
 
+// chance is the standard error of the difference of two versions' rates, were they alike.
+func chance(before, after Count) float64 {
+	both := before
+	both.add(after)
+	rate := both.rate()
+	spread := 1 / float64(after.Calls)
+	if before.Calls > 0 {
+		spread += 1 / float64(before.Calls)
+	}
+	return math.Sqrt(rate * (1 - rate) * spread)
+}
+
 // Evidence is what was counted of a service's versions, by route.
 type Evidence struct {
 	Old, New map[string]Count
@@ -118,7 +131,7 @@
 // hits both versions alike is not held against the new one.
 func (o Options) Bad(evidence Evidence) (string, bool) {
 	judge := func(before, after Count, where string) (string, bool) {
-		if after.Failures >= o.FailuresMost && after.rate() > o.Times*before.rate()+o.Excess {
+		if after.Failures >= o.FailuresMost && after.rate() > o.Times*before.rate()+o.Excess && after.rate()-before.rate() > o.Certain*chance(before, after) {
 			return "fails " + where, true
 		}
 		if after.Calls >= o.CallsEnough && before.Calls >= o.CallsEnough && after.mean() > o.SlowTimes*before.mean() {
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -23,13 +23,15 @@
 		evidence Evidence
 		bad      bool
 	}{
-		"bad from the start":            {both(counted(1000, 0, ms), counted(20, 20, ms)), true},
-		"a few failures":                {both(counted(1000, 0, ms), counted(1000, 14, ms)), false},
-		"many failures in very many":    {both(counted(100000, 500, ms), counted(10000, 100, ms)), false},
-		"both fail alike":               {both(counted(1000, 300, ms), counted(100, 33, ms)), false},
-		"slow":                          {both(counted(1000, 0, ms), counted(50, 0, 6*ms)), true},
-		"both slow alike":               {both(counted(1000, 0, 100*ms), counted(50, 0, 130*ms)), false},
-		"slow, but seen only few times": {both(counted(1000, 0, ms), counted(5, 0, 60*ms)), false},
+		"bad from the start":              {both(counted(1000, 0, ms), counted(20, 20, ms)), true},
+		"a few failures":                  {both(counted(1000, 0, ms), counted(1000, 14, ms)), false},
+		"many failures in very many":      {both(counted(100000, 500, ms), counted(10000, 100, ms)), false},
+		"both fail alike":                 {both(counted(1000, 300, ms), counted(100, 33, ms)), false},
+		"both fail alike, by chance less": {both(counted(19, 3, ms), counted(38, 15, ms)), false},
+		"bad, and the old one not seen":   {both(counted(0, 0, ms), counted(20, 20, ms)), true},
+		"slow":                            {both(counted(1000, 0, ms), counted(50, 0, 6*ms)), true},
+		"both slow alike":                 {both(counted(1000, 0, 100*ms), counted(50, 0, 130*ms)), false},
+		"slow, but seen only few times":   {both(counted(1000, 0, ms), counted(5, 0, 60*ms)), false},
 		"bad on one route only": {Evidence{Old: map[string]Count{"a": counted(5000, 5, ms), "b": counted(300, 0, ms)},
 			New: map[string]Count{"a": counted(5000, 5, ms), "b": counted(100, 15, ms)}}, true},
 	} {
