--- a/internal/simulator/brake.go
+++ b/internal/simulator/brake.go
@@ -17,7 +17,7 @@
 // The plants of the brake.
 const (
 	BrakeSound       BrakePlant = ""
-	BrakeNoPart      BrakePlant = "no part: a proxy does not stop by itself"
+	BrakeDeaf        BrakePlant = "deaf: neither the proxies nor the duty look at failures"
 	BrakeNoGrant     BrakePlant = "no grant: a proxy goes on trying out unheard"
 	BrakeHairTrigger BrakePlant = "hair trigger: a few failures turn a version back"
 )
