--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	plantNone     dataPlant = ""
 	plantFalseNo  dataPlant = "a lost link is taken for one that never opened"
 	plantNoSeen   dataPlant = "the worker's side forgets which requests it has seen"
+	plantLax      dataPlant = "workers run what does not bear their token"
+	plantUnheard  dataPlant = "a worker's word that it leaves is not heard"
 	plantNoBudget dataPlant = "the retry budget is without bound"
 )
 
@@ -34,8 +37,72 @@
 	dice    *rand.Rand
 	faulty  float64
 	carrier *Carrier
+	seen    atomic.Pointer[plan.View]
 	calls   []sceneCall
-	tries   []time.Duration // of every dispatch after the first of its call
+	tries   []time.Duration          // of every dispatch after the first of its call
+	left    map[string]time.Duration // by token: when its word that it leaves was taken
+}
+
+// churn replaces workers one after another: each says that it leaves, and its address goes
+// to a worker of the same or another service, which may be silent about itself at first.
+func (s *scene) churn(t *testing.T, stop <-chan struct{}) {
+	for serial := 0; ; serial++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(s.roll() * float64(400*time.Millisecond))):
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", serial%3+1)
+		s.stage.lock.Lock()
+		old := s.actors[address]
+		s.stage.lock.Unlock()
+		// Every other one ends without a word, and its address is another's before anyone knows.
+		if serial%4 < 2 {
+			said := s.saying(address, old)
+			said.Leaving = true
+			if s.plant != plantUnheard {
+				_, _ = s.workers.Describe(said)
+			}
+			s.lock.Lock()
+			s.left[old.token] = s.now()
+			s.lock.Unlock()
+		}
+		time.Sleep(time.Duration(s.roll() * float64(100*time.Millisecond)))
+		fresh := &actor{token: fmt.Sprint("fresh-", serial), service: "shop", version: "1", answer: s.answer}
+		if serial%2 == 0 {
+			fresh.service = "saves"
+		}
+		s.stage.lock.Lock()
+		s.actors[address] = fresh
+		s.stage.lock.Unlock()
+		time.Sleep(time.Duration(s.roll() * float64(100*time.Millisecond)))
+		if _, err := s.workers.Describe(s.saying(address, fresh)); err != nil {
+			t.Error(err)
+		}
+		// The caller's side learns of it later, by the feed.
+		time.Sleep(time.Duration(s.roll() * float64(200*time.Millisecond)))
+		s.look()
+	}
+}
+
+// look brings the caller's view up to what the worker's proxy lists now.
+func (s *scene) look() {
+	pool := []plan.Candidate{}
+	for _, one := range s.workers.List() {
+		if one.Service == "shop" && !one.Leaving {
+			pool = append(pool, plan.Candidate{Instance: one.Instance, Proxy: "p"})
+		}
+	}
+	view := &plan.View{Setup: s.seen.Load().Setup, Directory: plan.Directory{"shop": {"1": pool}}}
+	s.seen.Store(view)
+}
+
+// answer is what workers answer; some answers are lost after the work is done.
+func (s *scene) answer(request string) string {
+	if s.roll() < s.faulty/5 {
+		return ""
+	}
+	return whole(`{"request":"` + request + `"}`)
 }
 
 type sceneCall struct {
@@ -110,31 +177,32 @@
 // play runs a seed and gives what was breached.
 func play(t *testing.T, seed uint64, plant dataPlant) (breaches []string, answered, refused int) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{stage: newStage(t), plant: plant, dice: rand.New(rand.NewPCG(seed, 3)), faulty: 0.35}
+		s := &scene{stage: newStage(t), plant: plant, dice: rand.New(rand.NewPCG(seed, 3)), faulty: 0.35, left: map[string]time.Duration{}}
+		s.lax = plant == plantLax
+		s.seen.Store(s.view)
 		ratio, floor := 0.2, 12.0
 		extraRatio, extraFloor := ratio, floor
 		if plant == plantNoBudget {
 			extraFloor = 1e9
 		}
-		s.carrier = (&Carrier{Name: "q", Options: plan.Options{HorizonMost: 2 * time.Second}, View: func() *plan.View { return s.view },
+		s.carrier = (&Carrier{Name: "q", Options: plan.Options{HorizonMost: 2 * time.Second}, View: s.seen.Load,
 			AwaitView:  func(ctx context.Context, _ func(*plan.View) bool) { <-ctx.Done() },
 			AwaitLease: func(context.Context) bool { return true }, Leased: func() bool { return true }, Members: func() int { return 1 },
 			Now: s.now, Dice: s.roll, Send: s.send, Soundness: NewSoundness(5, time.Second), Trials: NewTrials(time.Second, 40, func() int { return 1 }), Tally: NewTally(64),
 			ExtraRatio: extraRatio, ExtraFloor: extraFloor}).Start(256)
-		candidates := []plan.Candidate{}
 		for i := range 3 {
-			address := fmt.Sprintf("127.0.0.1:%d", i+1)
-			instance, who := s.enter(t, address, "shop", "1", fmt.Sprint("token-", i))
-			candidates = append(candidates, plan.Candidate{Instance: instance, Proxy: "p"})
-			who.answer = func(request string) string {
-				// Workers lose some answers after the work is done.
-				if s.roll() < s.faulty/5 {
-					return ""
-				}
-				return whole(`{"request":"` + request + `"}`)
-			}
+			_, who := s.enter(t, fmt.Sprintf("127.0.0.1:%d", i+1), "shop", "1", fmt.Sprint("token-", i))
+			who.answer = s.answer
 		}
-		s.view = &plan.View{Setup: s.view.Setup, Directory: plan.Directory{"shop": {"1": candidates}}}
+		s.look()
+		stop := make(chan struct{})
+		churned := make(chan struct{})
+		go func() {
+			defer close(churned)
+			if seed%2 == 0 {
+				s.churn(t, stop)
+			}
+		}()
 		var waiting sync.WaitGroup
 		for i := range 150 {
 			time.Sleep(time.Duration(s.roll() * float64(30*time.Millisecond)))
@@ -154,6 +222,8 @@
 			}()
 		}
 		waiting.Wait()
+		close(stop)
+		<-churned
 		// Whatever is late arrives before the ledger is read.
 		time.Sleep(10 * time.Second)
 		breaches = s.judge(ratio, floor)
@@ -172,6 +242,12 @@
 func (s *scene) judge(ratio, floor float64) (breaches []string) {
 	runs := map[string]int{}
 	for _, one := range s.ledger() {
+		if one.service != "shop" {
+			breaches = append(breaches, fmt.Sprintf("disallowed: %s ran at a worker of %s", one.request, one.service))
+		}
+		if at, gone := s.left[one.token]; gone && one.at > at {
+			breaches = append(breaches, fmt.Sprintf("left: %s ran %v after its worker left", one.request, one.at-at))
+		}
 		for cut := len(one.request) - 1; cut > 0; cut-- {
 			if one.request[cut] == '-' {
 				runs[one.request[:cut]]++
@@ -230,7 +306,7 @@
 }
 
 func TestDataPlanePlants(t *testing.T) {
-	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantNoBudget: "budget"} {
+	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantLax: "disallowed", plantUnheard: "left", plantNoBudget: "budget"} {
 		found := ""
 		for seed := uint64(1); seed <= dataSeeds && found == ""; seed++ {
 			breaches, _, _ := play(t, seed, plant)
--- a/internal/dispatch/stage_test.go
+++ b/internal/dispatch/stage_test.go
@@ -41,8 +41,8 @@
 
 // ran is one request as a worker ran it.
 type ran struct {
-	request, caller, service, version string
-	at                                time.Duration
+	request, caller, service, version, token string
+	at                                       time.Duration
 }
 
 // actor is a worker behind pipes: what it runs is written down before it answers.
@@ -58,6 +58,7 @@
 	actors  map[string]*actor // by address
 	conns   map[string][]net.Conn
 	runs    []ran
+	lax     bool // planted: workers run what does not bear their token
 	workers *Workers
 	runner  *Runner
 	view    *plan.View
@@ -106,9 +107,9 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		s.lock.Lock()
 		who := s.actors[address]
-		meant := who != nil && request.Header.Get(HeaderToken) == who.token
+		meant := who != nil && (s.lax || request.Header.Get(HeaderToken) == who.token)
 		if meant {
-			s.runs = append(s.runs, ran{request.Header.Get(HeaderRequest), request.Header.Get(HeaderCaller), who.service, who.version, s.now()})
+			s.runs = append(s.runs, ran{request.Header.Get(HeaderRequest), request.Header.Get(HeaderCaller), who.service, who.version, who.token, s.now()})
 		}
 		s.lock.Unlock()
 		answer := "HTTP/1.1 421 Misdirected\r\n" + HeaderRefused + ": token\r\nContent-Length: 0\r\n\r\n"
