--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -47,6 +47,8 @@
 	AwaitView func(ctx context.Context, ready func(*plan.View) bool)
 	// AwaitLease waits until this proxy may decide, or ctx ends.
 	AwaitLease func(ctx context.Context) bool
+	// Lagging tells that another proxy has a newer setup, which does not come to this one.
+	Lagging    func()
 	Leased     func() bool
 	Members    func() int
 	Now        func() time.Duration
@@ -212,6 +214,9 @@
 					waiting, cancel := context.WithTimeout(ctx, left/waitParts)
 					c.AwaitView(waiting, func(view *plan.View) bool { return view.Setup.Sequence >= carried.Setup })
 					cancel()
+					if c.View().Setup.Sequence < carried.Setup {
+						c.Lagging()
+					}
 				} else {
 					failed[candidate.Instance] = true
 				}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,7 @@
 	pollParts   = 2
 	sweepParts  = 2 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
+	drainNotice = 8 // part of the drain time in which callers are told to close their connections
 	retryParts  = 40
 	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
 	tallyLines  = 4096
@@ -76,9 +77,9 @@
 	feedAt   int
 	members  atomic.Int64
 	counter  uint64
-	renewNow chan struct{}
 	tellNow  chan struct{}
 	inFlight sync.WaitGroup
+	draining *atomic.Bool
 }
 
 // Run serves a proxy until ctx ends.
@@ -99,7 +100,7 @@
 	}
 	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
 		log: frame.Log, started: time.Now(), held: session.NewLease(time.Duration(given.Lease)), leased: make(chan struct{}),
-		cores: map[string]*schema.Core{}, renewNow: make(chan struct{}, 1), tellNow: make(chan struct{}, 1)}
+		cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), draining: frame.Draining}
 	if s.address == "" {
 		s.address = given.Listen
 	}
@@ -168,6 +169,11 @@
 	defer cancel()
 	// Workers here are told as leaving first, so that other proxies send elsewhere.
 	s.workers.LeaveAll()
+	// For a moment all is served as before, but each connection is given back with its answer.
+	select {
+	case <-draining.Done():
+	case <-time.After(time.Duration(s.options.Drain) / drainNotice):
+	}
 	var first error
 	for _, server := range outward {
 		if err := server.ShutdownWithContext(draining); err != nil && first == nil {
@@ -218,7 +224,7 @@
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held picture) bool { return ready(held.view) })
 		},
-		AwaitLease: s.awaitLease, Send: s.send}).Start(int(given.Remembered))
+		AwaitLease: s.awaitLease, Send: s.send, Lagging: s.lagging}).Start(int(given.Remembered))
 }
 
 // send hands a dispatch to the proxy beside the worker, or to this one's own other side.
@@ -312,6 +318,10 @@
 				return
 			}
 			handler(call)
+			// A caller told to close its connection does not meet one that was closed on it.
+			if s.draining.Load() {
+				call.SetConnectionClose()
+			}
 		},
 		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
 			kind := defect.Malformed
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -194,6 +194,12 @@
 	}
 }
 
+// lagging leaves a registry whose feed is behind what another proxy already has.
+func (s *Server) lagging() {
+	_, at := s.feedAddress()
+	s.moveOn(at)
+}
+
 func (s *Server) pause(ctx context.Context, parts time.Duration) {
 	select {
 	case <-ctx.Done():
