--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +23,9 @@
 	"meadowhinge/internal/ring"
 )
 
+// collectAt is how much the heap may grow, in percent, before it is collected.
+const collectAt = 400
+
 // Frame is what a running program gets from its surroundings.
 type Frame struct {
 	Log      logr.Logger
@@ -45,6 +49,11 @@
 	folder, lines := ringOf()
 	kept := ring.New(folder, program, int(lines))
 	frame := &Frame{Log: kept.Logger(), Ring: kept, Draining: &atomic.Bool{}, pages: map[string]func() any{}}
+	// The heaps are a few megabytes, so collecting less often costs little memory; an operator
+	// who sets GOGC is obeyed.
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectAt)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := body(ctx, frame)
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"meadowhinge/internal/options"
@@ -93,10 +94,15 @@
 	addresses := s.registries()
 	seats := make(chan string, len(addresses))
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-	defer cancel()
+	var asking sync.WaitGroup
 	for _, address := range addresses {
-		go func() { seats <- s.renewAt(bounded, address, sequence) }()
+		asking.Go(func() { seats <- s.renewAt(bounded, address, sequence) })
 	}
+	// The majority is enough to go on by, but a call cut short would take its link with it.
+	go func() {
+		asking.Wait()
+		cancel()
+	}()
 	heard := map[string]bool{}
 	for range addresses {
 		if seat := <-seats; seat != "" {
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -58,7 +58,7 @@
 	after := before
 	if event.Setup > before.setup.Sequence {
 		after.state = before.state.With(event.Items)
-		after.setup, _ = setup.Compile(after.state, event.Setup)
+		after.setup, _ = setup.CompileAfter(before.setup, after.state, event.Setup)
 		after.replaced = append(append([]replacement(nil), before.replaced...), replacement{event.Setup, event.At})
 		if len(after.replaced) > replacedKept {
 			after.replaced = after.replaced[1:]
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -41,7 +41,8 @@
 	lock     sync.Mutex
 	table    *Table
 	state    setup.State
-	setup    *setup.Setup
+	setup    *setup.Setup // compiled; of an earlier state unless fresh
+	fresh    bool
 	cores    map[string]*schema.Core
 	moved    chan struct{}
 	store    schema.DRPCStoreClient
@@ -156,7 +157,7 @@
 		return
 	}
 	s.state = s.state.With(back.Items)
-	s.setup = nil // compiled again when an operator next asks for it
+	s.fresh = false // compiled again when somebody next asks for it
 	s.table.SetStable(s.now(), back.Stable)
 	s.announce()
 }
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -311,8 +311,9 @@
 func (s *Server) compiled() *setup.Setup {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.setup == nil {
-		s.setup, _ = setup.Compile(s.state, s.table.stable)
+	if !s.fresh {
+		s.setup, _ = setup.CompileAfter(s.setup, s.state, s.table.stable)
+		s.fresh = true
 	}
 	return s.setup
 }
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -24,6 +24,7 @@
 	"none":     {},
 	"standard": {acts: standard},
 	"harsh":    {relayEdges: true, acts: harsh},
+	"rolling":  {acts: rolling},
 	"release":  {releases: true, acts: releasing},
 	"brake":    {releases: true, acts: braking},
 	"split":    {releases: true, acts: brakingSplit},
@@ -156,6 +157,20 @@
 		}()
 		return c.middle().Name
 	}},
+	{0.10, "a worker loses answers after the work", func(c *cast) string {
+		c.workers[3].Fall(&Illness{Loses: true})
+		return c.workers[3].name
+	}},
+	{0.12, "a worker sends garbage", func(c *cast) string {
+		c.workers[3].Fall(&Illness{Babble: true})
+		return c.workers[3].name
+	}},
+	{0.14, "a worker warms up slowly", func(c *cast) string {
+		c.workers[3].Fall(nil)
+		c.workers[4].Fall(&Illness{Delay: 500 * time.Millisecond})
+		return c.workers[4].name
+	}},
+	{0.16, "warm", func(c *cast) string { c.workers[4].Fall(nil); return c.workers[4].name }},
 	{0.16, "proxy frozen", func(c *cast) string { c.fleet.Proxies[1].Freeze(); return c.fleet.Proxies[1].Name }},
 	{0.24, "proxy thawed", func(c *cast) string { c.fleet.Proxies[1].Thaw(); return c.fleet.Proxies[1].Name }},
 	{0.27, "core machine frozen", func(c *cast) string { return c.each(0, (*Process).Freeze) }},
@@ -174,27 +189,29 @@
 		}
 		return c.fleet.Stores[1].Name
 	}},
-	{0.82, "setup grows by two hundred routes", func(c *cast) string {
+	{0.80, "setup grows by two thousand routes", func(c *cast) string {
 		var text strings.Builder
 		service := c.options.Deployment.Services[0].Name
-		for i := range 200 {
+		for i := range 2000 {
 			fmt.Fprintf(&text, "route: \"grown-%d\": {service: %q, prefix: \"/grown/%d\"}\n", i, service, i)
 		}
 		change := NewOperator("grower", c.fleet, c.ledger, c.now).Change(0, text.String(), "")
 		return change.Ruling
 	}},
-	{0.86, "a third of the proxies killed at once", func(c *cast) string {
+	{0.88, "a third of the proxies killed at once", func(c *cast) string {
 		for i := 0; i < len(c.fleet.Proxies); i += 3 {
 			c.fleet.Proxies[i].Kill()
 		}
 		return fmt.Sprint((len(c.fleet.Proxies) + 2) / 3)
 	}},
-	{0.90, "proxies back", func(c *cast) string {
+	{0.92, "proxies back", func(c *cast) string {
 		for i := 0; i < len(c.fleet.Proxies); i += 3 {
 			_ = c.fleet.Proxies[i].Start()
 		}
 		return ""
 	}},
+	{0.95, "core cut off from the proxies", (*cast).cutCore},
+	{0.97, "mended", (*cast).mend},
 }
 
 // release states a plan for a service.
@@ -306,3 +323,41 @@
 	{0.60, "bad late, the core being split", func(c *cast) string { return c.fall(c.service(0), &Illness{Fails: true}) }},
 	{0.80, "mended", (*cast).mend},
 }
+
+// rolling stops the machines in turn, politely, as an upgrade does. A core machine counts
+// again a lease after its start, so the next goes only then: it wants two minutes or more.
+var rolling = func() []act {
+	var acts []act
+	for i := range 3 {
+		at := 0.05 + 0.22*float64(i)
+		acts = append(acts, act{at, "core machine stopped", func(c *cast) string {
+			return c.each(i, func(p *Process) { p.Stop(15 * time.Second) })
+		}}, act{at + 0.05, "core machine started", func(c *cast) string { return c.startCore(i) }})
+	}
+	// As many proxies as there are edges, each given a moment to come back.
+	for i := range 15 {
+		acts = append(acts, act{0.72 + 0.018*float64(i), "proxy restarted politely", func(c *cast) string {
+			if i >= len(c.fleet.Proxies) {
+				return "left out"
+			}
+			proxy := c.fleet.Proxies[i]
+			go func() {
+				proxy.Stop(15 * time.Second)
+				_ = proxy.Start()
+			}()
+			return proxy.Name
+		}})
+	}
+	return acts
+}()
+
+// cutCore cuts the core off from every proxy, both ways.
+func (c *cast) cutCore() string {
+	for i := range c.options.Deployment.Cores {
+		for edge := range c.options.Deployment.Edges {
+			c.fleet.Cuts.Set(c.fleet.core(i), c.fleet.edge(edge), true)
+			c.fleet.Cuts.Set(c.fleet.edge(edge), c.fleet.core(i), true)
+		}
+	}
+	return "all proxies"
+}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -56,6 +56,8 @@
 	Prefix string        // only on paths with it; empty for all
 	Fails  bool          // answers 500
 	Delay  time.Duration // takes this much longer
+	Loses  bool          // does the work and loses the answer
+	Babble bool          // answers what is no JSON
 }
 
 // Fall makes the worker ill, or well with nil.
@@ -122,8 +124,15 @@
 		time.Sleep(ill.Delay)
 	}
 	w.answer(call, op)
-	if struck && ill.Fails {
+	switch {
+	case !struck:
+	case ill.Fails:
 		call.SetStatusCode(fasthttp.StatusInternalServerError)
+	case ill.Loses:
+		call.HijackSetNoResponse(true)
+		call.Hijack(func(net.Conn) {})
+	case ill.Babble:
+		call.SetBodyString(`{"op": "` + op + `", "worker`)
 	}
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -112,6 +112,8 @@
 	Flags    *flag.Set
 	Releases map[string]*Release
 	Progress map[string]*Progress // by release
+
+	decoded map[*schema.Item]*Route // so that the next setup need not decode what stayed
 }
 
 // Match finds the route for a path and method.
@@ -192,6 +194,10 @@
 		return nil
 	},
 	"route": func(target *Setup, item *schema.Item) error {
+		if route := target.decoded[item]; route != nil {
+			target.Routes = append(target.Routes, route)
+			return nil
+		}
 		route := &Route{Name: item.Name}
 		if err := strict(item.Body, route); err != nil {
 			return err
@@ -199,6 +205,7 @@
 		horizon, err := time.ParseDuration(route.HorizonIn)
 		route.Horizon = horizon
 		target.Routes = append(target.Routes, route)
+		target.decoded[item] = route
 		return err
 	},
 	"flag": func(target *Setup, item *schema.Item) error {
@@ -255,7 +262,14 @@
 
 // Compile makes a setup of the state and lists every fault, each at its path.
 func Compile(state State, sequence uint64) (*Setup, []*schema.Fault) {
+	return CompileAfter(nil, state, sequence)
+}
+
+// CompileAfter is Compile with the routes of an earlier setup taken over where their items
+// stayed. Flags and segments are few and refer to each other, so they are made anew.
+func CompileAfter(before *Setup, state State, sequence uint64) (*Setup, []*schema.Fault) {
 	made := &Setup{
+		decoded:  map[*schema.Item]*Route{},
 		Sequence: sequence,
 		Services: map[string]*Service{},
 		Flags:    &flag.Set{Flags: map[string]*flag.Flag{}, Segments: map[string]*flag.Segment{}},
@@ -270,6 +284,9 @@
 		if item.Deleted {
 			continue
 		}
+		if before != nil && before.decoded[item] != nil {
+			made.decoded[item] = before.decoded[item]
+		}
 		decode, known := decodeByKind[item.Kind]
 		if !known {
 			add(item.Kind+"."+item.Name, "kind %q does not exist", item.Kind)
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -116,3 +117,49 @@
 		}
 	}
 }
+
+func grown(routes int) State {
+	var items []*schema.Item
+	for i := range routes {
+		items = append(items, &schema.Item{Kind: "route", Name: fmt.Sprint("r", i), Version: &schema.Version{Epoch: 1, Sequence: 1},
+			Body: []byte(fmt.Sprintf(`{"service":"shop","prefix":"/grown/%d","methods":[],"horizon":"2s","key":"X-User","attributes":{}}`, i))})
+	}
+	return State{}.With(items)
+}
+
+// A change to a large setup costs by what changed; what did not is taken over as it was.
+func BenchmarkCompileAfterOneChange(b *testing.B) {
+	state := grown(5000)
+	before, _ := Compile(state, 1)
+	next := state.With([]*schema.Item{{Kind: "segment", Name: "s", Version: &schema.Version{Epoch: 1, Sequence: 2}, Body: []byte(`{"salt":""}`)}})
+	for b.Loop() {
+		CompileAfter(before, next, 2)
+	}
+}
+
+// Compiling after another setup gives the same as compiling anew.
+func TestCompileAfter(t *testing.T) {
+	state := grown(20)
+	before, _ := Compile(state, 1)
+	next := state.With([]*schema.Item{
+		{Kind: "route", Name: "r3", Version: &schema.Version{Epoch: 1, Sequence: 2}, Deleted: true},
+		{Kind: "route", Name: "r4", Version: &schema.Version{Epoch: 1, Sequence: 2}, Body: []byte(`{"service":"shop","prefix":"/moved","methods":[],"horizon":"1s","key":"K","attributes":{}}`)},
+	})
+	after, _ := CompileAfter(before, next, 2)
+	anew, _ := Compile(next, 2)
+	prefixes := func(s *Setup) (list []string) {
+		for _, route := range s.Routes {
+			list = append(list, route.Name+route.Prefix)
+		}
+		return list
+	}
+	if diff := cmp.Diff(prefixes(anew), prefixes(after)); diff != "" {
+		t.Error(diff)
+	}
+	if _, found := after.Match("/grown/3", "GET"); found {
+		t.Error("a removed route is still there")
+	}
+	if route, found := after.Match("/moved", "GET"); !found || route.Key != "K" {
+		t.Error("a changed route was taken over as it was")
+	}
+}
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -121,6 +121,7 @@
 	stableEpoch            uint64
 	stableState            setup.State
 	sinceWhole             int
+	compiled               *setup.Setup // of the last change taken here, to compile the next one after
 
 	nextMark uint64
 	pending  []afterSync
@@ -993,7 +994,8 @@
 	if _, admitted := s.outcomes[submit.Change.Id]; admitted {
 		return
 	}
-	entry := Admit(s.state, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
+	var entry *schema.Entry
+	entry, s.compiled = Admit(s.state, s.compiled, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
 	s.append(entry)
 	s.persist(&schema.Record{Entries: []*schema.Entry{entry}}, afterSync{})
 	for _, name := range s.others {
@@ -1055,7 +1057,8 @@
 }
 
 // Admit decides a change against a state: taken whole, or refused whole with every reason.
-func Admit(state setup.State, change *schema.Change, version *schema.Version) *schema.Entry {
+// It compiles after an earlier setup, nil for none, and gives the one that it made of a change it took.
+func Admit(state setup.State, before *setup.Setup, change *schema.Change, version *schema.Version) (*schema.Entry, *setup.Setup) {
 	entry := &schema.Entry{Version: version, ChangeId: change.Id, Outcome: &schema.Outcome{ChangeId: change.Id, Version: version}}
 	expected := map[string]uint64{}
 	for _, one := range change.Expected {
@@ -1073,23 +1076,24 @@
 		}
 	}
 	if entry.Outcome.Ruling == schema.Ruling_RULING_CONFLICT {
-		return entry
+		return entry, before
 	}
 	// A duty that has passed on may not write what its successor has written under a later epoch.
 	for _, item := range change.Items {
 		if held := state[setup.Key(item.Kind, item.Name)]; item.Kind == "progress" && !item.Deleted && held != nil && !held.Deleted && setup.DutyOf(item) < setup.DutyOf(held) {
 			entry.Outcome.Ruling = schema.Ruling_RULING_STALE
-			return entry
+			return entry, before
 		}
 	}
 	var items []*schema.Item
 	for _, item := range change.Items {
 		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version})
 	}
-	if _, faults := setup.Compile(state.With(items), version.Sequence); len(faults) > 0 {
+	compiled, faults := setup.CompileAfter(before, state.With(items), version.Sequence)
+	if len(faults) > 0 {
 		entry.Outcome.Ruling, entry.Outcome.Faults = schema.Ruling_RULING_INVALID, faults
-		return entry
+		return entry, before
 	}
 	entry.Items, entry.Outcome.Ruling = items, schema.Ruling_RULING_ACCEPTED
-	return entry
+	return entry, compiled
 }
