Share out the fleet's budgets by its remembered size

Cause, found by reading: a registry cut off with a third of the proxies tells them a third of the fleet's size, so each would take three times its part of the 60 extra tries, and of the failures of a version on trial.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,7 @@
 	behind   time.Duration // since when some registry knew a newer setup than the one applied; 0 for never
 	feedAt   int
 	members  atomic.Int64
+	fleet    *session.Fleet // how many share the budgets; guarded by lock
 	counter  uint64
 	tellNow  chan struct{}
 	inFlight sync.WaitGroup
@@ -105,6 +106,7 @@
 		s.address = given.Listen
 	}
 	s.members.Store(given.MembersMost)
+	s.fleet = session.NewFleet(given.MembersMost, s.lease)
 	s.journal = journal.New(emptyPicture(), eventsKept, fold)
 	s.tally = dispatch.NewTally(tallyLines)
 	s.health = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -133,9 +133,7 @@
 	defer s.lock.Unlock()
 	s.learn(reply.Cores)
 	s.seats = max(s.seats, int(reply.Seats))
-	if reply.Members > 0 {
-		s.members.Store(int64(reply.Members))
-	}
+	s.members.Store(s.fleet.Note(s.now(), int64(reply.Members)))
 	switch {
 	case reply.Stable <= applied:
 		s.behind = 0
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -15,6 +15,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/options"
+	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
 	"meadowhinge/schema"
 )
@@ -43,6 +44,7 @@
 	state    setup.State
 	setup    *setup.Setup // compiled; of an earlier state unless fresh
 	fresh    bool
+	fleet    *session.Fleet
 	cores    map[string]*schema.Core
 	moved    chan struct{}
 	store    schema.DRPCStoreClient
@@ -67,6 +69,7 @@
 	}
 	s := &Server{options: given, order: options.List(given.Order), lease: time.Duration(given.Lease), address: address, ends: ends, log: frame.Log,
 		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{})}
+	s.fleet = session.NewFleet(given.SourcesMost, s.lease)
 	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost)})
 	s.setup, _ = setup.Compile(s.state, 0)
 	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born}
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -131,9 +131,9 @@
 		telling += int(answer.Telling)
 	}
 	s.lock.Lock()
-	members := s.table.members(s.now())
+	members := s.fleet.Note(s.now(), int64(s.table.members(s.now())))
 	s.lock.Unlock()
-	return mostOf(answers), float64(telling) / float64(max(1, members))
+	return mostOf(answers), float64(telling) / float64(members)
 }
 
 // steerOne brakes or steps one plan.
