--- a/internal/simulator/brake.go
+++ b/internal/simulator/brake.go
@@ -31,12 +31,13 @@
 	KindBadLoad  = "bad under load"
 	KindSlow     = "slow"
 	KindBadSplit = "bad while the core is split"
+	KindBadGone  = "bad once the core is gone"
 	KindAlike    = "both versions fail alike"
 	KindFew      = "a few failures"
 )
 
 // Kinds lists them all.
-var Kinds = []string{KindGood, KindBadStart, KindBadRoute, KindBadLate, KindBadLoad, KindSlow, KindBadSplit, KindAlike, KindFew}
+var Kinds = []string{KindGood, KindBadStart, KindBadRoute, KindBadLate, KindBadLoad, KindSlow, KindBadSplit, KindBadGone, KindAlike, KindFew}
 
 // Bounds of the brake's simulation.
 const (
@@ -77,13 +78,16 @@
 	}
 	var run BrakeRun
 	var progress setup.Progress
-	badFrom, split := time.Duration(0), false
-	if kind == KindBadLate || kind == KindBadSplit {
+	badFrom, split, gone := time.Duration(0), false, false
+	if kind == KindBadLate || kind == KindBadSplit || kind == KindBadGone {
 		badFrom = 35 * time.Second
 	}
 	if kind == KindBadSplit {
 		w.after(badFrom, func() { split = true })
 	}
+	if kind == KindBadGone {
+		w.after(badFrom, func() { gone = true })
+	}
 	members := func() int { return brakeProxies }
 	grantFor := trialGrant
 	if plant == BrakeNoGrant {
@@ -106,7 +110,7 @@
 		took = time.Millisecond + time.Duration(w.dice.Int64N(int64(4*time.Millisecond)))
 		bad := version == "2" && w.now >= badFrom
 		switch kind {
-		case KindBadStart, KindBadLate, KindBadSplit:
+		case KindBadStart, KindBadLate, KindBadSplit, KindBadGone:
 			fails = bad
 		case KindBadRoute:
 			fails = bad && route == "buy"
@@ -182,6 +186,9 @@
 		var tell func()
 		tell = func() {
 			asked := w.now
+			if gone {
+				return
+			}
 			w.after(time.Millisecond+time.Duration(w.dice.Int64N(int64(5*time.Millisecond))), func() {
 				proxy.told = nil
 				for _, line := range proxy.tally {
@@ -203,6 +210,9 @@
 	stepped, started := time.Duration(0), false
 	var steer func()
 	steer = func() {
+		if gone {
+			return
+		}
 		w.after(tellEvery, steer)
 		if trial == nil {
 			trial = &schema.Trial{Service: "shop", Version: "2"}
