--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	plantNoSeen   dataPlant = "the worker's side forgets which requests it has seen"
 	plantLax      dataPlant = "workers run what does not bear their token"
 	plantUnheard  dataPlant = "a worker's word that it leaves is not heard"
+	plantForged   dataPlant = "an altered answer carries a checksum that fits it"
 	plantNoBudget dataPlant = "the retry budget is without bound"
 )
 
@@ -166,6 +168,9 @@
 		if len(altered.Body) > 0 {
 			altered.Body[0] ^= 1
 		}
+		if s.plant == plantForged {
+			altered.Checksum = crc32.ChecksumIEEE(altered.Body)
+		}
 		return altered, nil
 	default:
 		answer := deliver()
@@ -306,7 +311,7 @@
 }
 
 func TestDataPlanePlants(t *testing.T) {
-	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantLax: "disallowed", plantUnheard: "left", plantNoBudget: "budget"} {
+	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantLax: "disallowed", plantUnheard: "left", plantForged: "not its own", plantNoBudget: "budget"} {
 		found := ""
 		for seed := uint64(1); seed <= dataSeeds && found == ""; seed++ {
 			breaches, _, _ := play(t, seed, plant)
