Add up the counts of old setups, so that lines do not grow with changes

Cause, found by reading: counts are kept apart by setup, so in a storm every report grew to its bound of 4,096 lines, sent four times a second by every proxy. Now the last four setups are apart.

--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,12 +27,19 @@
 
 type tallyLine struct{ calls, failures, nanos atomic.Uint64 }
 
-// Tally counts verdicts; counts only grow while the process lives.
+// Tally counts verdicts; counts only grow while the process lives. Counts of the last setups
+// are kept apart; those of older ones are added up under setup 0.
 type Tally struct {
 	lines *xsync.Map[tallyKey, *tallyLine]
 	most  int
+
+	// folding is held shared while a line is added to, so that none is taken out meanwhile.
+	folding sync.RWMutex
 }
 
+// setupsApart is for how many of the last setups counts are kept apart.
+const setupsApart = 4
+
 // NewTally keeps at most so many lines; setups beyond that are counted together as 0.
 func NewTally(most int) *Tally {
 	return &Tally{lines: xsync.NewMap[tallyKey, *tallyLine](), most: most}
@@ -39,6 +47,8 @@
 
 // Add counts one call by its verdict and outcome.
 func (t *Tally) Add(ended *Ended, took time.Duration) {
+	t.folding.RLock()
+	defer t.folding.RUnlock()
 	verdict := ended.Plan.Verdict
 	key := tallyKey{flag: verdict.Flag, service: ended.Plan.Service, variation: verdict.Version, reason: string(verdict.Reason), rule: verdict.RuleID,
 		route: ended.Plan.Route.Name, outcome: outcomeNames[ended.Carried.Ending], setup: verdict.Setup}
@@ -46,7 +56,7 @@
 	if _, known := t.lines.Load(key); !known && t.lines.Size() >= t.most {
 		key.setup = 0
 	}
-	line, _ := t.lines.LoadOrCompute(key, func() (*tallyLine, bool) { return &tallyLine{}, false })
+	line := t.line(key)
 	line.calls.Add(1)
 	line.nanos.Add(uint64(took))
 	if ended.Carried.Ending != schema.Ending_ENDING_ANSWERED || ended.Carried.Status >= 500 {
@@ -54,8 +64,21 @@
 	}
 }
 
-// Counts lists all lines as they stand.
-func (t *Tally) Counts() []*schema.Count {
+// Counts lists all lines as they stand, current being the setup in use.
+func (t *Tally) Counts(current uint64) []*schema.Count {
+	t.folding.Lock()
+	defer t.folding.Unlock()
+	t.lines.Range(func(key tallyKey, line *tallyLine) bool {
+		if key.setup != 0 && key.setup+setupsApart < current {
+			t.lines.Delete(key)
+			key.setup = 0
+			sum := t.line(key)
+			sum.calls.Add(line.calls.Load())
+			sum.failures.Add(line.failures.Load())
+			sum.nanos.Add(line.nanos.Load())
+		}
+		return true
+	})
 	var counts []*schema.Count
 	t.lines.Range(func(key tallyKey, line *tallyLine) bool {
 		counts = append(counts, &schema.Count{Flag: key.flag, Service: key.service, Variation: key.variation, Reason: key.reason, Rule: key.rule,
@@ -64,3 +87,8 @@
 	})
 	return counts
 }
+
+func (t *Tally) line(key tallyKey) *tallyLine {
+	line, _ := t.lines.LoadOrCompute(key, func() (*tallyLine, bool) { return &tallyLine{}, false })
+	return line
+}
--- /dev/null
+++ b/internal/dispatch/tally_test.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"meadowhinge/internal/flag"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// Lines do not grow with the number of setups, and no call is counted twice or lost, while
+// others count.
+func TestTallyFoldsOldSetups(t *testing.T) {
+	tally := NewTally(1000)
+	ended := func(sequence uint64) *Ended {
+		return &Ended{Plan: &plan.Plan{Route: &setup.Route{Name: "r"}, Service: "shop", Verdict: plan.Verdict{Flag: "f", Version: "1", Reason: flag.ReasonFallthrough, Setup: sequence}},
+			Carried: &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200}}
+	}
+	const threads, setups, calls = 4, 200, 5
+	var counting sync.WaitGroup
+	for range threads {
+		counting.Go(func() {
+			for sequence := uint64(1); sequence <= setups; sequence++ {
+				for range calls {
+					tally.Add(ended(sequence), time.Millisecond)
+				}
+			}
+		})
+	}
+	counting.Go(func() {
+		for sequence := uint64(1); sequence <= setups; sequence++ {
+			tally.Counts(sequence)
+		}
+	})
+	counting.Wait()
+	sum := func() (total uint64, lines int) {
+		for _, line := range tally.Counts(setups) {
+			total += line.Calls
+			lines++
+		}
+		return total, lines
+	}
+	total, lines := sum()
+	if total != threads*setups*calls {
+		t.Errorf("counted %d calls of %d", total, threads*setups*calls)
+	}
+	if lines > setupsApart+2 {
+		t.Errorf("%d lines are left", lines)
+	}
+}
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -305,7 +305,7 @@
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
 	asked := s.now()
 	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
-		Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts()})
+		Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts(s.view().Setup.Sequence)})
 	cancel()
 	if err == nil {
 		s.trials.Granted(asked, told.Trials)
