--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -368,7 +368,8 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	now := s.now()
-	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now)}, nil
+	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now),
+		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load()}, nil
 }
 
 // others calls every other registry at once and gives the answers that came.
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -139,7 +139,9 @@
 func (s *Server) status() *schema.SeatStatus {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.seat.Status()
+	status := s.seat.Status()
+	status.RefusedPeers = s.ends.Refused.Load()
+	return status
 }
 
 // step runs one event through the seat and hands out its actions.
