--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -111,10 +111,33 @@
 	return c.send(id, text)
 }
 
-// release states a plan; flags that are not given have their presets.
-func (c *client) release(name string, plan *registry.ShownRelease) error {
+// release states a plan; of a plan that stands, what no flag gives stays as it is.
+func (c *client) release(name string, plan *registry.ShownRelease, given map[string]bool) error {
+	var shown []registry.ShownRelease
+	plainly := *c
+	plainly.asJSON = false
+	if _, err := plainly.get("/v1/releases", &shown); err != nil {
+		return err
+	}
+	for _, held := range shown {
+		if held.Name != name {
+			continue
+		}
+		// Each flag has one field that it overrides.
+		for flagName, take := range map[string]func(){
+			"service": func() { plan.Service = held.Service },
+			"version": func() { plan.Version = held.Version },
+			"target":  func() { plan.Target = held.Target },
+			"over":    func() { plan.Over = held.Over },
+			"pace":    func() { plan.Pace = held.Pace },
+		} {
+			if !given[flagName] {
+				take()
+			}
+		}
+	}
 	if plan.Service == "" || plan.Version == "" {
-		return &failure{exitUsage, defect.New(defect.BadOptions, "release: needs -service and -version")}
+		return &failure{exitUsage, defect.New(defect.BadOptions, "release: a new plan needs -service and -version")}
 	}
 	return c.send("", []byte(fmt.Sprintf("release: %q: {service: %q, version: %q, target: %v, over: %q, pace: %q}\n", name, plan.Service, plan.Version, plan.Target, plan.Over, plan.Pace)))
 }
@@ -129,10 +152,9 @@
 	}
 	// What stands now is what this change was written against.
 	var shown registry.Shown
-	wasJSON := c.asJSON
-	c.asJSON = false
-	_, err := c.get("/v1/setup", &shown)
-	c.asJSON = wasJSON
+	plainly := *c
+	plainly.asJSON = false
+	_, err := plainly.get("/v1/setup", &shown)
 	if err != nil {
 		return err
 	}
@@ -247,8 +269,12 @@
 	releaseSet.StringVar(&plan.Pace, "pace", "go", "go, hold, or back (turn back to the fallback version)")
 
 	commands := []*ffcli.Command{
-		command("release", "release -service S -version V [-target PERCENT] [-over TIME] [-pace go|hold|back] NAME", "state a release plan, or change one's target, time or pace", releaseSet, 1,
-			func(args []string) error { return c.release(args[0], plan) }),
+		command("release", "release [-service S] [-version V] [-target PERCENT] [-over TIME] [-pace go|hold|back] NAME", "state a release plan, or change what flags give of one", releaseSet, 1,
+			func(args []string) error {
+				given := map[string]bool{}
+				releaseSet.Visit(func(one *flag.Flag) { given[one.Name] = true })
+				return c.release(args[0], plan, given)
+			}),
 		command("cancel", "cancel NAME", "end a release plan; the flag stays as it is", nil, 1, func(args []string) error {
 			return c.send("", []byte(fmt.Sprintf("remove: release: [%q]\n", args[0])))
 		}),
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -153,7 +153,7 @@
 		s.log.V(1).Info("brake", "release", planned.Name, "reason", reason)
 	}
 	pause := max(planned.Over/time.Duration(release.Defaults.Steps), s.lease/stepParts)
-	due := now-held.steppedAt >= pause || before.State == "" || held.stopped != "" || (planned.Pace == "back" && before.State != release.Back)
+	due := now-held.steppedAt >= pause || before.State == "" || held.stopped != "" || (planned.Pace == "back") != (before.State == release.Back)
 	if !due {
 		return
 	}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -20,6 +20,9 @@
 	Back  = "back"  // turned back: the flag is off
 )
 
+// operatorsWord is the reason of a plan that the operator turned back.
+const operatorsWord = "the operator turned it back"
+
 // Options bound the steering.
 type Options struct {
 	TrialShare   float64 // percent that a version gets before it is known
@@ -171,11 +174,14 @@
 // lately what came since the last step, passed the time since then.
 func (o Options) Step(plan *setup.Release, before setup.Progress, whole, lately Evidence, passed time.Duration) setup.Progress {
 	after := before
-	if before.State == Back {
+	switch {
+	// What was turned back as bad stays so; what the operator turned back, the operator may resume.
+	case before.State == Back && (before.Reason != operatorsWord || plan.Pace == "back"):
 		return after
-	}
-	if plan.Pace == "back" {
-		after.State, after.Reason, after.Share, after.Weight = Back, "the operator turned it back", 0, 0
+	case before.State == Back:
+		before.State, after = "", setup.Progress{Duty: before.Duty, Holder: before.Holder, Set: before.Set}
+	case plan.Pace == "back":
+		after.State, after.Reason, after.Share, after.Weight = Back, operatorsWord, 0, 0
 		return after
 	}
 	for _, evidence := range []Evidence{lately, whole} {
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -79,7 +79,12 @@
 	if back.State != Back || back.Weight != 0 {
 		t.Errorf("turned back: %+v", back)
 	}
-	// What was turned back does not come forward by itself.
+	// The operator may resume what the operator turned back; it begins again with a trial.
+	if got := Defaults.Step(shop, back, both(counted(9, 0, 0), counted(1, 0, 0)), lately, time.Second); got.State != Trial || got.Share != 10 || got.Elapsed != 0 {
+		t.Errorf("resumed: %+v", got)
+	}
+	back.Reason = "the version fails on the whole"
+	// What was turned back as bad does not come forward by itself.
 	if got := Defaults.Step(shop, back, known, lately, time.Second); got.State != Back {
 		t.Errorf("after it was turned back: %+v", got)
 	}
