--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -97,7 +97,7 @@
 			held := courses[name]
 			progress := compiled.Progress[name]
 			stopped := (held != nil && held.stopped != "") || (progress != nil && progress.State == release.Back)
-			trials = append(trials, &schema.Trial{Service: planned.Service, Version: planned.Version, Stopped: stopped})
+			trials = append(trials, &schema.Trial{Service: planned.Service, Version: planned.Version, Stopped: stopped, Plan: planned.Sequence})
 		}
 		s.takeTrials(trials)
 		counts, heard := s.gather(ctx, trials)
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -88,7 +88,8 @@
 	OverIn  string  `json:"over"`
 	Pace    string  `json:"pace"`
 
-	Over time.Duration `json:"-"`
+	Over     time.Duration `json:"-"`
+	Sequence uint64        `json:"-"` // in which it was stated
 }
 
 // Progress is how far a release plan has come; the release duty writes it with each step, so
@@ -227,7 +228,7 @@
 		return nil
 	},
 	"release": func(target *Setup, item *schema.Item) error {
-		decoded := &Release{Name: item.Name}
+		decoded := &Release{Name: item.Name, Sequence: item.Version.GetSequence()}
 		if err := strict(item.Body, decoded); err != nil {
 			return err
 		}
