--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -185,11 +185,12 @@
 func (s *Server) stopTrial(planned *setup.Release) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	for _, one := range s.trials {
-		if one.Service == planned.Service {
-			one.Stopped = true
-		}
+	// Answers under way still read the trials handed out before, so those are left as they are.
+	marked := make([]*schema.Trial, len(s.trials))
+	for i, one := range s.trials {
+		marked[i] = &schema.Trial{Service: one.Service, Version: one.Version, Stopped: one.Stopped || one.Service == planned.Service, Plan: one.Plan}
 	}
+	s.trials = marked
 }
 
 // stepItems are the plan's progress and the flag that follows it, to be written as one.
