Run the fleet tests' daemons under the race detector; mend the two races it found

Found in a standard and a brake play of the small fleet with -race binaries (20 s each): a store's map of outboxes was read by the first sender while the rest was filled in; a dispatch read a worker's address while the worker described itself.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -133,7 +133,7 @@
 	case !leased:
 		return notRun(defect.NoLease, 0)
 	}
-	request.SetHost(held.said.Address)
+	request.SetHost(held.address)
 	request.Header.Set(HeaderToken, token)
 	request.Header.Set(HeaderCaller, carry.Caller)
 	request.Header.Set(HeaderRequest, carry.Request)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -64,6 +64,7 @@
 // localWorker is a worker beside this proxy.
 type localWorker struct {
 	instance string
+	address  string // the same for as long as the registration lives
 	said     Description
 	heardAt  time.Duration
 	tether   net.Conn // open as long as the worker lives; its end is the worker's end
@@ -144,7 +145,7 @@
 	w.lock.Lock()
 	w.serial++
 	fresh := &localWorker{instance: fmt.Sprintf("%s/%s/%x.%d", w.options.Proxy, said.Address, w.options.Incarnation, w.serial),
-		said: said, heardAt: now, tether: tether, client: w.clientFor(said.Address)}
+		address: said.Address, said: said, heardAt: now, tether: tether, client: w.clientFor(said.Address)}
 	if raced := w.byPlace[said.Address]; raced != nil {
 		w.drop(raced)
 	}
@@ -173,7 +174,7 @@
 	one := make([]byte, 1)
 	_, _ = held.tether.Read(one)
 	w.lock.Lock()
-	current := w.byPlace[held.said.Address] == held
+	current := w.byPlace[held.address] == held
 	if current {
 		w.drop(held)
 	}
@@ -185,8 +186,8 @@
 
 // drop ends a registration; the caller holds the lock.
 func (w *Workers) drop(held *localWorker) {
-	if w.byPlace[held.said.Address] == held {
-		delete(w.byPlace, held.said.Address)
+	if w.byPlace[held.address] == held {
+		delete(w.byPlace, held.address)
 	}
 	held.tether.Close()
 	held.client.CloseIdleConnections()
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -12,10 +12,12 @@
 	"meadowhinge/internal/registry"
 )
 
+// build makes the daemons with the race detector, which makes them end with an error when
+// it found something.
 func build(t *testing.T) string {
 	t.Helper()
 	binaries := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", binaries+"/", "meadowhinge/cmd/proxy", "meadowhinge/cmd/registry", "meadowhinge/cmd/store").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-race", "-o", binaries+"/", "meadowhinge/cmd/proxy", "meadowhinge/cmd/registry", "meadowhinge/cmd/store").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	return binaries
@@ -39,6 +41,9 @@
 			t.Errorf("%s: %v", finding.Rule, finding.Examples)
 		}
 	}
+	if len(report.Unclean) > 0 {
+		t.Errorf("these did not end cleanly on SIGTERM: %v", report.Unclean)
+	}
 	if report.Outcomes["answered"] == 0 || report.Acknowledged == 0 {
 		t.Errorf("nothing was judged: %v, %d yeses", report.Outcomes, report.Acknowledged)
 	}
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -96,9 +96,12 @@
 	for _, name := range order {
 		if name != given.Seat {
 			s.outboxes[name] = make(chan *schema.SeatLetter, given.Buffer)
-			go s.post(ctx, name)
 		}
 	}
+	// The map is whole before anybody reads it, and never changes after.
+	for name := range s.outboxes {
+		go s.post(ctx, name)
+	}
 	go s.write(ctx, disk)
 	mux := drpcmux.New()
 	if err := schema.DRPCRegisterStore(mux, s); err != nil {
