Keep a proxy's own stop until a duty that hears the fleet finds the version fine

Each part of a split core takes the duty for itself, and the two that began after the first round of failures took it for the baseline; the proxies' own stops ran out after ten seconds. Ruled out: the duty's threshold, scaled to the part heard since, which had been 92 calls. The simulation now has a duty in each part; before this change it showed no breach, for its first round is smaller.

--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -23,6 +23,7 @@
 	failures float64 // for the whole fleet
 	members  func() int
 	granted  map[string]trialGrant // by service
+	tripped  map[string]tripped    // services in which this proxy has taken its part
 	seen     map[[2]string]*trialWindow
 }
 
@@ -33,6 +34,17 @@
 	stopped bool
 }
 
+// tripped is this proxy's own stop: it stands until the duty, knowing of the failures that
+// led to it, finds the version fine, or the plan is stated anew.
+type tripped struct {
+	plan uint64
+	at   time.Duration
+}
+
+// judgedParts is how many lengths of a grant it takes, at most, until what this proxy told
+// has been judged and the judgement has come back.
+const judgedParts = 2
+
 // trialWindow is what this proxy saw of a version of late, in slots as a budget has.
 type trialWindow struct {
 	slots [windowSlots]struct {
@@ -45,13 +57,14 @@
 
 // TrialCall is one call under way to a service with a version on trial.
 type TrialCall struct {
-	key   [2]string
-	began time.Duration
+	key    [2]string
+	began  time.Duration
+	window *trialWindow
 }
 
 // NewTrials takes the time a grant lasts and the failures that the fleet may take.
 func NewTrials(length time.Duration, failures int64, members func() int) *Trials {
-	return &Trials{length: length, failures: float64(failures), members: members, granted: map[string]trialGrant{}, seen: map[[2]string]*trialWindow{}}
+	return &Trials{length: length, failures: float64(failures), members: members, granted: map[string]trialGrant{}, tripped: map[string]tripped{}, seen: map[[2]string]*trialWindow{}}
 }
 
 // Granted takes a registry's answer; the grant counts from when it was asked for.
@@ -64,6 +77,10 @@
 		if one.Plan < held.plan {
 			continue
 		}
+		if stop, stopped := t.tripped[one.Service]; stopped && (one.Plan > stop.plan || (one.Fine && asked >= stop.at+judgedParts*t.length)) {
+			delete(t.tripped, one.Service)
+			delete(t.seen, [2]string{one.Service, one.Version})
+		}
 		// A stop stands until the operator states the plan anew, whoever grants later.
 		stopped := one.Stopped || (held.stopped && held.plan == one.Plan)
 		t.granted[one.Service] = trialGrant{one.Version, one.Plan, max(held.until, asked+t.length), stopped}
@@ -79,6 +96,11 @@
 			delete(t.granted, service)
 		}
 	}
+	for service := range t.tripped {
+		if !planned(service) {
+			delete(t.tripped, service)
+		}
+	}
 	for key := range t.seen {
 		if !planned(key[0]) {
 			delete(t.seen, key)
@@ -125,8 +147,9 @@
 func (t *Trials) Begin(service, version string, now time.Duration) *TrialCall {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	call := &TrialCall{[2]string{service, version}, now}
-	t.window(call.key).open[call] = true
+	call := &TrialCall{key: [2]string{service, version}, began: now}
+	call.window = t.window(call.key)
+	call.window.open[call] = true
 	return call
 }
 
@@ -134,7 +157,7 @@
 func (t *Trials) End(call *TrialCall, now time.Duration, failed bool) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	held := t.window(call.key)
+	held := call.window
 	delete(held.open, call)
 	number := int64(now / (window / windowSlots))
 	slot := &held.slots[number%windowSlots]
@@ -159,7 +182,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	grant, found := t.granted[service]
-	if !found || grant.version != version || grant.stopped || now >= grant.until {
+	if _, stopped := t.tripped[service]; stopped || !found || grant.version != version || grant.stopped || now >= grant.until {
 		return true
 	}
 	seen := t.window([2]string{service, version})
@@ -176,7 +199,11 @@
 	if oldCalls > 0 {
 		oldRate = oldFailures / oldCalls
 	}
-	return failures+1 > part && failures/calls > trialTimes*oldRate+trialExcess
+	if failures+1 <= part || failures/calls <= trialTimes*oldRate+trialExcess {
+		return false
+	}
+	t.tripped[service] = tripped{grant.plan, now}
+	return true
 }
 
 // Facts is all that a proxy knows of workers and versions beyond its view.
--- a/internal/dispatch/trial_test.go
+++ b/internal/dispatch/trial_test.go
@@ -86,13 +86,21 @@
 	if !trials.Held("shop", "2", 100*time.Millisecond) {
 		t.Error("not held while four calls hang")
 	}
-	// What was long ago is forgotten, as long as the grant is renewed.
 	for _, one := range open {
 		trials.End(one, 100*time.Millisecond, false)
 	}
+	// The proxy's own stop outlasts its window, until the duty, asked late enough to know of
+	// the failures, finds the version fine.
 	later := window + time.Second
-	trials.Granted(later, []*schema.Trial{{Service: "shop", Version: "2"}})
-	if trials.Held("shop", "2", later) {
-		t.Error("held for what happened longer ago than the window")
+	for _, one := range []struct {
+		asked time.Duration
+		fine  bool
+		held  bool
+	}{{later, false, true}, {time.Second, true, true}, {later, true, false}} {
+		trials.Granted(later, []*schema.Trial{{Service: "shop", Version: "2"}})
+		trials.Granted(one.asked, []*schema.Trial{{Service: "shop", Version: "2", Fine: one.fine}})
+		if got := trials.Held("shop", "2", later); got != one.held {
+			t.Errorf("asked at %v, fine %v: held %v", one.asked, one.fine, got)
+		}
 	}
 }
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -31,6 +31,7 @@
 	brake     release.Brake
 	steppedAt time.Duration
 	stopped   string // why, once the brake was pulled
+	fine      bool   // as of the last gathering
 }
 
 // trialsHere is what this registry may pass on to its proxies; the caller holds the lock.
@@ -97,7 +98,7 @@
 			held := courses[name]
 			progress := compiled.Progress[name]
 			stopped := (held != nil && held.stopped != "") || (progress != nil && progress.State == release.Back)
-			trials = append(trials, &schema.Trial{Service: planned.Service, Version: planned.Version, Stopped: stopped, Plan: planned.Sequence})
+			trials = append(trials, &schema.Trial{Service: planned.Service, Version: planned.Version, Stopped: stopped, Plan: planned.Sequence, Fine: held != nil && held.fine && !stopped})
 		}
 		s.takeTrials(trials)
 		counts, heard := s.gather(ctx, trials)
@@ -152,6 +153,7 @@
 		s.stopTrial(planned)
 		s.log.V(1).Info("brake", "release", planned.Name, "reason", reason)
 	}
+	held.fine = held.brake.Fine(release.Defaults, heard)
 	pause := max(planned.Over/time.Duration(release.Defaults.Steps), s.lease/stepParts)
 	due := now-held.steppedAt >= pause || before.State == "" || held.stopped != "" || (planned.Pace == "back") != (before.State == release.Back)
 	if !due {
--- a/internal/simulator/brake.go
+++ b/internal/simulator/brake.go
@@ -18,7 +18,7 @@
 const (
 	BrakeSound       BrakePlant = ""
 	BrakeDeaf        BrakePlant = "deaf: neither the proxies nor the duty look at failures"
-	BrakeNoGrant     BrakePlant = "no grant: a proxy goes on trying out unheard"
+	BrakeEasy        BrakePlant = "easy: the duty finds any version fine"
 	BrakeHairTrigger BrakePlant = "hair trigger: a few failures turn a version back"
 )
 
@@ -89,20 +89,26 @@
 		w.after(badFrom, func() { gone = true })
 	}
 	members := func() int { return brakeProxies }
-	grantFor := trialGrant
-	if plant == BrakeNoGrant {
-		grantFor = time.Hour
-	}
 	part := int64(40)
 	if plant == BrakeDeaf {
 		part, steering.FailuresMost = 1<<40, 1<<40
 	}
 	var proxies []*brakeProxy
 	for i := range brakeProxies {
-		proxies = append(proxies, &brakeProxy{trials: dispatch.NewTrials(grantFor, part, members), tally: map[[2]string]*schema.Count{}, reg: i % seatCount})
+		proxies = append(proxies, &brakeProxy{trials: dispatch.NewTrials(trialGrant, part, members), tally: map[[2]string]*schema.Count{}, reg: i % seatCount})
+	}
+	// Each registry alone in a split takes the duty for itself; whole, it is the first one's.
+	var duties [seatCount]struct {
+		trial *schema.Trial
+		brake release.Brake
 	}
-	var trial *schema.Trial
-	heard := [seatCount]time.Duration{}
+	dutyOf := func(reg int) int {
+		if split {
+			return reg
+		}
+		return 0
+	}
+	handed := [seatCount]time.Duration{}
 	var fiftieth time.Duration
 	inFlightNew := 0
 
@@ -195,47 +201,52 @@
 					proxy.told = append(proxy.told, &schema.Count{Service: line.Service, Variation: line.Variation, Route: line.Route, Outcome: line.Outcome,
 						Calls: line.Calls, Failures: line.Failures, Nanos: line.Nanos})
 				}
-				reached := proxy.reg == 0 || !split
-				if trial != nil && (w.now-heard[proxy.reg] <= passedOn || (trial.Stopped && reached)) {
-					proxy.trials.Granted(asked, []*schema.Trial{{Service: trial.Service, Version: trial.Version, Stopped: trial.Stopped && reached}})
+				trial := duties[dutyOf(proxy.reg)].trial
+				if trial != nil && (w.now-handed[proxy.reg] <= passedOn || trial.Stopped) {
+					proxy.trials.Granted(asked, []*schema.Trial{{Service: trial.Service, Version: trial.Version, Stopped: trial.Stopped, Fine: trial.Fine}})
 				}
 			})
 			w.after(tellEvery, tell)
 		}
 		w.after(time.Duration(w.dice.Int64N(int64(tellEvery))), tell)
 	}
-	// The duty is with registry 0; split, it hears and reaches its own proxies only.
 	var first, lately release.Evidence
-	var brake release.Brake
 	stepped, started := time.Duration(0), false
-	var steer func()
-	steer = func() {
+	var steer func(reg int)
+	steer = func(reg int) {
 		if gone {
 			return
 		}
-		w.after(tellEvery, steer)
-		if trial == nil {
-			trial = &schema.Trial{Service: "shop", Version: "2"}
+		w.after(tellEvery, func() { steer(reg) })
+		// Another registry takes the duty only after it has not heard the ones before it.
+		if reg != 0 && (!split || w.now < badFrom+time.Duration(reg)*passedOn) {
+			return
+		}
+		duty := &duties[reg]
+		if duty.trial == nil {
+			duty.trial = &schema.Trial{Service: "shop", Version: "2"}
 		}
 		var counts []*schema.SourceCounts
 		for _, proxy := range proxies {
-			if proxy.reg == 0 || !split {
+			if dutyOf(proxy.reg) == reg {
 				counts = append(counts, &schema.SourceCounts{Counts: proxy.told})
-			}
-		}
-		for i := range heard {
-			if i == 0 || !split {
-				heard[i] = w.now
+				handed[proxy.reg] = w.now
 			}
 		}
 		evidence := release.Gather(counts, "shop", "2")
+		heard := float64(len(counts)) / brakeProxies
+		reason, bad := duty.brake.Look(steering, evidence, heard)
+		duty.trial.Stopped = duty.trial.Stopped || bad
+		duty.trial.Fine = duty.brake.Fine(steering, heard) && !duty.trial.Stopped
+		if plant == BrakeEasy {
+			bad, duty.trial.Stopped, duty.trial.Fine = false, false, true
+		}
+		if reg != 0 {
+			return
+		}
 		if !started {
 			started, first, lately, stepped = true, evidence, evidence, w.now
 		}
-		reason, bad := brake.Look(steering, evidence, float64(len(counts))/brakeProxies)
-		if bad {
-			trial.Stopped = true
-		}
 		if !bad && w.now-stepped < time.Second && progress.State != "" {
 			return
 		}
@@ -250,7 +261,9 @@
 		}
 		w.after(30*time.Millisecond, func() { progress = after })
 	}
-	w.after(0, steer)
+	for reg := range seatCount {
+		w.after(0, func() { steer(reg) })
+	}
 	w.Run(60 * time.Second)
 	if float64(run.BadCalls) > badFraction*float64(run.Calls)+badSlack {
 		run.Breaches = append(run.Breaches, fmt.Sprintf("%d of %d calls went to the bad version", run.BadCalls, run.Calls))
--- a/internal/simulator/brake_test.go
+++ b/internal/simulator/brake_test.go
@@ -33,7 +33,7 @@
 }
 
 func TestBrakePlants(t *testing.T) {
-	for plant, kind := range map[BrakePlant]string{BrakeDeaf: KindBadLate, BrakeNoGrant: KindBadSplit, BrakeHairTrigger: KindFew} {
+	for plant, kind := range map[BrakePlant]string{BrakeDeaf: KindBadLate, BrakeEasy: KindBadSplit, BrakeHairTrigger: KindFew} {
 		found := ""
 		for seed := uint64(1); seed <= brakeSeeds && found == ""; seed++ {
 			if run := PlayBrake(seed, kind, plant); len(run.Breaches) > 0 {
