--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -105,3 +105,29 @@
 		t.Errorf("measured 99 of 50: weight %d", got.Weight)
 	}
 }
+
+// A duty that hears too little of the fleet, or saw failures of late, lets nobody try again.
+func TestFine(t *testing.T) {
+	ms := time.Millisecond
+	for name, one := range map[string]struct {
+		then, now Evidence
+		heard     float64
+		fine      bool
+	}{
+		"all heard, no failures":   {both(counted(0, 0, ms), counted(0, 0, ms)), both(counted(100, 0, ms), counted(100, 0, ms)), 1, true},
+		"a third heard":            {both(counted(0, 0, ms), counted(0, 0, ms)), both(counted(100, 0, ms), counted(100, 0, ms)), 0.34, false},
+		"failures lately":          {both(counted(0, 0, ms), counted(0, 0, ms)), both(counted(100, 0, ms), counted(100, 20, ms)), 1, false},
+		"failures long ago":        {both(counted(100, 0, ms), counted(100, 20, ms)), both(counted(200, 0, ms), counted(200, 20, ms)), 1, true},
+		"both versions fail alike": {both(counted(0, 0, ms), counted(0, 0, ms)), both(counted(100, 30, ms), counted(100, 30, ms)), 1, true},
+	} {
+		brake := &Brake{}
+		brake.Look(Defaults, one.then, one.heard)
+		brake.Look(Defaults, one.now, one.heard)
+		if got := brake.Fine(Defaults, one.heard); got != one.fine {
+			t.Errorf("%s: fine %v", name, got)
+		}
+	}
+	if (&Brake{}).Fine(Defaults, 1) {
+		t.Error("fine before anything was looked at")
+	}
+}
