--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/link"
 	"meadowhinge/internal/plan"
 	"meadowhinge/schema"
 )
@@ -27,6 +28,8 @@
 	plantNoSeen   dataPlant = "the worker's side forgets which requests it has seen"
 	plantLax      dataPlant = "workers run what does not bear their token"
 	plantUnheard  dataPlant = "a worker's word that it leaves is not heard"
+	plantClaims   dataPlant = "a peer may speak for any caller"
+	plantAway     dataPlant = "a link that is whole is taken for one that never opened"
 	plantForged   dataPlant = "an altered answer carries a checksum that fits it"
 	plantNoBudget dataPlant = "the retry budget is without bound"
 )
@@ -132,6 +135,19 @@
 	if s.plant == plantFalseNo {
 		lost = defect.New(defect.LinkUnopened, "lost")
 	}
+	peer := client
+	if s.plant == plantClaims {
+		peer = link.Local("proxy", "q", map[string]bool{"client": true, "saves": true})
+	}
+	// Now and then somebody sends under a name that is not its own.
+	if s.roll() < s.faulty/5 {
+		claim := proto.Clone(c).(*schema.Carry)
+		claim.Request, claim.Caller = "claim-"+c.Request, "saves"
+		s.runner.Run(context.WithoutCancel(ctx), peer, claim)
+	}
+	if s.plant == plantAway {
+		return nil, defect.New(defect.LinkUnopened, "planted")
+	}
 	deliver := func() *schema.Carried {
 		// What arrives is a copy, as it is over a wire.
 		runner := *s.runner
@@ -180,9 +196,9 @@
 }
 
 // play runs a seed and gives what was breached.
-func play(t *testing.T, seed uint64, plant dataPlant) (breaches []string, answered, refused int) {
+func play(t *testing.T, seed uint64, plant dataPlant, faulty float64) (breaches []string, answered, refused int) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{stage: newStage(t), plant: plant, dice: rand.New(rand.NewPCG(seed, 3)), faulty: 0.35, left: map[string]time.Duration{}}
+		s := &scene{stage: newStage(t), plant: plant, dice: rand.New(rand.NewPCG(seed, 3)), faulty: faulty, left: map[string]time.Duration{}}
 		s.lax = plant == plantLax
 		s.seen.Store(s.view)
 		ratio, floor := 0.2, 12.0
@@ -247,6 +263,9 @@
 func (s *scene) judge(ratio, floor float64) (breaches []string) {
 	runs := map[string]int{}
 	for _, one := range s.ledger() {
+		if one.caller != "client" {
+			breaches = append(breaches, fmt.Sprintf("claimed: %s ran as from %s", one.request, one.caller))
+		}
 		if one.service != "shop" {
 			breaches = append(breaches, fmt.Sprintf("disallowed: %s ran at a worker of %s", one.request, one.service))
 		}
@@ -291,13 +310,27 @@
 	return breaches
 }
 
+// usualFaults is the part of dispatches that something happens to.
+const usualFaults = 0.35
+
+// With whole links and workers that stay, no proper call is turned away.
+func TestNobodyIsTurnedAwayWithoutCause(t *testing.T) {
+	// Odd seeds have no workers coming and going.
+	if _, answered, refused := play(t, 1, plantNone, 0); refused > 0 || answered == 0 {
+		t.Errorf("%d turned away, %d answered", refused, answered)
+	}
+	if _, _, refused := play(t, 1, plantAway, 0); refused == 0 {
+		t.Error("the planted fault was not found")
+	}
+}
+
 // dataSeeds run in CI; the seeds are fixed.
 const dataSeeds = 60
 
 func TestDataPlaneSeeds(t *testing.T) {
 	answered, refused := 0, 0
 	for seed := uint64(1); seed <= dataSeeds; seed++ {
-		breaches, yes, no := play(t, seed, plantNone)
+		breaches, yes, no := play(t, seed, plantNone, usualFaults)
 		answered, refused = answered+yes, refused+no
 		if len(breaches) > 0 {
 			t.Errorf("seed %d: %v", seed, breaches)
@@ -311,10 +344,10 @@
 }
 
 func TestDataPlanePlants(t *testing.T) {
-	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantLax: "disallowed", plantUnheard: "left", plantForged: "not its own", plantNoBudget: "budget"} {
+	for plant, sign := range map[dataPlant]string{plantFalseNo: "not-run yet run", plantNoSeen: "twice", plantLax: "disallowed", plantUnheard: "left", plantForged: "not its own", plantClaims: "claimed", plantNoBudget: "budget"} {
 		found := ""
 		for seed := uint64(1); seed <= dataSeeds && found == ""; seed++ {
-			breaches, _, _ := play(t, seed, plant)
+			breaches, _, _ := play(t, seed, plant, usualFaults)
 			for _, breach := range breaches {
 				if contains(breach, sign) {
 					found = breach
--- a/internal/dispatch/stage_test.go
+++ b/internal/dispatch/stage_test.go
@@ -20,7 +20,7 @@
 )
 
 const stageSetup = `
-service: shop: {versions: ["1", "2"], fallback: "1", callers: ["client"]}
+service: shop: {versions: ["1", "2"], fallback: "1", callers: ["client", "saves"]}
 service: saves: {versions: ["1"], fallback: "1", callers: ["client"]}
 route: buy: {service: "shop", prefix: "/shop/buy", methods: ["POST"], class: "once"}
 route: look: {service: "shop", prefix: "/shop/look", class: "repeatable"}
