Use the fallback where nobody of a pool answers; let swept sources stay swept

Two versions had their one worker behind a dead proxy. Its source was dropped after 4 s, but the registry still held it and sent it again at once, for the vector no longer named it; and a pool of dead workers is not an empty one. Ruled out: the budget.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -26,7 +26,7 @@
 	length := set.Duration("length", 20*time.Second, "how long the load lasts")
 	lease := set.Duration("lease", 8*time.Second, "the fleet's lease")
 	seed := set.Uint64("seed", 1, "seed of callers' choices")
-	play := set.String("play", "standard", "which faults: none, standard, harsh, rolling, release, brake or split")
+	play := set.String("play", "standard", "which faults: none, standard, harsh, rolling, herd, release, brake or split")
 	keep := set.Bool("keep", false, "bring the fleet up without load and let it stand until Ctrl-C")
 	delay := set.Duration("delay", time.Millisecond, "how long a stand-in worker takes for a request")
 	rate := set.Float64("rate", 1, "multiplies the deployment's rate")
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -291,7 +291,7 @@
 	}
 	carried, err := c.Send(bounded, candidate, carry)
 	if err != nil {
-		c.Soundness.Unreached(candidate.Proxy, c.Now())
+		c.Soundness.Lost(candidate.Proxy, c.Now())
 	} else {
 		c.Soundness.Reached(candidate.Proxy)
 	}
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -44,16 +44,22 @@
 
 // Ejected tells whether a worker failed too often of late, or its proxy was not reached.
 func (s *Soundness) Ejected(worker plan.Candidate, now time.Duration) bool {
-	if until, lost := s.lost.Load(worker.Proxy); lost && now < until {
+	if s.Unreached(worker, now) {
 		return true
 	}
 	facts, found := s.facts.Load(worker.Instance)
 	return found && int64(now) < facts.until.Load()
 }
 
-// Unreached notes that a proxy gave no answer. One miss is enough: unlike a worker's error
+// Unreached tells whether a worker's proxy gave no answer of late.
+func (s *Soundness) Unreached(worker plan.Candidate, now time.Duration) bool {
+	until, lost := s.lost.Load(worker.Proxy)
+	return lost && now < until
+}
+
+// Lost notes that a proxy gave no answer. One miss is enough: unlike a worker's error
 // it says the same of every worker behind it, and each further try would hang as long.
-func (s *Soundness) Unreached(proxy string, now time.Duration) { s.lost.Store(proxy, now+s.ejection) }
+func (s *Soundness) Lost(proxy string, now time.Duration) { s.lost.Store(proxy, now+s.ejection) }
 
 // Reached notes that a proxy answered.
 func (s *Soundness) Reached(proxy string) { s.lost.Delete(proxy) }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -81,6 +81,8 @@
 	// Ejected tells whether the worker failed too often to be tried first, or its proxy
 	// could not be reached.
 	Ejected(worker Candidate, now time.Duration) bool
+	// Unreached tells whether the worker's proxy gave no answer of late.
+	Unreached(worker Candidate, now time.Duration) bool
 	// Held tells whether a version on trial must not be used now.
 	Held(service, version string, now time.Duration) bool
 }
@@ -127,11 +129,17 @@
 		made.Verdict.Version, made.Verdict.Reason = service.Fallback, ReasonHeld
 	}
 	pool := view.Directory[route.Service][made.Verdict.Version]
-	// An empty pool would turn proper callers away; the fallback version is allowed to serve them.
-	if len(pool) == 0 && made.Verdict.Version != service.Fallback {
-		made.Verdict.Evaluated = made.Verdict.Version
+	// An empty pool would turn proper callers away; the fallback version is allowed to serve
+	// them. A pool of which nobody can be reached is as good as empty, while the other's can.
+	rest := view.Directory[route.Service][service.Fallback]
+	empty := len(pool) == 0 || (!reached(pool, facts, now) && reached(rest, facts, now))
+	if empty && made.Verdict.Version != service.Fallback {
+		// What an exception changed before was not what the flag said.
+		if made.Verdict.Evaluated == "" {
+			made.Verdict.Evaluated = made.Verdict.Version
+		}
 		made.Verdict.Version, made.Verdict.Reason = service.Fallback, ReasonPoolEmpty
-		pool = view.Directory[route.Service][service.Fallback]
+		pool = rest
 	}
 	if request.Idempotency != "" && made.Class == setup.Once {
 		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency)
@@ -141,6 +149,16 @@
 	return made, nil
 }
 
+// reached tells whether any worker of a pool stands at a proxy that answers.
+func reached(pool []Candidate, facts Facts, now time.Duration) bool {
+	for _, one := range pool {
+		if !facts.Unreached(one, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // ContextOf builds the context of a request: the user as the route says, and the caller.
 func ContextOf(route *setup.Route, request *Request, area string) flag.Context {
 	context := flag.Context{CallerKind: {Key: request.Caller, Attributes: map[string]any{"area": area}}}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -16,11 +16,13 @@
 	inFlight map[string]int
 	ejected  map[string]bool
 	held     bool
+	lost     map[string]bool
 }
 
-func (f facts) InFlight(instance string) int                { return f.inFlight[instance] }
-func (f facts) Ejected(one Candidate, _ time.Duration) bool { return f.ejected[one.Instance] }
-func (f facts) Held(string, string, time.Duration) bool     { return f.held }
+func (f facts) InFlight(instance string) int                  { return f.inFlight[instance] }
+func (f facts) Ejected(one Candidate, _ time.Duration) bool   { return f.ejected[one.Instance] }
+func (f facts) Unreached(one Candidate, _ time.Duration) bool { return f.lost[one.Instance] }
+func (f facts) Held(string, string, time.Duration) bool       { return f.held }
 
 func viewOf(t *testing.T, directory Directory, more string) *View {
 	t.Helper()
@@ -78,9 +80,10 @@
 		"an empty pool":                    {Directory{"shop": {"1": workers("old")}}, "", false, user, "1", ReasonPoolEmpty, "2"},
 		"on trial, and allowed":            {full, trial, false, user, "2", flag.ReasonFallthrough, ""},
 		"on trial, and held":               {full, trial, true, user, "1", ReasonHeld, "2"},
+		"nobody of the pool is reached":    {full, "", false, user, "1", ReasonPoolEmpty, "2"},
 		"held only where a plan tries out": {full, "", true, user, "2", flag.ReasonFallthrough, ""},
 	} {
-		made, err := Make(viewOf(t, one.directory, one.more), asking("GET", "/shop/x", one.headers), options, facts{held: one.held}, 0, rand.New(rand.NewPCG(1, 1)).Float64)
+		made, err := Make(viewOf(t, one.directory, one.more), asking("GET", "/shop/x", one.headers), options, facts{held: one.held, lost: map[string]bool{"new": name == "nobody of the pool is reached"}}, 0, rand.New(rand.NewPCG(1, 1)).Float64)
 		if err != nil {
 			t.Fatal(name, err)
 		}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -32,6 +32,7 @@
 	state    setup.State
 	setup    *setup.Setup
 	sources  map[string]known
+	swept    map[string]*schema.Stamp // of sources dropped as silent: only newer news brings one back
 	since    map[string]time.Duration
 	replaced []replacement
 	view     *plan.View
@@ -48,7 +49,7 @@
 
 func emptyPicture() picture {
 	compiled, _ := setup.Compile(setup.State{}, 0)
-	return picture{state: setup.State{}, setup: compiled, sources: map[string]known{}, since: map[string]time.Duration{},
+	return picture{state: setup.State{}, setup: compiled, sources: map[string]known{}, swept: map[string]*schema.Stamp{}, since: map[string]time.Duration{},
 		view: &plan.View{Setup: compiled, Directory: plan.Directory{}}}
 }
 
@@ -66,6 +67,10 @@
 	}
 	if len(event.Sources) > 0 || event.Sweep > 0 {
 		after.sources = make(map[string]known, len(before.sources)+1)
+		after.swept = make(map[string]*schema.Stamp, len(before.swept))
+		for name, stamp := range before.swept {
+			after.swept[name] = stamp
+		}
 		fresh := 0
 		for _, held := range before.sources {
 			if event.At-held.at <= event.Sweep {
@@ -77,12 +82,15 @@
 		for name, held := range before.sources {
 			if !sweeps || event.At-held.at <= event.Sweep {
 				after.sources[name] = held
+			} else {
+				after.swept[name] = held.source.Stamp
 			}
 		}
 		for _, source := range event.Sources {
 			held, found := after.sources[source.Name]
-			if !found || newer(source.Stamp, held.source.Stamp) {
+			if (!found && newer(source.Stamp, after.swept[source.Name])) || (found && newer(source.Stamp, held.source.Stamp)) {
 				after.sources[source.Name] = known{source, event.At}
+				delete(after.swept, source.Name)
 			}
 		}
 		after.since = map[string]time.Duration{}
@@ -128,5 +136,9 @@
 	for name, held := range p.sources {
 		vector[name] = held.source.Stamp
 	}
+	// A registry keeps silent sources longer; it need not send them again.
+	for name, stamp := range p.swept {
+		vector[name] = stamp
+	}
 	return vector
 }
--- a/internal/proxy/view_test.go
+++ b/internal/proxy/view_test.go
@@ -66,3 +66,21 @@
 		}
 	}
 }
+
+// A source that was dropped comes back with newer news only: a registry that still holds the
+// old would else bring it back again and again.
+func TestSweptStaysSwept(t *testing.T) {
+	all := []*schema.Source{source("p", 2, "w"), source("q", 1, "v"), source("r", 1, "u")}
+	held := fold(emptyPicture(), Event{Sources: all})
+	held = fold(held, Event{At: 10 * time.Second, Sources: []*schema.Source{source("q", 2, "v"), source("r", 2, "u")}})
+	held = fold(held, Event{At: 10 * time.Second, Sweep: time.Second})
+	if stamp := held.vector()["p"]; len(held.sources) != 2 || stamp.GetCounter() != 2 {
+		t.Fatalf("%d sources, and %v of the one swept", len(held.sources), stamp)
+	}
+	if again := fold(held, Event{At: 10 * time.Second, Sources: all[:1]}); len(again.sources) != 2 {
+		t.Error("old news brought it back")
+	}
+	if back := fold(held, Event{At: 10 * time.Second, Sources: []*schema.Source{source("p", 3, "w")}}); len(back.sources) != 3 {
+		t.Error("newer news did not bring it back")
+	}
+}
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -437,6 +437,8 @@
 func (noFacts) InFlight(string) int                        { return 0 }
 func (noFacts) Ejected(plan.Candidate, time.Duration) bool { return false }
 
+func (noFacts) Unreached(plan.Candidate, time.Duration) bool { return false }
+
 func (noFacts) Held(string, string, time.Duration) bool { return false }
 
 func (s *Server) pageExplain(call *fasthttp.RequestCtx) {
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -25,6 +25,7 @@
 	"standard": {acts: standard},
 	"harsh":    {relayEdges: true, acts: harsh},
 	"rolling":  {acts: rolling},
+	"herd":     {acts: herd},
 	"release":  {releases: true, acts: releasing},
 	"brake":    {releases: true, acts: braking},
 	"split":    {releases: true, acts: brakingSplit},
@@ -198,18 +199,8 @@
 		change := NewOperator("grower", c.fleet, c.ledger, c.now).Change(0, text.String(), "")
 		return change.Ruling
 	}},
-	{0.88, "a third of the proxies killed at once", func(c *cast) string {
-		for i := 0; i < len(c.fleet.Proxies); i += 3 {
-			c.fleet.Proxies[i].Kill()
-		}
-		return fmt.Sprint((len(c.fleet.Proxies) + 2) / 3)
-	}},
-	{0.92, "proxies back", func(c *cast) string {
-		for i := 0; i < len(c.fleet.Proxies); i += 3 {
-			_ = c.fleet.Proxies[i].Start()
-		}
-		return ""
-	}},
+	{0.88, "a third of the proxies killed at once", (*cast).killThird},
+	{0.92, "proxies back", (*cast).startThird},
 	{0.95, "core cut off from the proxies", (*cast).cutCore},
 	{0.97, "mended", (*cast).mend},
 }
@@ -361,3 +352,27 @@
 	}
 	return "all proxies"
 }
+
+// herd kills proxies singly and in herds.
+var herd = []act{
+	{0.10, "proxy killed", func(c *cast) string { c.middle().Kill(); return c.middle().Name }},
+	{0.25, "proxy back", func(c *cast) string { _ = c.middle().Start(); return c.middle().Name }},
+	{0.45, "a third of the proxies killed at once", (*cast).killThird},
+	{0.70, "proxies back", (*cast).startThird},
+}
+
+func (c *cast) killThird() string {
+	var names []string
+	for i := 0; i < len(c.fleet.Proxies); i += 3 {
+		c.fleet.Proxies[i].Kill()
+		names = append(names, c.fleet.Proxies[i].Name)
+	}
+	return strings.Join(names, " ")
+}
+
+func (c *cast) startThird() string {
+	for i := 0; i < len(c.fleet.Proxies); i += 3 {
+		_ = c.fleet.Proxies[i].Start()
+	}
+	return "all"
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -36,15 +36,17 @@
 
 // Report is what a rehearsal found, for machines.
 type Report struct {
-	Deployment string         `json:"deployment"`
-	Seed       uint64         `json:"seed"`
-	Seconds    float64        `json:"seconds"`
-	Findings   []Finding      `json:"findings"`
-	Phases     []Phase        `json:"phases"`
-	Faults     []FaultEntry   `json:"faults"`
-	Outcomes   map[string]int `json:"outcomes"`
-	Defects    map[string]int `json:"defects"`
-	Rate       float64        `json:"callsPerSecond"`
+	Deployment string    `json:"deployment"`
+	Seed       uint64    `json:"seed"`
+	Seconds    float64   `json:"seconds"`
+	Findings   []Finding `json:"findings"`
+	Phases     []Phase   `json:"phases"`
+	// Refused is a sample of the calls that were not answered, a few for each phase and defect.
+	Refused  []CallEntry    `json:"refused"`
+	Faults   []FaultEntry   `json:"faults"`
+	Outcomes map[string]int `json:"outcomes"`
+	Defects  map[string]int `json:"defects"`
+	Rate     float64        `json:"callsPerSecond"`
 	// LatencyMS is by the way a call took: past the mesh, through one proxy, through two.
 	LatencyMS map[string]map[string]float64 `json:"latencyMs"`
 	AckMS     map[string]float64            `json:"ackMs"`
@@ -69,6 +71,9 @@
 	BackAfter float64 `json:"backAfterSeconds"`
 }
 
+// samplesMost is how many unanswered calls of each kind a report shows.
+const samplesMost = 8
+
 // phases sorts the calls by the fault before them.
 func phases(ledger *Ledger) []Phase {
 	faults := append([]FaultEntry{{What: "before any fault"}}, ledger.Faults...)
@@ -344,8 +349,14 @@
 	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
 		Phases: phases(c.ledger), Faults: c.ledger.Faults, Shares: c.ledger.Shares, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
 	var one, two, acks []float64
+	sampled := map[string]int{}
 	for _, call := range c.ledger.Calls {
 		report.Outcomes[call.Outcome]++
+		at := sort.Search(len(c.ledger.Faults), func(i int) bool { return c.ledger.Faults[i].At > call.Sent })
+		if key := fmt.Sprint(at, call.Outcome, call.Defect); call.Outcome != "answered" && sampled[key] < samplesMost {
+			sampled[key]++
+			report.Refused = append(report.Refused, call)
+		}
 		if call.Defect != "" {
 			report.Defects[call.Defect]++
 		}
