--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -26,8 +26,12 @@
 	most  int
 	keys  map[string]*remembered
 	order []string
+	bytes int // of the answers kept
 }
 
+// bytesPerKey is what an answer may take on average: larger ones push out older ones sooner.
+const bytesPerKey = 1024
+
 // NewMemory makes a memory of at most so many keys.
 func NewMemory(most int) *Memory {
 	return &Memory{most: most, keys: map[string]*remembered{}}
@@ -87,11 +91,14 @@
 	m.lock.Lock()
 	mine.result, mine.instance = result, instance
 	close(mine.done)
+	m.bytes += len(result.Body)
+	m.room()
 	m.lock.Unlock()
 	return result
 }
 
 func (m *Memory) forget(key string) {
+	m.bytes -= len(m.keys[key].result.GetBody())
 	delete(m.keys, key)
 	for i, listed := range m.order {
 		if listed == key {
@@ -101,13 +108,13 @@
 	}
 }
 
-// room lets the oldest settled keys go until one more fits; false if all are in flight.
+// room lets the oldest settled keys go until the answers fit and one more key does; false if
+// all are in flight.
 func (m *Memory) room() bool {
-	for i := 0; len(m.order) >= m.most && i < len(m.order); {
+	for i := 0; i < len(m.order) && (len(m.order) >= m.most || m.bytes > m.most*bytesPerKey); {
 		select {
 		case <-m.keys[m.order[i]].done:
-			delete(m.keys, m.order[i])
-			m.order = append(m.order[:i], m.order[i+1:]...)
+			m.forget(m.order[i])
 		default:
 			i++
 		}
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -233,3 +233,27 @@
 		}
 	}
 }
+
+// Large answers push older ones out, so that keys never take more memory than settings allow.
+func TestMemoryIsBoundedInBytes(t *testing.T) {
+	memory := NewMemory(100)
+	large := make([]byte, 10*bytesPerKey)
+	for i := range 50 {
+		memory.Do(context.Background(), fmt.Sprint(i), nil, func(string) (*schema.Carried, string) {
+			return &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Body: large}, "w"
+		})
+	}
+	if memory.bytes > 100*bytesPerKey || len(memory.order) != 10 || len(memory.keys) != 10 {
+		t.Errorf("%d bytes in %d keys", memory.bytes, len(memory.keys))
+	}
+	runs := 0
+	for _, key := range []string{"0", "49"} {
+		memory.Do(context.Background(), key, nil, func(string) (*schema.Carried, string) {
+			runs++
+			return &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED}, "w"
+		})
+	}
+	if runs != 1 {
+		t.Errorf("%d of an old and a new key ran again", runs)
+	}
+}
