--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -76,22 +76,22 @@
 	return 0, nil, defect.New(defect.NoMajority, "no answer from "+strings.Join(silent, ", "))
 }
 
-// failure carries an exit code out of a command.
-type failure struct {
+// coded carries an exit code out of a command.
+type coded struct {
 	code int
 	err  error
 }
 
-func (f *failure) Error() string { return f.err.Error() }
+func (f *coded) Error() string { return f.err.Error() }
 
 // get asks for a page and decodes it, or prints it as it came.
 func (c *client) get(path string, into any) (done bool, err error) {
 	status, text, err := c.ask(http.MethodGet, path, nil)
 	if err != nil {
-		return false, &failure{exitUnreachable, err}
+		return false, &coded{exitUnreachable, err}
 	}
 	if status != http.StatusOK {
-		return false, &failure{exitRefused, defect.New(defect.NoMajority, string(text))}
+		return false, &coded{exitRefused, defect.New(defect.NoMajority, string(text))}
 	}
 	if c.asJSON {
 		fmt.Fprintln(c.out, string(text))
@@ -106,7 +106,7 @@
 		text, err = io.ReadAll(os.Stdin)
 	}
 	if err != nil {
-		return &failure{exitUsage, defect.Wrap(err, defect.BadOptions, "setup")}
+		return &coded{exitUsage, defect.Wrap(err, defect.BadOptions, "setup")}
 	}
 	return c.send(id, text)
 }
@@ -137,7 +137,7 @@
 		}
 	}
 	if plan.Service == "" || plan.Version == "" {
-		return &failure{exitUsage, defect.New(defect.BadOptions, "release: a new plan needs -service and -version")}
+		return &coded{exitUsage, defect.New(defect.BadOptions, "release: a new plan needs -service and -version")}
 	}
 	return c.send("", []byte(fmt.Sprintf("release: %q: {service: %q, version: %q, target: %v, over: %q, pace: %q}\n", name, plan.Service, plan.Version, plan.Target, plan.Over, plan.Pace)))
 }
@@ -163,7 +163,7 @@
 		for _, fault := range faults {
 			fmt.Fprintf(os.Stderr, "%s: %s\n", fault.Path, fault.Reason)
 		}
-		return &failure{exitRefused, defect.New(defect.BadSetup, "nothing of it was sent")}
+		return &coded{exitRefused, defect.New(defect.BadSetup, "nothing of it was sent")}
 	}
 	for _, item := range items {
 		for _, held := range shown.Items {
@@ -174,7 +174,7 @@
 	}
 	status, body, err := c.ask(http.MethodPost, "/v1/changes", submission)
 	if err != nil {
-		return &failure{exitUnreachable, defect.Wrap(err, defect.NoMajority, "ask again with: operator outcome "+submission.ID)}
+		return &coded{exitUnreachable, defect.Wrap(err, defect.NoMajority, "ask again with: operator outcome "+submission.ID)}
 	}
 	if c.asJSON {
 		fmt.Fprintln(c.out, string(body))
@@ -186,7 +186,7 @@
 func (c *client) tell(status int, body []byte) error {
 	var answer registry.Answer
 	if err := json.Unmarshal(body, &answer); err != nil {
-		return &failure{exitUnreachable, defect.Wrap(err, defect.Malformed, string(body))}
+		return &coded{exitUnreachable, defect.Wrap(err, defect.Malformed, string(body))}
 	}
 	if !c.asJSON {
 		fmt.Fprintf(c.out, "change %s: %s", answer.ID, answer.Ruling)
@@ -211,9 +211,9 @@
 	case answer.Ruling == "accepted" && answer.Acknowledged:
 		return nil
 	case answer.Ruling == "accepted" || status == http.StatusServiceUnavailable:
-		return &failure{exitUnreachable, defect.New(defect.NoMajority, "not settled; ask again with: operator outcome "+answer.ID)}
+		return &coded{exitUnreachable, defect.New(defect.NoMajority, "not settled; ask again with: operator outcome "+answer.ID)}
 	}
-	return &failure{exitRefused, defect.New(answer.Defect, answer.ID)}
+	return &coded{exitRefused, defect.New(answer.Defect, answer.ID)}
 }
 
 func (c *client) table(head string, rows [][]any) {
@@ -246,7 +246,7 @@
 		return &ffcli.Command{Name: name, ShortUsage: "operator [flags] " + usage, ShortHelp: help, FlagSet: set,
 			Exec: func(_ context.Context, args []string) error {
 				if len(args) != words {
-					return &failure{exitUsage, defect.New(defect.BadOptions, "usage: operator [flags] "+usage)}
+					return &coded{exitUsage, defect.New(defect.BadOptions, "usage: operator [flags] "+usage)}
 				}
 				return exec(args)
 			}}
@@ -295,10 +295,10 @@
 		command("outcome", "outcome ID", "tell what became of a change", nil, 1, func(args []string) error {
 			status, body, err := c.ask(http.MethodGet, "/v1/changes/"+args[0], nil)
 			if err != nil {
-				return &failure{exitUnreachable, err}
+				return &coded{exitUnreachable, err}
 			}
 			if status != http.StatusOK {
-				return &failure{exitRefused, defect.New(defect.UnknownChange, string(body))}
+				return &coded{exitRefused, defect.New(defect.UnknownChange, string(body))}
 			}
 			return c.tell(status, body)
 		}),
@@ -363,10 +363,10 @@
 		command("explain", "explain [flags] PATH", "tell which version a request would get, and why", explainSet, 1, func(args []string) error {
 			status, body, err := c.ask(http.MethodPost, "/v1/explain", registry.Question{Caller: *caller, Method: *method, Path: args[0], Area: *area, Headers: options.Pairs(*headers)})
 			if err != nil {
-				return &failure{exitUnreachable, err}
+				return &coded{exitUnreachable, err}
 			}
 			if status != http.StatusOK {
-				return &failure{exitRefused, defect.New(defect.NoRoute, string(body))}
+				return &coded{exitRefused, defect.New(defect.NoRoute, string(body))}
 			}
 			var indented bytes.Buffer
 			_ = json.Indent(&indented, body, "", "  ")
@@ -380,7 +380,7 @@
 				fmt.Fprintln(c.out, "operator", options.Version)
 				return nil
 			}
-			return &failure{exitUsage, defect.New(defect.BadOptions, "no such command; see operator -help")}
+			return &coded{exitUsage, defect.New(defect.BadOptions, "no such command; see operator -help")}
 		}}
 	os.Exit(exit(top.ParseAndRun(context.Background(), os.Args[1:])))
 }
@@ -390,8 +390,8 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "operator:", err)
-	if coded, ok := err.(*failure); ok {
-		return coded.code
+	if ended, ok := err.(*coded); ok {
+		return ended.code
 	}
 	return exitUsage
 }
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -53,7 +53,7 @@
 	Members    func() int
 	Now        func() time.Duration
 	Dice       plan.Dice
-	Send       Sender
+	SendOn     Sender
 	Soundness  *Soundness
 	Trials     *Trials
 	Tally      *Tally
@@ -194,7 +194,7 @@
 				return last, ""
 			}
 			ended.Tries++
-			carried := c.send(ctx, call, ended, candidate, left)
+			carried := c.sendOn(ctx, call, ended, candidate, left)
 			switch carried.Ending {
 			case schema.Ending_ENDING_ANSWERED:
 				return carried, candidate.Instance
@@ -267,7 +267,7 @@
 	return service.Fallback
 }
 
-func (c *Carrier) send(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
+func (c *Carrier) sendOn(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
 	carry := &schema.Carry{Request: fmt.Sprintf("%s-%d", ended.ID, ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
 		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
@@ -289,7 +289,7 @@
 			c.Trials.End(tried, c.Now(), ending == schema.Ending_ENDING_UNKNOWN || status >= 500)
 		}()
 	}
-	carried, err := c.Send(bounded, candidate, carry)
+	carried, err := c.SendOn(bounded, candidate, carry)
 	if err != nil {
 		c.Soundness.Lost(candidate.Proxy, c.Now())
 	} else {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -64,7 +64,7 @@
 	tally   *dispatch.Tally
 	calls   *ants.Pool
 	hops    *ants.Pool
-	health  *dispatch.Soundness
+	facts   *dispatch.Soundness
 	trials  *dispatch.Trials
 
 	lock     sync.Mutex
@@ -109,7 +109,7 @@
 	s.fleet = session.NewFleet(given.MembersMost, s.lease)
 	s.journal = journal.New(emptyPicture(), eventsKept, fold)
 	s.tally = dispatch.NewTally(tallyLines)
-	s.health = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
+	s.facts = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
 	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
 		return defect.Wrap(err, defect.Internal, "pool")
 	}
@@ -221,16 +221,16 @@
 	s.trials = dispatch.NewTrials(time.Duration(given.Trial), given.TrialFailures, func() int { return int(s.members.Load()) })
 	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.incarnation,
 		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
-		View:    s.view, Leased: s.isLeased, Now: s.now, Dice: rand.Float64, Soundness: s.health, Trials: s.trials, Tally: s.tally,
+		View:    s.view, Leased: s.isLeased, Now: s.now, Dice: rand.Float64, Soundness: s.facts, Trials: s.trials, Tally: s.tally,
 		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor),
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held picture) bool { return ready(held.view) })
 		},
-		AwaitLease: s.awaitLease, Send: s.send, Lagging: s.lagging}).Start(int(given.Remembered))
+		AwaitLease: s.awaitLease, SendOn: s.sendOn, Lagging: s.lagging}).Start(int(given.Remembered))
 }
 
-// send hands a dispatch to the proxy beside the worker, or to this one's own other side.
-func (s *Server) send(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error) {
+// sendOn hands a dispatch to the proxy beside the worker, or to this one's own other side.
+func (s *Server) sendOn(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error) {
 	if candidate.Proxy == s.options.Name {
 		return s.runner.Run(ctx, s.speaks, carry), nil
 	}
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -299,7 +299,7 @@
 		for instance := range view.since {
 			listed[instance] = true
 		}
-		s.health.Keep(listed)
+		s.facts.Keep(listed)
 	}
 	address, at := s.feedAddress()
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -288,8 +288,8 @@
 		s.learnCore(pull.Core)
 		s.lock.Unlock()
 	}
-	deadline := time.NewTimer(min(time.Duration(pull.WaitNanos), s.lease))
-	defer deadline.Stop()
+	horizon := time.NewTimer(min(time.Duration(pull.WaitNanos), s.lease))
+	defer horizon.Stop()
 	for {
 		s.lock.Lock()
 		pulled := &schema.Pulled{Sources: s.table.Feed(s.now(), pull.Vector), Setup: s.table.stable, Cores: s.coreList()}
@@ -308,7 +308,7 @@
 		}
 		select {
 		case <-moved:
-		case <-deadline.C:
+		case <-horizon.C:
 			return pulled, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -54,15 +54,15 @@
 	run   func()
 }
 
-type eventQueue []event
+type eventBuffer []event
 
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
+func (q eventBuffer) Len() int { return len(q) }
+func (q eventBuffer) Less(i, j int) bool {
 	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
 }
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
+func (q eventBuffer) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventBuffer) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventBuffer) Pop() any {
 	old := *q
 	last := old[len(old)-1]
 	*q = old[:len(old)-1]
@@ -75,7 +75,7 @@
 	plant   Plant
 	now     time.Duration
 	order   uint64
-	queue   eventQueue
+	buffer  eventBuffer
 	cuts    map[[2]string]bool
 	loss    float64
 	slow    time.Duration // added to every delivery at most
@@ -172,24 +172,24 @@
 
 func (w *World) after(delay time.Duration, run func()) {
 	w.order++
-	heap.Push(&w.queue, event{w.now + delay, w.order, run})
+	heap.Push(&w.buffer, event{w.now + delay, w.order, run})
 }
 
 // on runs something on a machine, in this life only; a frozen machine does it when it thaws.
 func (w *World) on(m *machine, delay time.Duration, run func()) {
 	life := m.life
-	var attempt func()
-	attempt = func() {
+	var turn func()
+	turn = func() {
 		if !m.up || m.life != life {
 			return
 		}
 		if m.thawAt > w.now {
-			w.after(m.thawAt-w.now, attempt)
+			w.after(m.thawAt-w.now, turn)
 			return
 		}
 		run()
 	}
-	w.after(delay, attempt)
+	w.after(delay, turn)
 }
 
 func (w *World) every(m *machine, pause time.Duration, run func()) {
@@ -230,8 +230,8 @@
 
 // Run lets the world go on until a time.
 func (w *World) Run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		next := heap.Pop(&w.queue).(event)
+	for len(w.buffer) > 0 && w.buffer[0].at <= until {
+		next := heap.Pop(&w.buffer).(event)
 		w.now = next.at
 		w.History.Print = (w.History.Print ^ uint64(next.at) ^ next.order) * 1099511628211
 		next.run()
--- a/internal/store/admit_test.go
+++ b/internal/store/accept_test.go
@@ -35,7 +35,7 @@
 		"a duty under a passed epoch":      {&schema.Change{Items: []*schema.Item{item("progress", "r", `{"duty":4}`)}, Expected: []*schema.Expected{expect("progress", "r", 2)}}, schema.Ruling_RULING_STALE},
 		"a duty under its own epoch":       {&schema.Change{Items: []*schema.Item{item("progress", "r", `{"duty":5}`)}, Expected: []*schema.Expected{expect("progress", "r", 2)}}, schema.Ruling_RULING_ACCEPTED},
 	} {
-		entry, _ := Admit(state, nil, one.change, at(10))
+		entry, _ := Accept(state, nil, one.change, at(10))
 		if entry.Outcome.Ruling != one.want {
 			t.Errorf("%s: %v, want %v (%v)", name, entry.Outcome.Ruling, one.want, entry.Outcome.Faults)
 		}
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -38,7 +38,7 @@
 	outboxes map[string]chan *schema.SeatLetter
 	writes   []Persist     // waiting to be synced; bounded by what the seat admits
 	wake     chan struct{} // tells the writer that there is something to do
-	failure  chan error
+	broken   chan error
 }
 
 // Run serves a store until ctx ends.
@@ -89,7 +89,7 @@
 	}
 	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
 		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{},
-		wake: make(chan struct{}, 1), failure: make(chan error, 1)}
+		wake: make(chan struct{}, 1), broken: make(chan error, 1)}
 	s.seat = NewSeat(Options{Name: given.Seat, Order: order, Address: address, Silence: time.Duration(given.Silence),
 		Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost), OutcomesMost: int(given.OutcomesMost),
 		BufferMost: int(given.Buffer)}, incarnation, records)
@@ -131,7 +131,7 @@
 			return nil
 		case err := <-served:
 			return err
-		case err := <-s.failure:
+		case err := <-s.broken:
 			return err
 		case <-ticker.C:
 			s.step(func(now time.Duration) []Action { return s.seat.Tick(now) })
@@ -209,7 +209,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	trace := &schema.SeatTrace{Seat: s.options.Seat, Holder: s.seat.Status().Holder}
-	trace.Outcome, trace.Known = s.seat.Admitted(ask.ChangeId)
+	trace.Outcome, trace.Known = s.seat.Accepted(ask.ChangeId)
 	if trace.Known {
 		if times := s.times[trace.Outcome.Version.Sequence]; times != nil {
 			trace.Taken, trace.Synced, trace.Stable = times[0], times[1], times[2]
@@ -246,7 +246,7 @@
 			}
 			if err := disk.Write(records, one.Whole); err != nil {
 				s.step(func(now time.Duration) []Action { return s.seat.DiskFailed(now) })
-				s.failure <- err
+				s.broken <- err
 				return
 			}
 			records = nil
@@ -372,8 +372,8 @@
 
 // Follow waits for stable state beyond a sequence and gives what is new.
 func (s *Server) Follow(ctx context.Context, ask *schema.StableAsk) (*schema.StableBack, error) {
-	deadline := time.NewTimer(time.Duration(ask.WaitNanos))
-	defer deadline.Stop()
+	horizon := time.NewTimer(time.Duration(ask.WaitNanos))
+	defer horizon.Stop()
 	for {
 		s.lock.Lock()
 		stable, state := s.seat.Stable()
@@ -384,7 +384,7 @@
 		}
 		select {
 		case <-moved:
-		case <-deadline.C:
+		case <-horizon.C:
 			return &schema.StableBack{Stable: stable}, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -88,8 +88,8 @@
 	to     string // seat to answer, empty for this process
 }
 
-// forwarded is a ticket of this machine's registry that waits for the holder's answer.
-type forwarded struct {
+// sentOn is a ticket of this machine's registry that waits for the holder's answer.
+type sentOn struct {
 	holder  string
 	at      time.Duration
 	barrier bool
@@ -137,7 +137,7 @@
 	readRound uint64
 	waiters   map[string][]waiter // by change id, at the holder
 	barriers  []barrier
-	forwarded map[string]forwarded
+	sentOn    map[string]sentOn
 	failed    bool // the disk refused a write: this seat must never act again
 
 	actions []Action
@@ -147,7 +147,7 @@
 // NewSeat makes a seat from what its disk held; records nil and a new incarnation make an empty one.
 func NewSeat(options Options, incarnation uint64, records []*schema.Record) *Seat {
 	s := &Seat{options: options, incarnation: incarnation, state: setup.State{}, base: setup.State{}, stableState: setup.State{},
-		outcomes: map[string]*schema.Outcome{}, peers: map[string]*peer{}, waiters: map[string][]waiter{}, forwarded: map[string]forwarded{}}
+		outcomes: map[string]*schema.Outcome{}, peers: map[string]*peer{}, waiters: map[string][]waiter{}, sentOn: map[string]sentOn{}}
 	for _, name := range options.Order {
 		if name != options.Name {
 			s.peers[name] = &peer{}
@@ -287,8 +287,8 @@
 	return outcome, true
 }
 
-// Admitted tells what was decided of a change, whether or not that is stable yet.
-func (s *Seat) Admitted(changeID string) (*schema.Outcome, bool) {
+// Accepted tells what was decided of a change, whether or not that is stable yet.
+func (s *Seat) Accepted(changeID string) (*schema.Outcome, bool) {
 	outcome, found := s.outcomes[changeID]
 	return outcome, found
 }
@@ -458,7 +458,7 @@
 			s.campaign()
 		}
 	}
-	s.endForwarded()
+	s.endSentOn()
 	if !s.pinged || s.now-s.lastPing >= s.options.Silence/pingsPerSilence {
 		s.pinged, s.lastPing = true, s.now
 		for _, name := range s.others {
@@ -483,16 +483,16 @@
 	s.send(to, &schema.SeatLetter{Body: &schema.SeatLetter_Ping{Ping: ping}})
 }
 
-// endForwarded gives up tickets whose holder is no longer the holder, or stays silent: the
+// endSentOn gives up tickets whose holder is no longer the holder, or stays silent: the
 // registry asks again under the same change id, which is safe.
-func (s *Seat) endForwarded() {
+func (s *Seat) endSentOn() {
 	holder := s.holder()
-	for _, ticket := range slices.Sorted(maps.Keys(s.forwarded)) {
-		waiting := s.forwarded[ticket]
+	for _, ticket := range slices.Sorted(maps.Keys(s.sentOn)) {
+		waiting := s.sentOn[ticket]
 		if waiting.holder == holder && s.now-waiting.at <= s.options.Silence {
 			continue
 		}
-		delete(s.forwarded, ticket)
+		delete(s.sentOn, ticket)
 		if waiting.barrier {
 			s.actions = append(s.actions, ReplyBarrier{&schema.BarrierBack{Ticket: ticket, Undecided: true}})
 		} else {
@@ -660,12 +660,12 @@
 	case *schema.SeatLetter_Submit:
 		s.offer(body.Submit, waiter{ticket: body.Submit.Ticket, to: letter.From})
 	case *schema.SeatLetter_Submitted:
-		delete(s.forwarded, body.Submitted.Ticket)
+		delete(s.sentOn, body.Submitted.Ticket)
 		s.actions = append(s.actions, Reply{body.Submitted})
 	case *schema.SeatLetter_Barrier:
 		s.stand(waiter{ticket: body.Barrier.Ticket, to: letter.From})
 	case *schema.SeatLetter_BarrierBack:
-		delete(s.forwarded, body.BarrierBack.Ticket)
+		delete(s.sentOn, body.BarrierBack.Ticket)
 		s.actions = append(s.actions, ReplyBarrier{body.BarrierBack})
 	case *schema.SeatLetter_Confirm:
 		refused := body.Confirm.Epoch != s.promised || !s.counted
@@ -940,7 +940,7 @@
 	case "":
 		s.actions = append(s.actions, Reply{&schema.Submitted{Ticket: submit.Ticket, Undecided: true}})
 	default:
-		s.forwarded[submit.Ticket] = forwarded{holder: holder, at: now}
+		s.sentOn[submit.Ticket] = sentOn{holder: holder, at: now}
 		s.send(holder, &schema.SeatLetter{Body: &schema.SeatLetter_Submit{Submit: submit}})
 	}
 	return s.actions
@@ -956,7 +956,7 @@
 	case "":
 		s.actions = append(s.actions, ReplyBarrier{&schema.BarrierBack{Ticket: ticket, Undecided: true}})
 	default:
-		s.forwarded[ticket] = forwarded{holder: holder, at: now, barrier: true}
+		s.sentOn[ticket] = sentOn{holder: holder, at: now, barrier: true}
 		s.send(holder, &schema.SeatLetter{Body: &schema.SeatLetter_Barrier{Barrier: &schema.Barrier{Ticket: ticket}}})
 	}
 	return s.actions
@@ -991,11 +991,11 @@
 		return
 	}
 	s.waiters[submit.Change.Id] = append(s.waiters[submit.Change.Id], from)
-	if _, admitted := s.outcomes[submit.Change.Id]; admitted {
+	if _, accepted := s.outcomes[submit.Change.Id]; accepted {
 		return
 	}
 	var entry *schema.Entry
-	entry, s.compiled = Admit(s.state, s.compiled, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
+	entry, s.compiled = Accept(s.state, s.compiled, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
 	s.append(entry)
 	s.persist(&schema.Record{Entries: []*schema.Entry{entry}}, afterSync{})
 	for _, name := range s.others {
@@ -1056,9 +1056,9 @@
 	s.barriers = left
 }
 
-// Admit decides a change against a state: taken whole, or refused whole with every reason.
+// Accept decides a change against a state: taken whole, or refused whole with every reason.
 // It compiles after an earlier setup, nil for none, and gives the one that it made of a change it took.
-func Admit(state setup.State, before *setup.Setup, change *schema.Change, version *schema.Version) (*schema.Entry, *setup.Setup) {
+func Accept(state setup.State, before *setup.Setup, change *schema.Change, version *schema.Version) (*schema.Entry, *setup.Setup) {
 	entry := &schema.Entry{Version: version, ChangeId: change.Id, Outcome: &schema.Outcome{ChangeId: change.Id, Version: version}}
 	expected := map[string]uint64{}
 	for _, one := range change.Expected {
