Drop silent proxies only when four fifths of the others are heard

A registry alone tells its proxies only of each other; where those were more than half, the rest were taken for dead and their workers dropped, though all were alive.

--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -44,6 +44,9 @@
 	at       time.Duration
 }
 
+// sweepRatio is the part of the sources that must be heard for the silent rest to be dropped.
+const sweepRatio = 0.8
+
 // replacedKept bounds the memory of replacements.
 const replacedKept = 64
 
@@ -77,8 +80,9 @@
 				fresh++
 			}
 		}
-		// When most are silent it is the feed that failed, not they: then all are kept.
-		sweeps := event.Sweep > 0 && 2*fresh > len(before.sources)
+		// When many are silent at once it is the feed that failed, as in a split core, not they:
+		// then all are kept, and those that are dead are found out by calling them.
+		sweeps := event.Sweep > 0 && float64(fresh) > sweepRatio*float64(len(before.sources))
 		for name, held := range before.sources {
 			if !sweeps || event.At-held.at <= event.Sweep {
 				after.sources[name] = held
