Do not try again what its own proxy disowned

An instance is never used again, so one refusal is enough; where a whole pool is disowned the fallback serves.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -304,6 +304,10 @@
 	case carried.Request != carry.Request || uint64(len(carried.Body)) != carried.Length || crc32.ChecksumIEEE(carried.Body) != carried.Checksum:
 		carried = unknown(defect.BadAnswer)
 	}
+	// The directory is behind: what it still lists is no more, and need not be tried again.
+	if refusal := defect.Kind(carried.Defect); carried.Ending == schema.Ending_ENDING_NOT_RUN && (refusal == defect.WrongInstance || refusal == defect.Leaving) {
+		c.Soundness.Disown(candidate.Instance)
+	}
 	ending, status = carried.Ending, carried.Status
 	failed := carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500
 	c.Soundness.End(candidate.Instance, c.Now(), failed)
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -14,6 +14,7 @@
 	inFlight atomic.Int64
 	failures atomic.Int64 // in a row
 	until    atomic.Int64 // ejected until
+	disowned atomic.Bool  // its proxy knows it no more, or it is leaving: it never comes back
 }
 
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
@@ -51,12 +52,19 @@
 	return found && int64(now) < facts.until.Load()
 }
 
-// Unreached tells whether a worker's proxy gave no answer of late.
+// Unreached tells whether a worker's proxy gave no answer of late, or disowned the worker.
 func (s *Soundness) Unreached(worker plan.Candidate, now time.Duration) bool {
-	until, lost := s.lost.Load(worker.Proxy)
-	return lost && now < until
+	if until, lost := s.lost.Load(worker.Proxy); lost && now < until {
+		return true
+	}
+	facts, found := s.facts.Load(worker.Instance)
+	return found && facts.disowned.Load()
 }
 
+// Disown notes that a worker's own proxy refused for it. An instance is never used again, so
+// this holds until the directory drops it.
+func (s *Soundness) Disown(instance string) { s.of(instance).disowned.Store(true) }
+
 // Lost notes that a proxy gave no answer. One miss is enough: unlike a worker's error
 // it says the same of every worker behind it, and each further try would hang as long.
 func (s *Soundness) Lost(proxy string, now time.Duration) { s.lost.Store(proxy, now+s.ejection) }
