Claim a key at a majority of registries before its first dispatch

Cause: an idempotency key was known only to the caller's proxy that had it and to the worker's proxy that ran it. A caller that got unknown because its proxy died and asked through another could run a purchase twice. Ruled out: proxies as key homes (two views of membership give two homes); keys in the store (a sync for each purchase); going to the holder's instance to run there (its proxy may have moved on to another worker). Conclusion: one key, one run within the window, whatever single machine is lost.

--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -34,6 +34,7 @@
 	Repeated       Kind = "REQUEST_REPEATED"
 	KeyReused      Kind = "IDEMPOTENCY_KEY_REUSED"
 	KeyUnsettled   Kind = "IDEMPOTENCY_KEY_UNSETTLED"
+	KeyUnclaimed   Kind = "IDEMPOTENCY_KEY_UNCLAIMED"
 	BadAnswer      Kind = "BAD_ANSWER"
 	LinkLost       Kind = "LINK_LOST"
 	LinkUnopened   Kind = "LINK_UNOPENED"
@@ -71,6 +72,7 @@
 	HorizonPast:    http.StatusGatewayTimeout,
 	KeyReused:      http.StatusUnprocessableEntity,
 	KeyUnsettled:   http.StatusConflict,
+	KeyUnclaimed:   http.StatusServiceUnavailable,
 	Repeated:       http.StatusConflict,
 	BadAnswer:      http.StatusBadGateway,
 	LinkLost:       http.StatusBadGateway,
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"hash/crc32"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +12,7 @@
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/plan"
+	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
 	"meadowhinge/schema"
 )
@@ -31,12 +32,18 @@
 	Plan    *plan.Plan // nil when no plan could be made
 	Tries   int        // dispatches sent
 	Err     error
+
+	claimed *schema.Claim // the claim this call may hold, as it was last asked for
 }
 
 // Sender sends one dispatch to the proxy beside a worker. An error of kind LINK_UNOPENED
 // proves that nothing was sent; any other leaves it unknown.
 type Sender func(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error)
 
+// Claimer takes a claim to the registries. It tells how they ruled, and whose the key is if
+// it is another request's.
+type Claimer func(ctx context.Context, claim *schema.Claim) (session.ClaimVerdict, *schema.Claim)
+
 // Carrier is the caller's side: it makes a plan and carries it out.
 type Carrier struct {
 	Name        string
@@ -59,6 +66,10 @@
 	Tally      *Tally
 	ExtraRatio float64
 	ExtraFloor float64
+	// Claim asks the registries for an idempotency key, or lets one go.
+	Claim Claimer
+	// ClaimPause is how long a refusal may wait for its claim to be let go.
+	ClaimPause time.Duration
 
 	budgets *xsync.Map[string, *Budget]
 	memory  *Memory
@@ -101,8 +112,15 @@
 	defer cancel()
 	run := func(pinned string) (*schema.Carried, string) { return c.carryOut(bounded, call, ended, began, pinned) }
 	if made.Class == setup.Once && call.Request.Idempotency != "" {
-		key := strings.Join([]string{call.Request.Caller, made.Service, made.Route.Name, call.Request.Idempotency}, "\x00")
-		ended.Carried = c.memory.Do(bounded, key, call.Body, run)
+		key := keyOf(call.Request.Caller, made.Service, made.Route.Name, call.Request.Idempotency)
+		ended.Carried = c.memory.Do(bounded, key, printOf(call.Target, call.Body), func(pinned string) (*schema.Carried, string) {
+			carried, instance := run(pinned)
+			// Only proof that nothing ran frees the key; the answer need not wait long for that.
+			if pinned == "" && ended.claimed != nil && carried.Ending == schema.Ending_ENDING_NOT_RUN {
+				c.letGo(ctx, ended.claimed)
+			}
+			return carried, instance
+		})
 	} else {
 		ended.Carried, _ = run("")
 	}
@@ -174,6 +192,12 @@
 			if failed[candidate.Instance] {
 				continue
 			}
+			// A key is claimed for the very worker it goes to, and claimed anew for another.
+			if pinned == "" && ended.Plan.Class == setup.Once && call.Request.Idempotency != "" && ended.claimed.GetInstance() != candidate.Instance {
+				if carried, mine := c.claim(ctx, call, ended, candidate, began); !mine {
+					return carried, elsewhere
+				}
+			}
 			left := ended.Plan.Horizon - (c.Now() - began)
 			view := c.View()
 			switch {
@@ -236,6 +260,61 @@
 	return last, ""
 }
 
+// claim asks for the call's key, to be run at a candidate. If the key is another request's, it
+// gives what that one came to, as far as it can be known.
+func (c *Carrier) claim(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, began time.Duration) (*schema.Carried, bool) {
+	made := ended.Plan
+	key := sha256.Sum256([]byte(keyOf(call.Request.Caller, made.Service, made.Route.Name, call.Request.Idempotency)))
+	moved := ended.claimed != nil
+	ended.claimed = &schema.Claim{Key: key[:], Body: printOf(call.Target, call.Body), Request: ended.ID, Caller: call.Request.Caller, Proxy: c.Name,
+		Incarnation: c.Incarnation, Instance: candidate.Instance, Beside: candidate.Proxy, Address: candidate.Address}
+	verdict, holder := c.Claim(ctx, ended.claimed)
+	refusals := map[session.ClaimVerdict]defect.Kind{session.ClaimReused: defect.KeyReused, session.ClaimFull: defect.BufferFull, session.ClaimLost: defect.KeyUnclaimed}
+	switch {
+	case verdict == session.ClaimWon:
+		return nil, true
+	case verdict != session.ClaimHeld:
+		return notRun(refusals[verdict], 0), false
+	// This request had the key and has lost it: another may have run under it meanwhile.
+	case moved:
+		return unknown(defect.KeyUnsettled), false
+	}
+	c.letGo(ctx, ended.claimed)
+	ended.claimed = nil
+	return c.recall(ctx, call, ended, holder, began), false
+}
+
+// letGo drops a claim. Registries that are not reached keep it until it runs out.
+func (c *Carrier) letGo(ctx context.Context, claim *schema.Claim) {
+	dropped := &schema.Claim{Key: claim.Key, Body: claim.Body, Request: claim.Request, Caller: claim.Caller, Proxy: claim.Proxy, Incarnation: claim.Incarnation, Drop: true}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Claim(context.WithoutCancel(ctx), dropped)
+	}()
+	select {
+	case <-done:
+	case <-time.After(c.ClaimPause):
+	}
+}
+
+// recall asks the proxy that a key went to what came of it.
+func (c *Carrier) recall(ctx context.Context, call *Call, ended *Ended, holder *schema.Claim, began time.Duration) *schema.Carried {
+	left := ended.Plan.Horizon - (c.Now() - began)
+	carry := &schema.Carry{Request: ended.ID + "-0", Caller: call.Request.Caller, Service: ended.Plan.Service, Route: ended.Plan.Route.Name, Method: call.Request.Method,
+		Target: call.Target, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left), Idempotency: call.Request.Idempotency, Recall: true}
+	carried, err := c.SendOn(ctx, plan.Candidate{Instance: holder.Instance, Proxy: holder.Beside, Address: holder.Address}, carry)
+	if err != nil || !intact(carry, carried) || carried.Ending == schema.Ending_ENDING_NOT_RUN {
+		return unknown(defect.KeyUnsettled)
+	}
+	return carried
+}
+
+// intact tells whether an answer is this request's, as it was sent.
+func intact(carry *schema.Carry, carried *schema.Carried) bool {
+	return carried.Request == carry.Request && uint64(len(carried.Body)) == carried.Length && crc32.ChecksumIEEE(carried.Body) == carried.Checksum
+}
+
 // awaitOthers waits a moment for a worker not yet tried.
 func (c *Carrier) awaitOthers(ctx context.Context, ended *Ended, failed map[string]bool, began time.Duration, pinned string) bool {
 	if pinned != "" {
@@ -301,7 +380,7 @@
 	case err != nil:
 		carried = unknown(defect.LinkLost)
 	// An answer that is not this request's, or not whole, is no answer.
-	case carried.Request != carry.Request || uint64(len(carried.Body)) != carried.Length || crc32.ChecksumIEEE(carried.Body) != carried.Checksum:
+	case !intact(carry, carried):
 		carried = unknown(defect.BadAnswer)
 	}
 	// The directory is behind: what it still lists is no more, and need not be tried again.
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -2,13 +2,33 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"hash/crc64"
+	"strings"
 	"sync"
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/schema"
 )
 
+// elsewhere is where a repeat was that found the key to be another proxy's: what it was told
+// holds for that moment only, and the next repeat asks anew.
+const elsewhere = "elsewhere"
+
+// keyOf names an idempotency key: one key of two callers, or on two routes, is two keys.
+func keyOf(caller, service, route, key string) string {
+	return strings.Join([]string{caller, service, route, key}, "\x00")
+}
+
+// printOf is what two requests under one key must have alike.
+func printOf(target string, body []byte) []byte {
+	sum := sha256.New()
+	sum.Write([]byte(target))
+	sum.Write([]byte{0})
+	sum.Write(body)
+	return sum.Sum(nil)
+}
+
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
 // remembered is one idempotency key: in flight until done is closed, then settled.
@@ -68,7 +88,7 @@
 		}
 		if m.keys[key] == held {
 			// Not run, or unknown at a place that can still tell: the repeat takes its turn.
-			if held.result.Ending == schema.Ending_ENDING_UNKNOWN {
+			if held.result.Ending == schema.Ending_ENDING_UNKNOWN && held.instance != elsewhere {
 				pinned = held.instance
 			}
 			m.forget(key)
@@ -97,6 +117,29 @@
 	return result
 }
 
+// Recall gives what came of a key, waiting for it while it is in flight; it never runs anything.
+func (m *Memory) Recall(ctx context.Context, key string, body []byte) *schema.Carried {
+	m.lock.Lock()
+	held := m.keys[key]
+	m.lock.Unlock()
+	if held == nil {
+		return unknown(defect.KeyUnsettled)
+	}
+	if held.body != crc64.Checksum(body, crcTable) {
+		return notRun(defect.KeyReused, 0)
+	}
+	select {
+	case <-held.done:
+	case <-ctx.Done():
+		return unknown(defect.KeyUnsettled)
+	}
+	// That it did not run here does not say that it runs nowhere: its proxy may try elsewhere.
+	if held.result.Ending != schema.Ending_ENDING_ANSWERED {
+		return unknown(defect.KeyUnsettled)
+	}
+	return held.result
+}
+
 func (m *Memory) forget(key string) {
 	m.bytes -= len(m.keys[key].result.GetBody())
 	delete(m.keys, key)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -74,6 +74,12 @@
 	if crc32.ChecksumIEEE(carry.Body) != carry.Checksum {
 		return notRun(defect.Malformed, 0)
 	}
+	if carry.Recall {
+		// Nothing is run, so neither lease nor worker matters, only who asks.
+		bounded, cancel := context.WithTimeout(ctx, left())
+		defer cancel()
+		return clone(r.memory.Recall(bounded, keyOf(carry.Caller, carry.Service, carry.Route, carry.Idempotency), printOf(carry.Target, carry.Body)))
+	}
 	bounded, cancel := context.WithTimeout(ctx, left()/waitParts)
 	r.AwaitSetup(bounded, carry.Setup)
 	cancel()
@@ -96,8 +102,8 @@
 		return unknown(defect.Repeated)
 	}
 	if carry.Once && carry.Idempotency != "" {
-		key := strings.Join([]string{carry.Caller, carry.Service, carry.Route, carry.Idempotency}, "\x00")
-		return clone(r.memory.Do(ctx, key, carry.Body, func(string) (*schema.Carried, string) {
+		key := keyOf(carry.Caller, carry.Service, carry.Route, carry.Idempotency)
+		return clone(r.memory.Do(ctx, key, printOf(carry.Target, carry.Body), func(string) (*schema.Carried, string) {
 			return r.hand(ctx, carry, left), ""
 		}))
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"fmt"
 	"hash/fnv"
 	"sort"
 	"strconv"
@@ -49,7 +50,8 @@
 	Method      string
 	Path        string
 	Header      func(name string) (string, bool)
-	Idempotency string
+	Keyed       bool          // an Idempotency-Key came with it
+	Idempotency string        // its value
 	Asked       time.Duration // the caller's own deadline, 0 for none
 }
 
@@ -87,6 +89,9 @@
 	Held(service, version string, now time.Duration) bool
 }
 
+// keyMost is the longest idempotency key, in bytes.
+const keyMost = 256
+
 // Options are the planner's bounds.
 type Options struct {
 	Area        string
@@ -122,6 +127,11 @@
 	if request.Asked > 0 {
 		made.Horizon = min(made.Horizon, request.Asked)
 	}
+	// A key that can't be kept would protect nothing, so its sender is told. Where requests may
+	// be repeated anyway, a key says nothing and is left alone.
+	if made.Class == setup.Once && request.Keyed && (request.Idempotency == "" || len(request.Idempotency) > keyMost) {
+		return nil, defect.New(defect.Malformed, fmt.Sprintf("Idempotency-Key needs 1 to %d bytes", keyMost))
+	}
 	made.Verdict = decide(view, service, route, request, options)
 	// The brake: a version that a release plan tries out gets no call it may not have.
 	if version, planned := view.Setup.OnTrial(route.Service); planned && version == made.Verdict.Version && facts.Held(route.Service, version, now) {
--- /dev/null
+++ b/internal/proxy/claim.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"context"
+
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// claimTicket is a claim on its way to one registry.
+type claimTicket struct {
+	ctx    context.Context
+	claim  *schema.Claim
+	answer chan claimAnswer // has room for every answer, so that nobody waits to give one
+}
+
+// claimAnswer is one registry's word; seat is empty if it gave none.
+type claimAnswer struct {
+	seat    string
+	seats   int
+	claimed *schema.Claimed
+}
+
+// claimsMost bounds the claims that wait for one registry, and that go to it at once.
+const claimsMost = 1024
+
+// claim takes a claim to every registry and comes back as soon as it is won or lost.
+func (s *Server) claim(ctx context.Context, claim *schema.Claim) (session.ClaimVerdict, *schema.Claim) {
+	bound := session.ClaimBound(s.lease)
+	bounded, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	addresses := s.registries()
+	s.lock.Lock()
+	round := session.NewClaiming(claim, s.seats, s.now(), bound)
+	s.lock.Unlock()
+	answers := make(chan claimAnswer, len(addresses))
+	for _, address := range addresses {
+		select {
+		case s.askingAt(address) <- &claimTicket{bounded, claim, answers}:
+		default:
+			answers <- claimAnswer{}
+		}
+	}
+	for left := len(addresses); ; left-- {
+		if verdict := round.Verdict(left == 0); verdict != session.ClaimOpen {
+			return verdict, round.Holder
+		}
+		select {
+		case answer := <-answers:
+			if answer.seat != "" {
+				round.Take(s.now(), answer.seat, answer.claimed)
+			}
+		case <-bounded.Done():
+			return round.Verdict(true), round.Holder
+		}
+	}
+}
+
+// askingAt is the way to one registry; the first claim opens it.
+func (s *Server) askingAt(address string) chan *claimTicket {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	way := s.asking[address]
+	if way == nil {
+		way = make(chan *claimTicket, claimsMost)
+		s.asking[address] = way
+		go s.carryClaims(address, way)
+	}
+	return way
+}
+
+// carryClaims takes claims to one registry; what comes while one batch is under way goes with
+// the next, so that a rush of purchases costs few messages.
+func (s *Server) carryClaims(address string, way chan *claimTicket) {
+	for {
+		var batch []*claimTicket
+		select {
+		case <-s.linked.Done():
+			return
+		case first := <-way:
+			batch = append(batch, first)
+		}
+		for more := true; more && len(batch) < claimsMost; {
+			select {
+			case next := <-way:
+				batch = append(batch, next)
+			default:
+				more = false
+			}
+		}
+		asked := &schema.Claims{}
+		var going []*claimTicket
+		for _, ticket := range batch {
+			// Who gave up waiting meanwhile wants no claim any more.
+			if ticket.ctx.Err() != nil && !ticket.claim.Drop {
+				ticket.answer <- claimAnswer{}
+				continue
+			}
+			going = append(going, ticket)
+			asked.Claims = append(asked.Claims, ticket.claim)
+		}
+		if len(going) == 0 {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(s.linked, session.ClaimBound(s.lease))
+		back, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Claim(bounded, asked)
+		cancel()
+		for i, ticket := range going {
+			if err != nil || i >= len(back.Claimed) {
+				ticket.answer <- claimAnswer{}
+				continue
+			}
+			ticket.answer <- claimAnswer{back.Seat, int(back.Seats), back.Claimed[i]}
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,6 +40,7 @@
 	drainNotice = 8 // part of the drain time in which callers are told to close their connections
 	retryParts  = 40
 	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
+	claimPause  = 64                      // how long a refusal waits for its claim to be let go
 	tallyLines  = 4096
 	eventsKept  = 256
 	workersMost = 256
@@ -79,6 +80,8 @@
 	fleet    *session.Fleet // how many share the budgets; guarded by lock
 	counter  uint64
 	tellNow  chan struct{}
+	asking   map[string]chan *claimTicket // claims on their way, by registry; guarded by lock
+	linked   context.Context              // ends with this proxy's links
 	inFlight sync.WaitGroup
 	draining *atomic.Bool
 }
@@ -101,7 +104,7 @@
 	}
 	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
 		log: frame.Log, started: time.Now(), held: session.NewLease(time.Duration(given.Lease)), leased: make(chan struct{}),
-		cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), draining: frame.Draining}
+		cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
 	if s.address == "" {
 		s.address = given.Listen
 	}
@@ -136,6 +139,7 @@
 	// Links to other proxies outlive the signal until the calls in flight have ended.
 	linked, unlink := context.WithCancel(context.Background())
 	defer unlink()
+	s.linked = linked
 	for i := range options.List(given.Seeds) {
 		go s.renew(linked, i)
 	}
@@ -226,7 +230,7 @@
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held picture) bool { return ready(held.view) })
 		},
-		AwaitLease: s.awaitLease, SendOn: s.sendOn, Lagging: s.lagging}).Start(int(given.Remembered))
+		AwaitLease: s.awaitLease, SendOn: s.sendOn, Lagging: s.lagging, Claim: s.claim, ClaimPause: s.lease / claimPause}).Start(int(given.Remembered))
 }
 
 // sendOn hands a dispatch to the proxy beside the worker, or to this one's own other side.
@@ -392,6 +396,7 @@
 	taken.Request = plan.Request{Caller: caller, Method: string(call.Method()), Path: string(call.Path()),
 		Header:      func(name string) (string, bool) { value, found := values[strings.ToLower(name)]; return value, found },
 		Idempotency: values["idempotency-key"]}
+	_, taken.Request.Keyed = values["idempotency-key"]
 	if asked, err := strconv.ParseInt(string(call.Request.Header.Peek(dispatch.HeaderHorizon)), 10, 32); err == nil && asked > 0 {
 		taken.Request.Asked = time.Duration(asked) * time.Millisecond
 	}
--- /dev/null
+++ b/internal/registry/claims.go
@@ -0,0 +1,173 @@
+package registry
+
+import (
+	"sort"
+	"time"
+
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// ClaimsOptions bound the claims of a registry.
+type ClaimsOptions struct {
+	Lease  time.Duration
+	Window time.Duration // how long a claim stands
+	Most   int
+	Seats  int
+}
+
+// pageMost is how many claims go into one page for a registry that restarted.
+const pageMost = 4096
+
+// Claims is which idempotency keys are whose, as one registry has it. A key runs only for the
+// request that a majority of registries gave it to. It is a step function of events and the
+// time since the registry started; its caller guards it.
+type Claims struct {
+	options ClaimsOptions
+	held    map[string]*heldClaim
+	order   []*heldClaim // by place, and so by when they were taken
+	place   uint64
+	read    map[string]bool // other seats whose claims were read whole, while they counted
+	whole   bool            // nothing that was ever taken here can be missing
+	newest  map[string]uint64
+
+	// Refused counts claims of strangers, of old incarnations, and past the bound.
+	Refused uint64
+}
+
+type heldClaim struct {
+	claim *schema.Claim
+	until time.Duration
+	gone  bool
+}
+
+// NewClaims makes the claims of a registry that has just started.
+func NewClaims(options ClaimsOptions) *Claims {
+	return &Claims{options: options, held: map[string]*heldClaim{}, read: map[string]bool{}, newest: map[string]uint64{}}
+}
+
+// Unused tells that no setup was ever stable, so no call was ever planned and no key claimed.
+func (c *Claims) Unused() { c.whole = true }
+
+// Counts tells whether this registry's word counts. One that started anew may have given
+// claims that it forgot: it counts once it has read both others, or all it forgot has run out.
+func (c *Claims) Counts(now time.Duration) bool { return c.whole || now >= c.options.Window }
+
+// ReadsFrom is when the others may be read: by then every round has ended in which a claim
+// given in an earlier life may still have been counted.
+func (c *Claims) ReadsFrom() time.Duration {
+	return session.ClaimBound(c.options.Lease) + session.ClaimBound(c.options.Lease)/LeaseParts
+}
+
+// Wait is how long until this registry surely counts.
+func (c *Claims) Wait(now time.Duration) time.Duration {
+	// Usually the others are there to be read; when none is, the window decides.
+	if now < c.ReadsFrom() {
+		return c.ReadsFrom() - now
+	}
+	return min(c.options.Window-now, c.options.Lease)
+}
+
+func (c *Claims) sweep(now time.Duration) {
+	dropped := 0
+	for _, one := range c.order {
+		if !one.gone && one.until > now {
+			break
+		}
+		c.forget(one)
+		dropped++
+	}
+	c.order = c.order[dropped:]
+}
+
+func (c *Claims) forget(one *heldClaim) {
+	one.gone = true
+	if c.held[string(one.claim.Key)] == one {
+		delete(c.held, string(one.claim.Key))
+	}
+}
+
+func (c *Claims) keep(claim *schema.Claim, until time.Duration) {
+	c.place++
+	claim.Place = c.place
+	fresh := &heldClaim{claim: claim, until: until}
+	c.held[string(claim.Key)] = fresh
+	c.order = append(c.order, fresh)
+}
+
+// Take rules on a claim, or drops one whose taker proved that nothing ran.
+func (c *Claims) Take(now time.Duration, claim *schema.Claim) *schema.Claimed {
+	c.sweep(now)
+	// A proxy that was restarted has nobody left who could run what its earlier life claimed.
+	if claim.Incarnation < c.newest[claim.Proxy] {
+		c.Refused++
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_STALE}
+	}
+	c.newest[claim.Proxy] = claim.Incarnation
+	held := c.held[string(claim.Key)]
+	if claim.Drop {
+		if held != nil && held.claim.Request == claim.Request {
+			c.forget(held)
+		}
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_TAKEN}
+	}
+	switch {
+	case held != nil && held.claim.Request == claim.Request && c.Counts(now):
+		// The same request goes to another worker, having been proved not to have run before.
+		c.forget(held)
+	case held != nil && held.claim.Request != claim.Request:
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_HELD, Held: held.claim}
+	case !c.Counts(now):
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_UNCOUNTED}
+	// A claim that stands is never forgotten to make room for another.
+	case len(c.held) >= c.options.Most:
+		c.Refused++
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_FULL}
+	}
+	c.keep(claim, now+c.options.Window)
+	return &schema.Claimed{Ruled: schema.Ruled_RULED_TAKEN}
+}
+
+// Page gives the claims after a place, in order, to a registry that restarted.
+func (c *Claims) Page(now time.Duration, after uint64) *schema.ClaimsPage {
+	c.sweep(now)
+	page := &schema.ClaimsPage{Counts: c.Counts(now)}
+	from := sort.Search(len(c.order), func(i int) bool { return c.order[i].claim.Place > after })
+	for _, one := range c.order[from:] {
+		if len(page.Claims) == pageMost {
+			return page
+		}
+		if one.gone {
+			continue
+		}
+		passed := claimOf(one.claim)
+		passed.LeftNanos, passed.Place = int64(one.until-now), one.claim.Place
+		page.Claims = append(page.Claims, passed)
+	}
+	page.Last = true
+	return page
+}
+
+// claimOf copies a claim's fields, for one that is held is read by others.
+func claimOf(one *schema.Claim) *schema.Claim {
+	return &schema.Claim{Key: one.Key, Body: one.Body, Request: one.Request, Caller: one.Caller, Proxy: one.Proxy, Incarnation: one.Incarnation,
+		Instance: one.Instance, Beside: one.Beside, Address: one.Address}
+}
+
+// Fill takes a page of another seat's claims. It counts from when both others have been read
+// to the end, each while its own word counted.
+func (c *Claims) Fill(now time.Duration, seat string, page *schema.ClaimsPage) {
+	for _, claim := range page.Claims {
+		// Of two seats' claims to one key the first read stays: either way it does not run here.
+		if c.held[string(claim.Key)] == nil {
+			c.keep(claimOf(claim), now+min(time.Duration(claim.LeftNanos), c.options.Window))
+		}
+	}
+	if page.Last && page.Counts {
+		c.read[seat] = true
+	}
+	c.whole = c.whole || len(c.read) >= c.options.Seats-1
+}
+
+// Held is how many claims stand.
+func (c *Claims) Held() int { return len(c.held) }
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -25,6 +25,8 @@
 	pollParts  = 2  // longest wait of one poll of a feed
 	retryParts = 40 // pause after a call that failed
 	batchParts = 400
+
+	windowLeases = 4 // that a claim must stand at the least
 )
 
 // Server runs a registry.
@@ -41,6 +43,7 @@
 
 	lock     sync.Mutex
 	table    *Table
+	claims   *Claims
 	state    setup.State
 	setup    *setup.Setup // compiled; of an earlier state unless fresh
 	fresh    bool
@@ -63,6 +66,10 @@
 	if self := ends.Self(); self.Role != "registry" || self.Name != given.Seat {
 		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not registry %q", self.Role, self.Name, given.Seat))
 	}
+	// A claim must outlive every call that may still run under it, and the leases of that time.
+	if given.KeyWindow < windowLeases*given.Lease {
+		return defect.New(defect.BadOptions, fmt.Sprintf("key-window: must be at least %d leases", windowLeases))
+	}
 	address := given.Advertise
 	if address == "" {
 		address = given.Listen
@@ -71,6 +78,7 @@
 		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{})}
 	s.fleet = session.NewFleet(given.SourcesMost, s.lease)
 	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost)})
+	s.claims = NewClaims(ClaimsOptions{Lease: s.lease, Window: time.Duration(given.KeyWindow), Most: int(given.ClaimsMost), Seats: len(s.order)})
 	s.setup, _ = setup.Compile(s.state, 0)
 	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born}
 	s.store = schema.NewDRPCStoreClient(ends.To(ctx, given.Store))
@@ -90,6 +98,7 @@
 	go s.follow(ctx)
 	go s.catchUp(ctx)
 	go s.steer(ctx)
+	go s.fillClaims(ctx)
 	for _, seed := range options.List(given.Seeds) {
 		go s.pullFrom(ctx, seed)
 	}
@@ -172,6 +181,11 @@
 		back, err := s.store.Stand(bounded, &schema.Nothing{})
 		cancel()
 		if err == nil && !back.Undecided {
+			if back.Stable == 0 {
+				s.lock.Lock()
+				s.claims.Unused()
+				s.lock.Unlock()
+			}
 			for ctx.Err() == nil {
 				s.lock.Lock()
 				reached := s.table.stable >= back.Stable
@@ -369,7 +383,81 @@
 	defer s.lock.Unlock()
 	now := s.now()
 	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now),
-		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load()}, nil
+		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load(),
+		Claims: uint64(s.claims.Held()), ClaimsCount: s.claims.Counts(now), RefusedClaims: s.claims.Refused}, nil
+}
+
+// keyBytes is the length of a claim's digests.
+const keyBytes = 32
+
+// Claim rules on the keys that a proxy wants to run.
+func (s *Server) Claim(ctx context.Context, asked *schema.Claims) (*schema.ClaimsBack, error) {
+	peer := link.PeerOf(ctx)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	now := s.now()
+	back := &schema.ClaimsBack{Seat: s.options.Seat, Seats: uint32(len(s.order))}
+	if !s.claims.Counts(now) {
+		back.WaitNanos = int64(s.claims.Wait(now))
+	}
+	for _, claim := range asked.Claims {
+		// Only the proxy itself may claim, and only for callers that it may speak for.
+		if peer.Role != "proxy" || peer.Name != claim.Proxy || !peer.Speaks(claim.Caller) || len(claim.Key) != keyBytes || len(claim.Body) != keyBytes {
+			s.claims.Refused++
+			back.Claimed = append(back.Claimed, &schema.Claimed{Ruled: schema.Ruled_RULED_STRANGER})
+			continue
+		}
+		back.Claimed = append(back.Claimed, s.claims.Take(now, claim))
+	}
+	return back, nil
+}
+
+// Read gives another registry the claims held here.
+func (s *Server) Read(ctx context.Context, ask *schema.ClaimsAsk) (*schema.ClaimsPage, error) {
+	if err := s.isRegistry(ctx); err != nil {
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	page := s.claims.Page(s.now(), ask.After)
+	page.Seat = s.options.Seat
+	return page, nil
+}
+
+// fillClaims reads what the other registries hold until this one's word counts.
+func (s *Server) fillClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.lock.Lock()
+		now := s.now()
+		counts, wait := s.claims.Counts(now), s.claims.ReadsFrom()-now
+		s.lock.Unlock()
+		switch {
+		case counts:
+			return
+		case wait > 0:
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			continue
+		}
+		others(ctx, s, s.lease, func(ctx context.Context, peer schema.DRPCRegistryClient) (bool, error) {
+			for after := uint64(0); ; {
+				page, err := peer.Read(ctx, &schema.ClaimsAsk{After: after})
+				if err != nil {
+					return false, err
+				}
+				s.lock.Lock()
+				s.claims.Fill(s.now(), page.Seat, page)
+				s.lock.Unlock()
+				if page.Last {
+					return true, nil
+				}
+				after = page.Claims[len(page.Claims)-1].Place
+			}
+		})
+		s.pause(ctx, retryParts)
+	}
 }
 
 // others calls every other registry at once and gives the answers that came.
--- a/internal/rehearsal/ledger.go
+++ b/internal/rehearsal/ledger.go
@@ -13,6 +13,8 @@
 	Service string        `json:"service"`
 	Route   string        `json:"route"`
 	Once    bool          `json:"once"`
+	Keyed   bool          `json:"keyed,omitempty"` // under an idempotency key, which is its op
+	Ask     int           `json:"ask,omitempty"`   // how often it had been asked for before, elsewhere
 	Sent    time.Duration `json:"sent"`
 	Got     time.Duration `json:"got"`
 	Status  int           `json:"status"` // 0: no answer from the proxy
@@ -29,6 +31,7 @@
 // RunEntry is one request as a worker ran it.
 type RunEntry struct {
 	Op      string        `json:"op"`
+	Ask     int           `json:"ask,omitempty"`
 	Caller  string        `json:"caller"` // as the proxy said
 	Service string        `json:"service"`
 	Version string        `json:"version"`
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 // opHeader carries the name of a request from caller to worker.
 const opHeader = "X-Op"
 
+// askHeader tells how often the request had been asked for before.
+const askHeader = "X-Ask"
+
 // reply is what a worker answers; Sum covers Op, Worker and Filler.
 type reply struct {
 	Op     string `json:"op"`
@@ -118,7 +122,8 @@
 	}
 	ill := w.illness.Load()
 	struck := ill != nil && strings.HasPrefix(string(call.Path()), ill.Prefix)
-	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
+	ask, _ := strconv.Atoi(string(call.Request.Header.Peek(askHeader)))
+	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Ask: ask, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
 		Version: w.said.Version, Worker: w.name, At: w.now(), Ill: struck})
 	if struck {
 		time.Sleep(ill.Delay)
