Tell every refused caller when to come back; let callers in once a proxy can decide

Cause: only 503 had a Retry-After, always of one second; a proxy without a lease held each call for a part of its deadline however long the lease had been gone; a proxy that had just started took calls it could only refuse. Ruled out: a longer hold (the client would only not ask again meanwhile). After: held through an eighth of a lease after its end, then refused at once; each kind of defect has its wait from lease, ejection, horizon or drain, by a table that a test goes through whole. Silent proxies are dropped after a quarter of a lease, not a half.

--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -3,7 +3,9 @@
 
 import (
 	stderrors "errors"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -77,8 +79,15 @@
 	BadAnswer:      http.StatusBadGateway,
 	LinkLost:       http.StatusBadGateway,
 	WorkerLost:     http.StatusBadGateway,
+	DiskFailed:     http.StatusInternalServerError,
+	DiskCorrupt:    http.StatusInternalServerError,
+	Stranger:       http.StatusForbidden,
+	Internal:       http.StatusInternalServerError,
 }
 
+// Kinds lists every kind of failure there is.
+func Kinds() []Kind { return slices.Sorted(maps.Keys(statusByKind)) }
+
 // Defect is a failure with its kind; the cause, if any, carries the stack.
 type Defect struct {
 	Kind   Kind
--- a/internal/defect/defect_test.go
+++ b/internal/defect/defect_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"io"
 	"net/http"
 	"testing"
@@ -24,3 +27,23 @@
 		t.Error("a kind has the wrong status")
 	}
 }
+
+// Every kind that is declared has its status, so that none is left out where kinds are gone through.
+func TestKindsAreWhole(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "defect.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	declared := 0
+	ast.Inspect(file, func(node ast.Node) bool {
+		if value, is := node.(*ast.ValueSpec); is && value.Type != nil {
+			if kind, is := value.Type.(*ast.Ident); is && kind.Name == "Kind" {
+				declared++
+			}
+		}
+		return true
+	})
+	if listed := len(Kinds()); declared != listed || declared == 0 {
+		t.Errorf("%d kinds are declared, %d have a status", declared, listed)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,10 +35,11 @@
 	renewParts  = registry.LeaseParts
 	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
 	pollParts   = 2
-	sweepParts  = 2 // a proxy silent for this part of a lease, while others are heard, is dropped
+	sweepParts  = 4 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
 	drainNotice = 8 // part of the drain time in which callers are told to close their connections
 	retryParts  = 40
+	gapParts    = registry.LeaseParts     // how long after its end a lease is still waited for
 	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
 	claimPause  = 64                      // how long a refusal waits for its claim to be let go
 	tallyLines  = 4096
@@ -147,6 +148,16 @@
 	go s.tell(linked)
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(linked, listener, mux, "proxy") }()
+	beside, err := s.listen(given.WorkersListen, s.workerHandler, 1<<16)
+	if err != nil {
+		return err
+	}
+	// Callers are let in once this proxy can decide: until then a refused connection sends them
+	// to another, where a taken one would only bring them a refusal.
+	if !s.awaitFirst(ctx) {
+		frame.Draining.Store(true)
+		return s.drain([]*fasthttp.Server{beside})
+	}
 	var outward []*fasthttp.Server
 	for caller, address := range callers {
 		server, err := s.listen(address, s.callerHandler(caller), int(given.BodyMost))
@@ -155,10 +166,6 @@
 		}
 		outward = append(outward, server)
 	}
-	beside, err := s.listen(given.WorkersListen, s.workerHandler, 1<<16)
-	if err != nil {
-		return err
-	}
 	frame.Log.V(1).Info("proxy up", "name", given.Name, "listen", given.Listen)
 	select {
 	case <-ctx.Done():
@@ -363,9 +370,6 @@
 	return nil
 }
 
-// retryAfter tells a caller that was refused when to come back.
-const retryAfterSeconds = "1"
-
 // callerHandler takes calls from one caller; the listener, never a header, says who calls.
 func (s *Server) callerHandler(caller string) fasthttp.RequestHandler {
 	return func(call *fasthttp.RequestCtx) {
@@ -374,11 +378,10 @@
 		s.inFlight.Add(1)
 		defer s.inFlight.Done()
 		if err := s.calls.Submit(func() { ended <- s.carrier.Carry(context.Background(), taken) }); err != nil {
-			daemon.Refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), "not-run", nil)
-			call.Response.Header.Set("Retry-After", retryAfterSeconds)
+			s.refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), "not-run")
 			return
 		}
-		answer(call, <-ended)
+		s.answer(call, <-ended)
 	}
 }
 
@@ -404,16 +407,13 @@
 }
 
 // answer writes what became of a call.
-func answer(call *fasthttp.RequestCtx, ended *dispatch.Ended) {
+func (s *Server) answer(call *fasthttp.RequestCtx, ended *dispatch.Ended) {
 	if ended.Err != nil {
 		outcome := "not-run"
 		if ended.Carried != nil {
 			outcome = dispatch.OutcomeName(ended.Carried.Ending)
 		}
-		daemon.Refuse(call, ended.Err, outcome, nil)
-		if call.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
-			call.Response.Header.Set("Retry-After", retryAfterSeconds)
-		}
+		s.refuse(call, ended.Err, outcome)
 	} else {
 		call.Response.Reset()
 		call.SetStatusCode(int(ended.Carried.Status))
@@ -453,7 +453,7 @@
 	}
 	instance, err := s.workers.Describe(said)
 	if err != nil {
-		daemon.Refuse(call, err, "", nil)
+		s.refuse(call, err, "")
 		return
 	}
 	daemon.Answer(call, fasthttp.StatusOK, map[string]string{"instance": instance})
--- /dev/null
+++ b/internal/proxy/refuse.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// comeBack tells, of each failure after which asking again makes sense, how long it takes until
+// what caused it may have passed, as far as this proxy knows. What is not in the table stays
+// refused however often it is asked for.
+var comeBack = map[defect.Kind]func(given *schema.ProxyOptions) time.Duration{
+	// The lease is asked for, and workers and setups are told, that often.
+	defect.NoLease:       renewal,
+	defect.NoWorker:      renewal,
+	defect.Leaving:       renewal,
+	defect.WrongInstance: renewal,
+	defect.StalePlan:     renewal,
+	defect.VersionBarred: renewal,
+	defect.NoMajority:    renewal,
+	// A claim's round, after which the registries may answer again.
+	defect.KeyUnclaimed: func(given *schema.ProxyOptions) time.Duration {
+		return session.ClaimBound(time.Duration(given.Lease))
+	},
+	// Whoever has the key or the room has ended by its own deadline.
+	defect.KeyUnsettled: horizon,
+	defect.HorizonPast:  horizon,
+	defect.BufferFull:   horizon,
+	defect.Repeated:     horizon,
+	// A worker or proxy that failed is tried last for so long.
+	defect.LinkLost:       ejection,
+	defect.LinkUnopened:   ejection,
+	defect.WorkerLost:     ejection,
+	defect.WorkerUnopened: ejection,
+	defect.BadAnswer:      ejection,
+	defect.Draining:       func(given *schema.ProxyOptions) time.Duration { return time.Duration(given.Drain) },
+}
+
+func renewal(given *schema.ProxyOptions) time.Duration {
+	return time.Duration(given.Lease) / renewParts
+}
+func ejection(given *schema.ProxyOptions) time.Duration { return time.Duration(given.Ejection) }
+
+// horizonParts is the part of the longest deadline that calls commonly take at the most.
+const horizonParts = 8
+
+func horizon(given *schema.ProxyOptions) time.Duration {
+	return time.Duration(given.HorizonMost) / horizonParts
+}
+
+// refuse gives a caller its final answer, with word when to come back if that makes sense.
+func (s *Server) refuse(call *fasthttp.RequestCtx, err error, outcome string) {
+	daemon.Refuse(call, err, outcome, nil)
+	if wait := comeBack[defect.KindOf(err)]; wait != nil {
+		// The header counts in whole seconds, and coming back too early helps nobody.
+		seconds := max(1, int64((wait(s.options)+time.Second-1)/time.Second))
+		call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+}
--- /dev/null
+++ b/internal/proxy/refuse_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// Every kind of failure either tells when to come back, or is one that asking again won't mend.
+func TestEveryRefusalSaysWhenToComeBack(t *testing.T) {
+	given := &schema.ProxyOptions{Lease: int64(8 * time.Second), Ejection: int64(5 * time.Second), HorizonMost: int64(10 * time.Second), Drain: int64(7 * time.Second)}
+	s := &Server{options: given}
+	want := map[defect.Kind]string{
+		defect.NoLease: "1", defect.NoWorker: "1", defect.Leaving: "1", defect.WrongInstance: "1", defect.StalePlan: "1", defect.VersionBarred: "1",
+		defect.NoMajority: "1", defect.KeyUnclaimed: "1", defect.KeyUnsettled: "2", defect.HorizonPast: "2", defect.BufferFull: "2", defect.Repeated: "2",
+		defect.LinkLost: "5", defect.LinkUnopened: "5", defect.WorkerLost: "5", defect.WorkerUnopened: "5", defect.BadAnswer: "5", defect.Draining: "7",
+		// What stays refused, however often it is asked for.
+		defect.NoRoute: "", defect.NotAllowed: "", defect.TooLarge: "", defect.Malformed: "", defect.KeyReused: "", defect.BadOptions: "", defect.BadSetup: "",
+		defect.Conflict: "", defect.StaleDuty: "", defect.UnknownChange: "", defect.DiskFailed: "", defect.DiskCorrupt: "", defect.Stranger: "", defect.Internal: "",
+	}
+	for _, kind := range defect.Kinds() {
+		seconds, known := want[kind]
+		if !known {
+			t.Errorf("%s: nothing is said of when to come back", kind)
+		}
+		for _, carried := range []*schema.Carried{nil, {Ending: schema.Ending_ENDING_NOT_RUN}, {Ending: schema.Ending_ENDING_UNKNOWN}} {
+			call := &fasthttp.RequestCtx{}
+			s.answer(call, &dispatch.Ended{Err: defect.New(kind, ""), Carried: carried})
+			if got := string(call.Response.Header.Peek("Retry-After")); got != seconds {
+				t.Errorf("%s: come back after %q, want %q", kind, got, seconds)
+			}
+		}
+	}
+}
+
+// A call is held through the short gap after a lease's end, no longer; long after it, not at all.
+func TestNoCallIsHeldLongAfterTheLease(t *testing.T) {
+	for name, one := range map[string]struct {
+		ago    time.Duration // since the lease ended
+		renews time.Duration // after the call came; 0 for never
+		leased bool
+		most   time.Duration
+	}{
+		"just after, and renewed":    {10 * time.Millisecond, 300 * time.Millisecond, true, 300 * time.Millisecond},
+		"just after, not renewed":    {10 * time.Millisecond, 0, false, time.Second - 10*time.Millisecond},
+		"long after":                 {3 * time.Second, 0, false, 0},
+		"long after, renewed later":  {3 * time.Second, 300 * time.Millisecond, false, 0},
+		"well within, nothing to do": {-time.Second, 0, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{lease: 8 * time.Second, started: time.Now(), leased: make(chan struct{}), held: session.NewLease(8 * time.Second)}
+				time.Sleep(20 * time.Second)
+				s.until.Store(int64(s.now() - one.ago))
+				if one.renews > 0 {
+					go func() {
+						time.Sleep(one.renews)
+						s.until.Store(int64(s.now() + s.lease))
+						s.lock.Lock()
+						close(s.leased)
+						s.leased = make(chan struct{})
+						s.lock.Unlock()
+					}()
+				}
+				began := time.Now()
+				if got := s.awaitLease(t.Context()); got != one.leased || time.Since(began) > one.most {
+					t.Errorf("leased %v after %v, want %v within %v", got, time.Since(began), one.leased, one.most)
+				}
+				synctest.Wait()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -156,8 +156,30 @@
 	return reply.Seat
 }
 
-// awaitLease waits until the lease stands.
+// awaitFirst waits until this proxy may decide for the first time, or ctx ends.
+func (s *Server) awaitFirst(ctx context.Context) bool {
+	for !s.isLeased() {
+		s.lock.Lock()
+		renewed := s.leased
+		s.lock.Unlock()
+		if s.isLeased() {
+			break
+		}
+		select {
+		case <-renewed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// awaitLease waits until the lease stands, through the short gap after its end. Most gaps are
+// shorter than that; after it nothing is known of when the lease comes back, and no call is held.
 func (s *Server) awaitLease(ctx context.Context) bool {
+	gap := time.Duration(s.until.Load()) + s.lease/gapParts - s.now()
+	ctx, cancel := context.WithTimeout(ctx, max(0, gap))
+	defer cancel()
 	for {
 		s.lock.Lock()
 		renewed := s.leased
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -97,6 +98,10 @@
 				return
 			}
 			page(call)
+			// What no majority answers now may be answered once a lease has been renewed again.
+			if call.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+				call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(max(1, int64(s.lease/LeaseParts/time.Second)), 10))
+			}
 		},
 		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
 			kind := defect.Malformed
