--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,12 +22,15 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) > 1 && args[0] == rehearsal.StandInStore {
+		return rehearsal.RunStandInStore(args[1], args[2:])
+	}
 	set := flag.NewFlagSet("rehearsal", flag.ContinueOnError)
 	name := set.String("deployment", "small", "which fleet: small, wroblewski or kithul")
 	length := set.Duration("length", 20*time.Second, "how long the load lasts")
 	lease := set.Duration("lease", 8*time.Second, "the fleet's lease")
 	seed := set.Uint64("seed", 1, "seed of callers' choices")
-	play := set.String("play", "standard", "which faults: none, standard, harsh, rolling, herd, release, brake or split")
+	play := set.String("play", "standard", "which faults: "+strings.Join(rehearsal.PlayNames(), ", "))
 	keep := set.Bool("keep", false, "bring the fleet up without load and let it stand until Ctrl-C")
 	delay := set.Duration("delay", time.Millisecond, "how long a stand-in worker takes for a request")
 	rate := set.Float64("rate", 1, "multiplies the deployment's rate")
@@ -45,7 +49,11 @@
 	}
 	deployment := rehearsal.Deployments[*name]
 	if deployment == nil {
-		fmt.Fprintf(os.Stderr, "rehearsal: no deployment is called %q\n", *name)
+		fmt.Fprintf(os.Stderr, "rehearsal: no deployment is called %q; there are small, wroblewski and kithul\n", *name)
+		return 2
+	}
+	if rehearsal.Plays[*play] == nil {
+		fmt.Fprintf(os.Stderr, "rehearsal: no play is called %q; there are %s\n", *play, strings.Join(rehearsal.PlayNames(), ", "))
 		return 2
 	}
 	if *folder == "" {
@@ -74,7 +82,7 @@
 		}
 	}
 	report, err := rehearsal.Run(rehearsal.Options{Deployment: deployment, Folder: *folder, Binaries: *binaries, Length: *length, Lease: *lease,
-		Seed: *seed, Play: *play, Standing: standing, Delay: *delay, Rate: *rate, LeaveBound: 2 * time.Second, Out: os.Stdout})
+		Seed: *seed, Play: *play, Standing: standing, Delay: *delay, Rate: *rate, LeaveBound: 2 * time.Second, Timed: true, Out: os.Stdout})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "rehearsal: %v (logs in %s)\n", err, *folder)
 		return 1
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -40,7 +40,8 @@
 	probe   string
 	log     string
 
-	settings map[string]string
+	settings     map[string]string
+	settingsFile string
 
 	lock sync.Mutex
 	cmd  *exec.Cmd
@@ -140,6 +141,7 @@
 	binaries   string
 	net        int // second octet of every address, so that fleets do not meet
 	lease      time.Duration
+	disks      bool // stores run on a stand-in disk
 	authority  *Authority
 	Cuts       *Cuts
 	relays     []*Relay
@@ -192,13 +194,13 @@
 }
 
 // NewFleet lays out a fleet in a folder; nothing runs yet.
-func NewFleet(d *Deployment, folder, binaries string, lease time.Duration, relayEdges bool) (*Fleet, error) {
+func NewFleet(d *Deployment, folder, binaries string, lease time.Duration, relayEdges, disks bool) (*Fleet, error) {
 	authority, err := NewAuthority(filepath.Join(folder, "certificates"))
 	if err != nil {
 		return nil, err
 	}
 	// A free second octet is found by holding an address of it.
-	f := &Fleet{Deployment: d, folder: folder, binaries: binaries, lease: lease, authority: authority, Cuts: NewCuts()}
+	f := &Fleet{Deployment: d, folder: folder, binaries: binaries, lease: lease, disks: disks, authority: authority, Cuts: NewCuts()}
 	for f.net = 16 + os.Getpid()%200; ; f.net++ {
 		holding, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:7000", f.net))
 		if err == nil {
@@ -282,8 +284,14 @@
 		return nil, defect.Wrap(err, defect.DiskFailed, folder)
 	}
 	process := &Process{Name: program + "/" + name, program: filepath.Join(f.binaries, program), args: []string{"-settings", filepath.Join(folder, "settings")},
-		probe: probe, log: filepath.Join(folder, "output"), settings: settings}
+		settingsFile: filepath.Join(folder, "settings"),
+		probe:        probe, log: filepath.Join(folder, "output"), settings: settings}
 	settings["certificate"], settings["authority"], settings["data"], settings["probe-listen"] = certificate, f.authority.File(), filepath.Join(folder, "data"), probe
+	// A store runs on a disk that can be made slow, which only the rehearsal has.
+	if program == "store" && f.disks {
+		process.program = filepath.Join(f.binaries, "rehearsal")
+		process.args = append([]string{StandInStore, filepath.Join(folder, diskFile)}, process.args...)
+	}
 	return process, process.configure(nil)
 }
 
@@ -296,7 +304,7 @@
 	for key, value := range p.settings {
 		fmt.Fprintf(&text, "%s %s\n", key, value)
 	}
-	return defect.Wrap(os.WriteFile(p.args[1], []byte(text.String()), 0o640), defect.DiskFailed, p.Name)
+	return defect.Wrap(os.WriteFile(p.settingsFile, []byte(text.String()), 0o640), defect.DiskFailed, p.Name)
 }
 
 // All lists every process, the core first.
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -28,6 +28,9 @@
 	Examples []string `json:"examples,omitempty"`
 }
 
+// away tells whether a call was turned away with the mesh's own error, or lost with its proxy.
+func (c *CallEntry) away() bool { return c.Outcome != "answered" && c.Outcome != "unsent" }
+
 // examplesMost bounds what is printed of each rule.
 const examplesMost = 5
 
@@ -251,6 +254,47 @@
 			}
 		}
 	}},
+	{"acknowledged changes are there at the end", func(l *Ledger, _ *Deployment, f *Finding) {
+		f.Judged = l.Survived + len(l.Lost)
+		for _, lost := range l.Lost {
+			f.breach("%s", lost)
+		}
+	}},
+	{"no proper call is turned away without cause", func(l *Ledger, _ *Deployment, f *Finding) {
+		if !l.Timed {
+			return
+		}
+		for _, call := range l.Calls {
+			if f.Judged++; call.away() && l.blamed(call) == "" {
+				f.breach("%s at %s, sent at %v, got %q after %v", call.Op, call.Proxy, call.Sent, call.Defect, call.Got-call.Sent)
+			}
+		}
+	}},
+}
+
+// awayAfter is how many leases after a fault's end somebody may still be turned away by it.
+const awayAfter = 2
+
+// blamed names the fault that may have turned a call away; empty if none may.
+func (l *Ledger) blamed(call CallEntry) string {
+	cores := 0
+	for i, fault := range l.Faults {
+		end := fault.End
+		if end == 0 && i+1 < len(l.Faults) {
+			end = l.Faults[i+1].At
+		}
+		if fault.At > call.Got || (end > 0 && call.Sent > end+awayAfter*l.Lease) {
+			continue
+		}
+		if fault.Core {
+			cores++
+		}
+		// One core machine gone costs nothing; with another besides, a majority may be.
+		if fault.Costs || cores > 1 {
+			return fault.What
+		}
+	}
+	return ""
 }
 
 func runsByOp(l *Ledger) map[string][]RunEntry {
--- a/internal/rehearsal/judge_test.go
+++ b/internal/rehearsal/judge_test.go
@@ -9,7 +9,8 @@
 func good() *Ledger {
 	s := time.Second
 	return &Ledger{
-		LeaveBound: 2 * s,
+		LeaveBound: 2 * s, Lease: 8 * s, Timed: true, Survived: 1,
+		Faults: []FaultEntry{{What: "proxy killed", At: 5 * s, End: 6 * s, Costs: true}},
 		Calls: []CallEntry{
 			{Op: "1", Caller: "client", Proxy: "p", Service: "shop", Once: true, Sent: 10 * s, Got: 11 * s, Outcome: "answered", Setup: 5, Tries: 2, Echoed: "1", Whole: true},
 			{Op: "2", Caller: "client", Proxy: "p", Service: "shop", Once: true, Sent: 12 * s, Got: 13 * s, Outcome: "not-run", Setup: 6, Tries: 1},
@@ -43,6 +44,10 @@
 			}
 		},
 		func(l *Ledger) { l.Calls[1].Tries = 100 },
+		func(l *Ledger) { l.Lost = []string{"c"} },
+		func(l *Ledger) {
+			l.Faults = []FaultEntry{{What: "proxy killed", At: 30 * s, Costs: true}, {What: "core machine killed", At: 5 * s, Core: true}}
+		},
 	}
 	if len(breaches) != len(checkers) {
 		t.Fatalf("%d breaches for %d checkers", len(breaches), len(checkers))
--- a/internal/rehearsal/ledger.go
+++ b/internal/rehearsal/ledger.go
@@ -86,9 +86,12 @@
 
 // FaultEntry is a fault that the rehearsal caused.
 type FaultEntry struct {
-	What string        `json:"what"`
-	On   string        `json:"on"`
-	At   time.Duration `json:"at"`
+	What  string        `json:"what"`
+	On    string        `json:"on"`
+	At    time.Duration `json:"at"`
+	End   time.Duration `json:"end,omitempty"`   // 0: when the next fault came
+	Costs bool          `json:"costs,omitempty"` // it may turn callers away
+	Core  bool          `json:"core,omitempty"`  // it takes a core machine, which costs nothing alone
 }
 
 // Ledger is all that was seen from outside the mesh.
@@ -105,7 +108,13 @@
 	// LeaveBound is how long after leaving a worker may still get calls: the rule's 2 s, or
 	// more where the machine is not to be trusted with time.
 	LeaveBound time.Duration
-	Strays     []string // requests that a worker refused because they were not meant for it
+	Lease      time.Duration
+	// Timed: callers turned away without cause are breaches, not only counted.
+	Timed bool
+	// Survived is how many acknowledged changes were there at the end; Lost are the others.
+	Survived int
+	Lost     []string
+	Strays   []string // requests that a worker refused because they were not meant for it
 }
 
 func note[T any](l *Ledger, list *[]T, entry T) {
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -10,6 +12,8 @@
 type Play struct {
 	relayEdges bool // links between edges go through relays too, so that they can be cut
 	releases   bool // flags start with the old version only, and plans move them
+	disks      bool // stores run on a disk that can be made slow
+	random     bool // faults are drawn by the seed
 	acts       []act
 }
 
@@ -19,6 +23,13 @@
 	do   func(*cast) (on string)
 }
 
+// free are the acts that may turn nobody away; after any other somebody may be, for a while.
+var free = map[string]bool{"worker drained": true, "worker gone": true, "address reused by another service": true, "worker of a version no setup lists": true,
+	"core machine killed": true, "core machine back": true, "core machine frozen": true, "core machine thawed": true, "core machine stopped": true, "core machine started": true,
+	"core machine back empty at a new address": true, "workers replaced one by one": true, "proxy restarted politely": true, "proxy back": true, "proxies back": true, "mended": true,
+	"setup grows by two thousand routes": true, "release plan stated": true, "warm": true, "proxy thawed": true, "a worker warms up slowly": true, "core split 2-1": true,
+	"one-way link loss in the core": true, "a good version, to turn bad late": true, "disk slow": true, "disk stalled": true, "disk whole": true, "storm of changes": true, "storm over": true}
+
 // Plays are the pieces by name.
 var Plays = map[string]*Play{
 	"none":     {},
@@ -29,14 +40,24 @@
 	"release":  {releases: true, acts: releasing},
 	"brake":    {releases: true, acts: braking},
 	"split":    {releases: true, acts: brakingSplit},
+	"gone":     {releases: true, acts: brakingGone},
+	"load":     {releases: true, acts: brakingLoad},
+	"random":   {relayEdges: true, disks: true, random: true},
 }
 
+// PlayNames lists the plays.
+func PlayNames() []string { return slices.Sorted(maps.Keys(Plays)) }
+
 // play goes through a piece and waits for the end of the load's time.
 func (c *cast) play(piece *Play, length time.Duration, say func(string, ...any)) {
+	if piece.random {
+		c.randomly(length, say)
+		return
+	}
 	start := c.now()
 	for _, one := range piece.acts {
 		time.Sleep(time.Duration(one.at*float64(length)) - (c.now() - start))
-		entry := FaultEntry{What: one.what, At: c.now()}
+		entry := FaultEntry{What: one.what, At: c.now(), Costs: !free[one.what]}
 		entry.On = one.do(c)
 		note(c.ledger, &c.ledger.Faults, entry)
 		say("%6.1f s: %s: %s", entry.At.Seconds(), entry.What, entry.On)
@@ -98,17 +119,20 @@
 
 // replace starts a successor on the machine of a worker, then drains and ends it; the
 // address it frees goes to a worker of another service.
-func (c *cast) replace(i int) string {
-	old := c.workers[i]
-	edge := c.edgeOf[old.name]
-	_ = c.startWorker(old.name+"-next", edge, old.said.Service, old.said.Version)
-	_ = old.Drain()
+func (c *cast) replace(i int) string { return c.replaceWorker(c.workers[i]) }
+
+func (c *cast) replaceWorker(old *Worker) string {
+	edge := c.edge(old)
+	_ = c.startWorker(c.newName(old.said.Service), edge, old.said.Service, old.said.Version)
+	// Its successor is known everywhere before it empties itself.
 	go func() {
+		time.Sleep(leaveAfter)
+		_ = old.Drain()
 		time.Sleep(leaveAfter)
 		old.Leave()
 		for _, service := range c.options.Deployment.Services {
 			if service.Name != old.said.Service {
-				_ = c.startWorkerAt(old.name+"-reuser", edge, service.Name, versionOld, old.said.Address)
+				_ = c.startWorkerAt(c.newName(service.Name), edge, service.Name, versionOld, old.said.Address)
 				return
 			}
 		}
@@ -116,6 +140,21 @@
 	return old.name
 }
 
+// newName names a worker that comes later.
+func (c *cast) newName(service string) string {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.named++
+	return fmt.Sprintf("n%d-%s", c.named, service)
+}
+
+// edge is where a worker stands.
+func (c *cast) edge(one *Worker) int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.edgeOf[one.name]
+}
+
 // leaveAfter is how long a replaced worker goes on before it ends.
 const leaveAfter = time.Second
 
@@ -315,6 +354,26 @@
 	{0.80, "mended", (*cast).mend},
 }
 
+// brakingGone lets a version turn bad just as the whole core dies.
+var brakingGone = []act{
+	{0.00, "a good version, to turn bad late", func(c *cast) string { return c.release(c.service(0), 60, c.part(0.2)) }},
+	{0.55, "the whole core killed", func(c *cast) string { c.killCore(0); c.killCore(1); return c.killCore(2) }},
+	{0.55, "bad late, the core being gone", func(c *cast) string { return c.fall(c.service(0), &Illness{Fails: true}) }},
+	{0.70, "the whole core back", func(c *cast) string { return c.startCore(0) + c.startCore(1) + c.startCore(2) }},
+}
+
+// brakingLoad brings in versions that are bad only under load, one by a plan, one by hand.
+var brakingLoad = []act{
+	{0.00, "bad under load", func(c *cast) string {
+		return c.fall(c.service(0), &Illness{Load: 2, Delay: 10 * time.Millisecond, Fails: true}) + ", " + c.release(c.service(0), 60, c.part(0.3))
+	}},
+	{0.30, "by hand, bad under load", func(c *cast) string {
+		service := c.service(1)
+		NewOperator("hand", c.fleet, c.ledger, c.now).Change(0, c.options.Deployment.FlagText(service, 60000, 1), "")
+		return c.fall(service, &Illness{Load: 2, Delay: 10 * time.Millisecond, Fails: true})
+	}},
+}
+
 // rolling stops the machines in turn, politely, as an upgrade does. A core machine counts
 // again a lease after its start, so the next goes only then: it wants two minutes or more.
 var rolling = func() []act {
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -1,8 +1,10 @@
 package rehearsal
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 
 	"meadowhinge/internal/defect"
 )
@@ -20,11 +22,40 @@
 type Cuts struct {
 	lock  sync.Mutex
 	cut   map[[2]string]bool
+	lossy map[[2]string]float64 // part of what is sent that is lost at first, and comes late
 	moved chan struct{}
 }
 
+// resend is how long what a link lost takes to come after all, as TCP sends it again.
+const resend = 250 * time.Millisecond
+
 // NewCuts starts with every link whole.
-func NewCuts() *Cuts { return &Cuts{cut: map[[2]string]bool{}, moved: make(chan struct{})} }
+func NewCuts() *Cuts {
+	return &Cuts{cut: map[[2]string]bool{}, lossy: map[[2]string]float64{}, moved: make(chan struct{})}
+}
+
+// Lose lets a part of what is sent from one machine to another be lost at first; 0 for none.
+func (c *Cuts) Lose(from, to string, part float64) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if part > 0 {
+		c.lossy[[2]string{from, to}] = part
+	} else {
+		delete(c.lossy, [2]string{from, to})
+	}
+}
+
+// late draws how late something sent comes.
+func (c *Cuts) late(from, to string) time.Duration {
+	c.lock.Lock()
+	part := c.lossy[[2]string{from, to}]
+	c.lock.Unlock()
+	wait := time.Duration(0)
+	for part > 0 && rand.Float64() < part && wait < 4*resend {
+		wait += resend
+	}
+	return wait
+}
 
 // Set cuts or mends the way from one machine to another.
 func (c *Cuts) Set(from, to string, cut bool) {
@@ -43,7 +74,7 @@
 func (c *Cuts) Mend() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.cut = map[[2]string]bool{}
+	c.cut, c.lossy = map[[2]string]bool{}, map[[2]string]float64{}
 	close(c.moved)
 	c.moved = make(chan struct{})
 }
@@ -109,6 +140,8 @@
 		for {
 			n, err := source.Read(buffer)
 			if n > 0 {
+				// What is behind it in the stream waits with it.
+				time.Sleep(r.cuts.late(from, to))
 				if !r.cuts.wait(from, to, done) {
 					return
 				}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -31,7 +31,9 @@
 	Delay      time.Duration // that a worker takes for a request
 	Rate       float64       // multiplies the deployment's rate
 	LeaveBound time.Duration
-	Out        io.Writer
+	// Timed judges what hangs on how fast the machine is: who was turned away without cause.
+	Timed bool
+	Out   io.Writer
 }
 
 // Report is what a rehearsal found, for machines.
@@ -55,8 +57,12 @@
 	Acknowledged int                `json:"acknowledged"`
 	CPU          map[string]float64 `json:"cpuSecondsPer1000Calls"`
 	Unclean      []string           `json:"unclean"`
-	Shares       []ShareEntry       `json:"shares,omitempty"`
-	Breaches     int                `json:"breaches"`
+	// BackSeconds is how long the fleet took to be back once all faults of a random play were mended.
+	BackSeconds float64 `json:"backSeconds,omitempty"`
+	// Survived is how many acknowledged changes were still there at the end.
+	Survived int          `json:"survived"`
+	Shares   []ShareEntry `json:"shares,omitempty"`
+	Breaches int          `json:"breaches"`
 }
 
 // Phase is what callers got from one fault to the next.
@@ -108,7 +114,7 @@
 	if !known {
 		return nil, defect.New(defect.BadOptions, fmt.Sprintf("no play is called %q", o.Play))
 	}
-	fleet, err := NewFleet(o.Deployment, o.Folder, o.Binaries, o.Lease, piece.relayEdges)
+	fleet, err := NewFleet(o.Deployment, o.Folder, o.Binaries, o.Lease, piece.relayEdges, piece.disks)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +126,7 @@
 	}()
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	ledger := &Ledger{LeaveBound: o.LeaveBound}
+	ledger := &Ledger{LeaveBound: o.LeaveBound, Timed: o.Timed, Lease: o.Lease}
 	for _, process := range append(append([]*Process(nil), fleet.Stores...), fleet.Registries...) {
 		if err := process.Start(); err != nil {
 			return nil, err
@@ -153,7 +159,7 @@
 		return nil, err
 	}
 	say("proxies ready after %.1f s", now().Seconds())
-	cast := &cast{fleet: fleet, options: o, ledger: ledger, now: now}
+	cast := &cast{fleet: fleet, options: o, ledger: ledger, now: now, used: map[int]int{}, edgeOf: map[string]int{}}
 	for i, placed := range o.Deployment.placeWorkers() {
 		if err := cast.startWorker(fmt.Sprintf("w%d-%s", i+1, placed.service), placed.edge, placed.service, placed.version); err != nil {
 			return nil, err
@@ -231,6 +237,7 @@
 	for core := range o.Deployment.Cores {
 		_, _ = operator.Shown(core)
 	}
+	cast.survived()
 	for _, worker := range cast.workers {
 		worker.Kill()
 	}
@@ -238,6 +245,7 @@
 	stopped = true
 	report := cast.report(loaded, before, after)
 	report.Unclean = unclean
+	report.BackSeconds, report.Survived = cast.back.Seconds(), ledger.Survived
 	return report, nil
 }
 
@@ -251,22 +259,26 @@
 	used    map[int]int    // workers started so far on each edge
 	edgeOf  map[string]int // by worker
 	direct  []float64      // milliseconds of calls past the mesh
+	lock    sync.Mutex     // of workers, used, edgeOf and named
+	named   int            // workers that came later
+	back    time.Duration  // that the fleet took to be back
 }
 
 func (c *cast) startWorker(name string, edge int, service, version string) error {
-	if c.used == nil {
-		c.used, c.edgeOf = map[int]int{}, map[string]int{}
-	}
+	c.lock.Lock()
 	address := fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorker+c.used[edge])
 	c.used[edge]++
+	c.lock.Unlock()
 	return c.startWorkerAt(name, edge, service, version, address)
 }
 
 func (c *cast) startWorkerAt(name string, edge int, service, version, address string) error {
 	worker, err := StartWorker(name, service, version, c.fleet.area(edge), address, fmt.Sprintf("%s:%d", c.fleet.edge(edge), portWorkers), c.options.Delay, c.ledger, c.now)
 	if err == nil {
+		c.lock.Lock()
 		c.workers = append(c.workers, worker)
 		c.edgeOf[name] = edge
+		c.lock.Unlock()
 	}
 	return err
 }
@@ -425,7 +437,10 @@
 func (r *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "%s: %.0f s of load, %.0f calls a second, seed %d\n", r.Deployment, r.Seconds, r.Rate, r.Seed)
 	fmt.Fprintf(out, "outcomes %v, defects %v\n", r.Outcomes, r.Defects)
-	fmt.Fprintf(out, "changes %v, yes after ms: %s\n", r.Rulings, figures(r.AckMS))
+	fmt.Fprintf(out, "changes %v, yes after ms: %s; %d acknowledged, of which %d were there at the end\n", r.Rulings, figures(r.AckMS), r.Acknowledged, r.Survived)
+	if r.BackSeconds > 0 {
+		fmt.Fprintf(out, "back %.1f s after the last fault\n", r.BackSeconds)
+	}
 	for _, way := range []string{"direct", "one proxy", "two proxies"} {
 		fmt.Fprintf(out, "latency ms, %s: %s\n", way, figures(r.LatencyMS[way]))
 	}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -62,6 +62,7 @@
 	Delay  time.Duration // takes this much longer
 	Loses  bool          // does the work and loses the answer
 	Babble bool          // answers what is no JSON
+	Load   int64         // ill only while more calls than this are under way at the worker
 }
 
 // Fall makes the worker ill, or well with nil.
@@ -121,11 +122,14 @@
 		return
 	}
 	ill := w.illness.Load()
-	struck := ill != nil && strings.HasPrefix(string(call.Path()), ill.Prefix)
+	struck := ill != nil && strings.HasPrefix(string(call.Path()), ill.Prefix) && w.running.Load() > ill.Load
+	if ill != nil && ill.Load > 0 {
+		time.Sleep(ill.Delay)
+	}
 	ask, _ := strconv.Atoi(string(call.Request.Header.Peek(askHeader)))
 	note(w.ledger, &w.ledger.Runs, RunEntry{Op: op, Ask: ask, Caller: string(call.Request.Header.Peek(dispatch.HeaderCaller)), Service: w.said.Service,
 		Version: w.said.Version, Worker: w.name, At: w.now(), Ill: struck})
-	if struck {
+	if struck && ill.Load == 0 {
 		time.Sleep(ill.Delay)
 	}
 	w.answer(call, op)
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -41,8 +41,26 @@
 	broken   chan error
 }
 
+// Log is a disk as the daemon uses it: what Write returned for is synced.
+type Log interface {
+	Write(records []*schema.Record, whole bool) error
+	Close() error
+}
+
+// Option changes how a store runs.
+type Option func(*running)
+
+type running struct{ under func(Log) Log }
+
+// WithDisk puts something between the daemon and its disk, as rehearsals do to make it slow.
+func WithDisk(under func(Log) Log) Option { return func(r *running) { r.under = under } }
+
 // Run serves a store until ctx ends.
-func Run(ctx context.Context, frame *daemon.Frame, given *schema.StoreOptions) error {
+func Run(ctx context.Context, frame *daemon.Frame, given *schema.StoreOptions, changes ...Option) error {
+	running := &running{under: func(disk Log) Log { return disk }}
+	for _, change := range changes {
+		change(running)
+	}
 	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
 	if err != nil {
 		return err
@@ -60,17 +78,18 @@
 		return defect.New(defect.BadOptions, "seat: is not in order")
 	}
 	folder := filepath.Join(given.Data, "setup")
-	disk, records, err := Open(folder)
+	opened, records, err := Open(folder)
 	if defect.KindOf(err) == defect.DiskCorrupt && err != nil {
 		// Rot in the middle: the seat starts empty and is refilled by the others.
 		frame.Log.Error(err, "log is corrupt and set aside; refilling from the other seats")
 		if err = SetAside(folder); err == nil {
-			disk, records, err = Open(folder)
+			opened, records, err = Open(folder)
 		}
 	}
 	if err != nil {
 		return err
 	}
+	disk := running.under(opened)
 	defer disk.Close()
 	incarnation := uint64(time.Now().UnixNano())
 	if len(records) == 0 {
@@ -226,7 +245,7 @@
 }
 
 // write syncs records in order; whatever piled up during one sync goes into the next.
-func (s *Server) write(ctx context.Context, disk *Disk) {
+func (s *Server) write(ctx context.Context, disk Log) {
 	for {
 		select {
 		case <-ctx.Done():
