Try keyed calls last where nobody is reached

Cause: workers of a keyed call are ordered by its key alone, so each key whose first worker stood behind a dead proxy paid for that loss anew from the retry budget, until there was none left.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -152,7 +152,7 @@
 		pool = rest
 	}
 	if request.Idempotency != "" && made.Class == setup.Once {
-		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency)
+		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one Candidate) bool { return facts.Unreached(one, now) })
 	} else {
 		made.Candidates = place(pool, options, facts, now, dice)
 	}
@@ -208,8 +208,9 @@
 	return verdict
 }
 
-// rendezvous orders a pool by a key, so that a repeat reaches the worker that had it first.
-func rendezvous(pool []Candidate, key string) []Candidate {
+// rendezvous orders a pool by a key, so that a repeat reaches the worker that had it first. Who
+// is not reached comes last: each key would else pay for the same loss anew from the budget.
+func rendezvous(pool []Candidate, key string, unreached func(Candidate) bool) []Candidate {
 	ordered := append([]Candidate(nil), pool...)
 	weight := func(one Candidate) uint64 {
 		hash := fnv.New64a()
@@ -220,7 +221,12 @@
 		sum *= 0xff51afd7ed558ccd
 		return sum ^ sum>>33
 	}
-	sort.Slice(ordered, func(i, j int) bool { return weight(ordered[i]) > weight(ordered[j]) })
+	sort.Slice(ordered, func(i, j int) bool {
+		if a, b := unreached(ordered[i]), unreached(ordered[j]); a != b {
+			return b
+		}
+		return weight(ordered[i]) > weight(ordered[j])
+	})
 	return ordered
 }
 
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -182,10 +182,11 @@
 // A key keeps its worker while that is there, and moves alone when it goes.
 func TestKeysStay(t *testing.T) {
 	pool := workers("a", "b", "c", "d")
+	lost := map[string]bool{}
 	place := func(pool []Candidate, key string) string {
 		request := asking("POST", "/shop/buy", map[string]string{"X-User": "ann"})
 		request.Idempotency = key
-		made, err := Make(viewOf(t, Directory{"shop": {"2": pool}}, ""), request, options, facts{}, 0, rand.Float64)
+		made, err := Make(viewOf(t, Directory{"shop": {"2": pool}}, ""), request, options, facts{lost: lost}, 0, rand.Float64)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -203,6 +204,13 @@
 			t.Errorf("%s moved from %s to %s when d went", key, before, after)
 		}
 	}
+	// While a worker's proxy is not reached, no key goes there first.
+	lost["a"] = true
+	for i := range 40 {
+		if got := place(pool, strings.Repeat("k", i+1)); got == "a" {
+			t.Error("a key goes first where nobody is reached")
+		}
+	}
 	if len(used) < 4 {
 		t.Errorf("keys went to %v only", used)
 	}
