--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -100,7 +100,7 @@
 				w.stagger(ctx)
 			}
 		},
-		Outdated: func(sequence uint64) bool { return held.View().Outdated(sequence, now(), lease/registry.LeaseParts) }}, remembered)
+		Outdated: func(sequence uint64) bool { return held.View().Outdated(sequence, now(), lease/registry.LeaseParts) }}, map[bool]int{true: 1, false: remembered}[w.plant == PlantNoSeen])
 	floor := w.Options.Floor
 	if w.plant == PlantNoBudget {
 		floor = 1e9
@@ -363,6 +363,16 @@
 		}
 		return
 	}
+	w.lock.Lock()
+	twice := dice.Float64() < w.repeat
+	w.lock.Unlock()
+	if twice {
+		w.after(delay+time.Duration(dice.Int64N(int64(time.Second))), func() {
+			w.on(&target.machine, 0, func() {
+				w.serve(target, peer, proto.Clone(carry).(*schema.Carry), func(*schema.Carried) {}, func() {})
+			})
+		})
+	}
 	w.after(delay, func() {
 		w.on(&target.machine, 0, func() {
 			w.serve(target, peer, carry, func(carried *schema.Carried) {
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -177,6 +177,7 @@
 		{PlantNoClaims, []string{RuleTwice}, Options{Only: edges}},
 		{PlantForgets, []string{RuleTwice}, Options{Only: append([]string{"registry restarts"}, edges...), Rate: 60}},
 		{PlantFalseNo, []string{RuleNotRun}, Options{Only: edges}},
+		{PlantNoSeen, []string{RuleTwice}, Options{Only: []string{"links that repeat"}}},
 		{PlantLax, []string{RuleSent}, Options{Only: []string{"worker killed, its address another's"}}},
 		{PlantUnheard, []string{RuleLeft}, Options{Only: []string{"worker drained, and goes later"}}},
 		{PlantClaimsAll, []string{RuleSent}, Options{Quiet: true}},
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -41,6 +41,7 @@
 	PlantNoClaims    Plant = "no claims: a key is run by whoever is asked"
 	PlantForgets     Plant = "forgets: a registry's word on keys counts from its first moment"
 	PlantFalseNo     Plant = "false no: a lost link is taken for one that never opened"
+	PlantNoSeen      Plant = "no memory: the worker's side forgets which requests it has seen"
 	PlantLax         Plant = "lax workers: they run what does not bear their token"
 	PlantUnheard     Plant = "unheard: a worker's word that it leaves is not taken"
 	PlantClaimsAll   Plant = "false claims: a peer may speak for any caller"
@@ -103,6 +104,7 @@
 	loss   float64
 	slow   time.Duration // added to every delivery at most
 	mangle float64       // part of the answers between proxies that is altered on the way
+	repeat float64       // part of the requests between proxies that arrives twice
 	places map[string]*workerNode
 	quit   bool // the run is over: nothing is called any more
 
