--- /dev/null
+++ b/internal/rehearsal/brief_test.go
@@ -0,0 +1,43 @@
+package rehearsal
+
+import (
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// Every test, play and plant that docs/brief.md names exists.
+func TestBriefNamesWhatExists(t *testing.T) {
+	text, err := os.ReadFile("../../docs/brief.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := 0
+	for _, match := range regexp.MustCompile("`(Test[A-Za-z]+)`").FindAllStringSubmatch(string(text), -1) {
+		named++
+		if out, err := exec.Command("grep", "-rl", "--include=*_test.go", "func "+match[1]+"(", "..", "../../cmd").Output(); err != nil || len(out) == 0 {
+			t.Errorf("test %s does not exist", match[1])
+		}
+	}
+	world, err := os.ReadFile("../simulator/world.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, match := range regexp.MustCompile("`(Plant[A-Za-z]+)`").FindAllStringSubmatch(string(text), -1) {
+		named++
+		if !strings.Contains(string(world), "\t"+match[1]+" ") {
+			t.Errorf("plant %s does not exist", match[1])
+		}
+	}
+	for _, match := range regexp.MustCompile(`\bplay ([a-z]+)`).FindAllStringSubmatch(string(text), -1) {
+		named++
+		if Plays[match[1]] == nil {
+			t.Errorf("play %s does not exist", match[1])
+		}
+	}
+	if named < 80 {
+		t.Errorf("only %d names were found", named)
+	}
+}
