Compile policies to bytecode: an expression that must hold for a call to be planned

Through expr-lang/expr: types checked on admission, compiled once per expression and attributes, no loops, bounded nodes and memory; what cannot be evaluated does not hold. It says whether there is a call; the flag still decides its version.

--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -23,6 +23,7 @@
 	UnknownChange  Kind = "UNKNOWN_CHANGE"
 	NoRoute        Kind = "NO_ROUTE"
 	NotAllowed     Kind = "CALLER_NOT_ALLOWED"
+	PolicyRefused  Kind = "POLICY_REFUSED"
 	TooLarge       Kind = "TOO_LARGE"
 	Malformed      Kind = "MALFORMED"
 	NoLease        Kind = "NO_LEASE"
@@ -60,6 +61,7 @@
 	UnknownChange:  http.StatusNotFound,
 	NoRoute:        http.StatusNotFound,
 	NotAllowed:     http.StatusForbidden,
+	PolicyRefused:  http.StatusForbidden,
 	TooLarge:       http.StatusRequestEntityTooLarge,
 	NoLease:        http.StatusServiceUnavailable,
 	NoWorker:       http.StatusServiceUnavailable,
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -104,6 +104,11 @@
 	made, err := c.plan(&call.Request)
 	if err != nil {
 		ended.Err = err
+		// What a policy refused has a count of its own.
+		if made != nil {
+			ended.Plan, ended.Carried = made, notRun(defect.KindOf(err), 0)
+			c.Tally.Add(ended, c.Now()-began)
+		}
 		return ended
 	}
 	ended.Plan = made
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -12,6 +12,7 @@
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/flag"
+	"meadowhinge/internal/policy"
 	"meadowhinge/internal/setup"
 )
 
@@ -20,6 +21,8 @@
 	ReasonPoolEmpty flag.Reason = "POOL_EMPTY"
 	// ReasonHeld: the version is not the fallback, and this proxy may not use it just now.
 	ReasonHeld flag.Reason = "HELD"
+	// ReasonPolicy: the route's policy refused the call, so no version was asked for.
+	ReasonPolicy flag.Reason = "POLICY"
 )
 
 // CallerKind is the context kind that tells which service calls, and from where.
@@ -109,7 +112,8 @@
 // Dice gives numbers in [0,1).
 type Dice func() float64
 
-// Make makes the plan of a request.
+// Make makes the plan of a request. Beside a refusal by policy it gives what there is of the
+// plan, so that the refusal can be counted and shown.
 func Make(view *View, request *Request, options Options, facts Facts, now time.Duration, dice Dice) (*Plan, error) {
 	route, found := view.Setup.Match(request.Path, request.Method)
 	if !found {
@@ -132,7 +136,13 @@
 	if made.Class == setup.Once && request.Keyed && (request.Idempotency == "" || len(request.Idempotency) > keyMost) {
 		return nil, defect.New(defect.Malformed, fmt.Sprintf("Idempotency-Key needs 1 to %d bytes", keyMost))
 	}
-	made.Verdict = decide(view, service, route, request, options)
+	context := ContextOf(route, request, options.Area)
+	// A policy says whether there is to be a call at all; only then the flag decides its version.
+	if route.Policy != nil && !route.Policy.Holds(policyContext(route, request, options.Area, context)) {
+		made.Verdict = Verdict{Flag: setup.FlagOf(route.Service), Reason: ReasonPolicy, Setup: view.Setup.Sequence}
+		return made, defect.New(defect.PolicyRefused, route.PolicyName)
+	}
+	made.Verdict = decide(view, service, route, context)
 	// The brake: a version other than the fallback gets no call that it may not have just now.
 	if made.Verdict.Version != service.Fallback && (view.Setup.StopOn(route.Service, made.Verdict.Version) != nil || facts.Held(route.Service, made.Verdict.Version, now)) {
 		made.Verdict.Evaluated = made.Verdict.Version
@@ -197,9 +207,21 @@
 	return text
 }
 
-func decide(view *View, service *setup.Service, route *setup.Route, request *Request, options Options) Verdict {
+// policyContext is what a policy sees: what the flag's context holds, by names of its own.
+func policyContext(route *setup.Route, request *Request, area string, context flag.Context) policy.Context {
+	user := context[flag.DefaultKind]
+	seen := policy.Context{Caller: request.Caller, Area: area, Method: request.Method, Path: request.Path, Key: user.Key, Attributes: map[string]any{}}
+	for name := range route.Attributes {
+		if value, present := user.Attributes[name]; present {
+			seen.Attributes[name] = value
+		}
+	}
+	return seen
+}
+
+func decide(view *View, service *setup.Service, route *setup.Route, context flag.Context) Verdict {
 	key := setup.FlagOf(route.Service)
-	result := view.Setup.Flags.Evaluate(key, ContextOf(route, request, options.Area))
+	result := view.Setup.Flags.Evaluate(key, context)
 	verdict := Verdict{Flag: key, Version: result.Value, Reason: result.Reason, RuleID: result.RuleID, Error: result.Error, Setup: view.Setup.Sequence}
 	// The fallback stands in for an error. A version the setup does not list is never called.
 	if result.Index < 0 || !service.Allows(result.Value) {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -119,6 +120,33 @@
 	}
 }
 
+// A policy decides whether there is a call, before the flag decides its version.
+func TestPolicies(t *testing.T) {
+	for name, one := range map[string]struct {
+		policy  string
+		headers map[string]string
+		holds   bool
+	}{
+		"holds":                      {`caller == "client" and country == "se"`, map[string]string{"X-User": "ann", "X-Country": "se"}, true},
+		"does not":                   {`country == "no"`, map[string]string{"X-User": "ann", "X-Country": "se"}, false},
+		"cannot be evaluated":        {`country > 3`, map[string]string{"X-User": "ann", "X-Country": "se"}, false},
+		"by what the call lacks":     {`country == "se"`, map[string]string{"X-User": "ann"}, false},
+		"by what the listener says":  {`caller != "saves"`, map[string]string{"X-User": "ann", "Caller": "saves"}, true},
+		"by the flag's key, missing": {`key != ""`, nil, false},
+	} {
+		view := viewOf(t, Directory{"shop": {"1": workers("old"), "2": workers("new")}}, fmt.Sprintf(`policy: only: expression: %q
+route: guarded: {service: "shop", prefix: "/shop/guarded", key: "X-User", attributes: country: "X-Country", policy: "only"}`, one.policy))
+		made, err := Make(view, asking("GET", "/shop/guarded", one.headers), options, facts{}, 0, rand.Float64)
+		if one.holds != (err == nil) || (err != nil && (defect.KindOf(err) != defect.PolicyRefused || made.Verdict.Reason != ReasonPolicy || len(made.Candidates) > 0)) {
+			t.Errorf("%s: %v, %+v", name, err, made)
+		}
+		// Another route of the service is not touched by it.
+		if _, err := Make(view, asking("GET", "/shop/x", one.headers), options, facts{}, 0, rand.Float64); err != nil {
+			t.Errorf("%s: a route without a policy: %v", name, err)
+		}
+	}
+}
+
 // A key that can't be kept is refused where it would have mattered, and left alone elsewhere.
 func TestKeys(t *testing.T) {
 	view := viewOf(t, nil, "")
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,71 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestWhatPoliciesAreRefused(t *testing.T) {
+	for name, one := range map[string]struct {
+		text       string
+		attributes []string
+		refused    string
+	}{
+		"sound":                      {`caller == "client" && country in ["se", "no"]`, []string{"country"}, ""},
+		"an attribute by itself":     {`country`, []string{"country"}, "bool"},
+		"a text":                     {`caller`, nil, "bool"},
+		"does not parse":             {`caller ==`, nil, "unexpected"},
+		"a name nobody has":          {`colour == "red"`, []string{"country"}, "unknown name colour"},
+		"a name no route has yet":    {`colour == "red"`, nil, ""},
+		"a number against a text":    {`method > 4`, []string{}, "mismatched types"},
+		"too long":                   {`caller == "` + strings.Repeat("x", TextMost) + `"`, nil, "at most 1024 bytes"},
+		"too many parts":             {strings.Repeat(`key=="" or `, 90) + `caller == "b"`, nil, "maximum allowed nodes"},
+		"a loop":                     {`all(1..1000000, # > 0)`, []string{}, "no helper"},
+		"a function that takes time": {`repeat(caller, 1000000) == ""`, []string{}, "unknown name repeat"},
+		"a function no route has":    {`repeat(caller, 1000000) == ""`, nil, "no helper"},
+	} {
+		_, fault := Compile(one.text, one.attributes)
+		switch {
+		case fault == nil && one.refused != "":
+			t.Errorf("%s: was taken", name)
+		case fault != nil && (one.refused == "" || !strings.Contains(fault.Reason, one.refused) || fault.Line < 1 || fault.Column < 1):
+			t.Errorf("%s: %+v", name, fault)
+		}
+	}
+}
+
+func TestWhatHolds(t *testing.T) {
+	context := Context{Caller: "client", Area: "a", Method: "POST", Path: "/shop/buy", Key: "ann", Attributes: map[string]any{"country": "se", "age": 20.0}}
+	for text, want := range map[string]bool{
+		`caller == "client"`:                         true,
+		`caller != "client"`:                         false,
+		`country in ["se", "no"] and age >= 18`:      true,
+		`path startsWith "/shop" && method == "GET"`: false,
+		`lower(key) matches "^a+n"`:                  true,
+		`vip == true`:                                false, // this call does not have it
+		`country > 4`:                                false, // what cannot be evaluated does not hold
+		`len(1..100000) > 0`:                         false, // nor what takes more than its memory
+	} {
+		program, fault := Compile(text, []string{"country", "age", "vip"})
+		if fault != nil {
+			t.Errorf("%s: %+v", text, fault)
+			continue
+		}
+		for range 3 {
+			if got := program.Holds(context); got != want {
+				t.Errorf("%s: %v", text, got)
+			}
+		}
+	}
+}
+
+// An attribute cannot pass for what the listener says.
+func TestAttributesDoNotHideTheContext(t *testing.T) {
+	program, fault := Compile(`caller == "client"`, []string{"caller"})
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	if program.Holds(Context{Caller: "stranger", Attributes: map[string]any{"caller": "client"}}) {
+		t.Error("an attribute passed for the caller")
+	}
+}
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -440,6 +440,8 @@
 	Horizon string       `json:"horizon"`
 	Verdict plan.Verdict `json:"verdict"`
 	Pool    []string     `json:"pool"`
+	Policy  string       `json:"policy,omitempty"`  // that the route names
+	Refused bool         `json:"refused,omitempty"` // by it
 }
 
 // noFacts is for plans that are explained, not carried out.
@@ -469,11 +471,13 @@
 	request := &plan.Request{Caller: question.Caller, Method: question.Method, Path: question.Path,
 		Header: func(name string) (string, bool) { value, found := headers[strings.ToLower(name)]; return value, found }}
 	made, err := plan.Make(view, request, plan.Options{Area: question.Area, HorizonMost: time.Hour}, noFacts{}, 0, func() float64 { return 0 })
-	if err != nil {
+	refused := defect.KindOf(err) == defect.PolicyRefused && err != nil
+	if err != nil && !refused {
 		daemon.Refuse(call, err, "", nil)
 		return
 	}
-	explained := Explanation{Route: made.Route.Name, Service: made.Service, Class: made.Class, Horizon: made.Horizon.String(), Verdict: made.Verdict, Pool: []string{}}
+	explained := Explanation{Route: made.Route.Name, Service: made.Service, Class: made.Class, Horizon: made.Horizon.String(), Verdict: made.Verdict, Pool: []string{},
+		Policy: made.Route.PolicyName, Refused: refused}
 	for _, one := range made.Candidates {
 		explained.Pool = append(explained.Pool, one.Instance)
 	}
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -106,9 +106,20 @@
 		{"what became of a change nobody stated", "GET", operator, "/v1/changes/never", "", 404, []string{"UNKNOWN_CHANGE"}},
 		{"an explanation", "POST", operator, "/v1/explain", `{"caller": "client", "method": "GET", "path": "/shop/look", "headers": {"X-User": "ann"}}`, 200, []string{`"FALLTHROUGH"`, `"release.shop"`}},
 		{"an explanation without a key", "POST", operator, "/v1/explain", `{"caller": "client", "method": "GET", "path": "/shop/look"}`, 200, []string{`"ERROR"`, "USER_NOT_SPECIFIED"}},
+		{"a policy on a route", "POST", operator, "/v1/changes", change("s5", `policy: grown: expression: "age >= 18"
+route: bar: {service: "shop", prefix: "/shop/bar", key: "X-User", attributes: age: "X-Age", policy: "grown"}`), 200, []string{`"acknowledged":true`}},
+		{"a call that its policy refuses", "GET", caller, "/shop/bar", "", 403, []string{"POLICY_REFUSED", "not-run"}},
+		{"an explanation of that", "POST", operator, "/v1/explain", `{"caller": "client", "method": "GET", "path": "/shop/bar", "headers": {"X-User": "ann", "X-Age": "17"}}`, 200, []string{`"refused":true`, `"grown"`, `"POLICY"`}},
+		{"a policy in use, removed", "POST", operator, "/v1/changes", `{"id": "s6", "setup": "remove: policy: [\"grown\"]", "expected": {"policy/grown": 5}}`, 400, []string{"route.bar.policy"}},
+		{"a policy that names nothing known", "POST", operator, "/v1/changes", change("s7", `policy: odd: expression: "colour =="`), 400, []string{"policy.odd.expression", "line 1"}},
+		{"an empty key", "POST", caller, "/shop/buy", "{}", 400, []string{"MALFORMED", "Idempotency-Key"}},
 		{"no such page", "GET", operator, "/v1/nothing", "", 404, []string{"NO_ROUTE"}},
 	} {
-		status, text, _ := ask(one.method, one.address, one.path, one.body, "X-User", "ann", opHeader, "op-"+one.name)
+		headers := []string{"X-User", "ann", opHeader, "op-" + one.name}
+		if one.name == "an empty key" {
+			headers = append(headers, "Idempotency-Key", "")
+		}
+		status, text, _ := ask(one.method, one.address, one.path, one.body, headers...)
 		if status != one.status {
 			t.Errorf("%s: status %d, want %d: %s", one.name, status, one.status, text)
 		}
@@ -131,7 +142,7 @@
 	var lines []registry.VerdictLine
 	counted := uint64(0)
 	person := NewOperator("person", fleet, &Ledger{}, func() time.Duration { return 0 })
-	for deadline := time.Now().Add(time.Minute); counted < 4 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(time.Minute); counted < 5 && time.Now().Before(deadline); {
 		if _, err := person.ask(2, http.MethodGet, "/v1/verdicts", nil, &lines); err != nil {
 			t.Fatal(err)
 		}
@@ -140,8 +151,8 @@
 			counted += line.Calls
 		}
 	}
-	// Four calls were planned: the proper one and three under the key.
-	if counted != 4 {
-		t.Errorf("%d calls counted, not 4: %v", counted, lines)
+	// Four calls were planned, the proper one and three under the key; a policy refused one.
+	if counted != 5 {
+		t.Errorf("%d calls counted, not 5: %v", counted, lines)
 	}
 }
--- a/internal/setup/schema.cue
+++ b/internal/setup/schema.cue
@@ -19,6 +19,7 @@
 	class?:  "once" | "repeatable"
 	horizon: #Span | *"2s"
 	key:     #Header | *"X-User-Key"
+	policy?: #Name
 	attributes: {[=~"^[A-Za-z0-9_]{1,64}$"]: #Header}
 	attributes: {...} | *{}
 }
@@ -64,6 +65,8 @@
 	pace:    "go" | "hold" | "back" | *"go"
 }
 
+#Policy: expression: string
+
 #Stop: {
 	service: #Name
 	version: #Name
@@ -81,6 +84,7 @@
 	segment?: [#Name]: #Segment
 	release?: [#Name]: #Release
 	stop?: [#StopName]: #Stop
+	policy?: [#Name]:  #Policy
 	remove?: {
 		service?: [...#Name]
 		route?: [...#Name]
@@ -88,5 +92,6 @@
 		segment?: [...#Name]
 		release?: [...#Name]
 		stop?: [...#StopName]
+		policy?: [...#Name]
 	}
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"meadowhinge/internal/flag"
+	"meadowhinge/internal/policy"
 	"meadowhinge/schema"
 )
 
@@ -51,8 +52,15 @@
 	HorizonIn  string            `json:"horizon"`
 	Key        string            `json:"key"`
 	Attributes map[string]string `json:"attributes"`
+	PolicyName string            `json:"policy,omitempty"`
 
-	Horizon time.Duration `json:"-"`
+	Horizon time.Duration   `json:"-"`
+	Policy  *policy.Program `json:"-"` // must hold for a call to be planned; nil for none
+}
+
+// Policy is an expression over a call's context that routes may name.
+type Policy struct {
+	Expression string `json:"expression"`
 }
 
 // ClassFor gives the retry class of a method on the route.
@@ -126,6 +134,8 @@
 	Guards   map[string][]string  // by service: the versions besides the fallback that its flag may give
 
 	statements map[[2]string]uint64 // by service and version
+	policies   map[string]*Policy
+	programs   map[string]*policy.Program // by expression and attributes, taken over from setup to setup
 
 	decoded map[*schema.Item]*Route // so that the next setup need not decode what stayed
 }
@@ -279,6 +289,14 @@
 		target.state(decoded.Service, decoded.Version, item)
 		return nil
 	},
+	"policy": func(target *Setup, item *schema.Item) error {
+		decoded := &Policy{}
+		if err := strict(item.Body, decoded); err != nil {
+			return err
+		}
+		target.policies[item.Name] = decoded
+		return nil
+	},
 	"progress": func(target *Setup, item *schema.Item) error {
 		decoded := &Progress{}
 		if err := strict(item.Body, decoded); err != nil {
@@ -328,6 +346,8 @@
 		Guards:   map[string][]string{},
 
 		statements: map[[2]string]uint64{},
+		policies:   map[string]*Policy{},
+		programs:   map[string]*policy.Program{},
 	}
 	var faults []*schema.Fault
 	add := func(path, format string, values ...any) {
@@ -353,6 +373,7 @@
 		add(fault.Path, "%s", fault.Reason)
 	}
 	made.crossCheck(add)
+	made.bindPolicies(before, add)
 	for _, name := range names(made.Services) {
 		if decider := made.Flags.Flags[FlagOf(name)]; decider != nil {
 			for _, version := range decider.Reachable() {
@@ -366,6 +387,52 @@
 	return made, faults
 }
 
+// bindPolicies compiles each policy once for each set of attributes that routes give it, and
+// takes over what the setup before had compiled.
+func (s *Setup) bindPolicies(before *Setup, add func(path, format string, values ...any)) {
+	compile := func(name string, attributes []string, user string) *policy.Program {
+		expression := s.policies[name].Expression
+		key := expression + "\x00" + strings.Join(attributes, "\x00")
+		if before != nil && before.programs[key] != nil {
+			s.programs[key] = before.programs[key]
+		}
+		if s.programs[key] == nil {
+			program, fault := policy.Compile(expression, attributes)
+			if fault != nil {
+				add("policy."+name+".expression", "line %d, column %d: %s%s", fault.Line, fault.Column, fault.Reason, user)
+				return nil
+			}
+			s.programs[key] = program
+		}
+		return s.programs[key]
+	}
+	used := map[string]bool{}
+	for i, route := range s.Routes {
+		if route.PolicyName == "" {
+			continue
+		}
+		if s.policies[route.PolicyName] == nil {
+			add("route."+route.Name+".policy", "policy %q does not exist", route.PolicyName)
+			continue
+		}
+		used[route.PolicyName] = true
+		for _, name := range names(route.Attributes) {
+			if policy.Reserved(name) {
+				add("route."+route.Name+".attributes."+name, "a policy knows %q as its own", name)
+			}
+		}
+		// A route may be shared with the setup before, whose policy was another.
+		bound := *route
+		bound.Policy = compile(route.PolicyName, append([]string{}, names(route.Attributes)...), " (as route "+route.Name+" names it)")
+		s.Routes[i] = &bound
+	}
+	for _, name := range names(s.policies) {
+		if !used[name] {
+			compile(name, nil, "")
+		}
+	}
+}
+
 // names lists a map's keys in order, so that faults come in the same order each time.
 func names[V any](from map[string]V) []string {
 	return slices.Sorted(maps.Keys(from))
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -200,3 +200,42 @@
 		}
 	}
 }
+
+// A policy is refused with each fault at its place; one that a route names stays.
+func TestPolicies(t *testing.T) {
+	base := `service: shop: {versions: ["1"], fallback: "1", callers: []}
+`
+	for name, one := range map[string]struct {
+		text  string
+		paths []string
+	}{
+		"sound": {`policy: p: expression: "country == \"se\""
+route: r: {service: "shop", prefix: "/r", attributes: country: "X", policy: "p"}`, nil},
+		"sound, no route yet": {`policy: p: expression: "country == \"se\""`, nil},
+		"no bool":             {`policy: p: expression: "caller"`, []string{"policy.p.expression"}},
+		"does not parse":      {`policy: p: expression: "caller =="`, []string{"policy.p.expression"}},
+		"no such attribute": {`policy: p: expression: "country == \"se\""
+route: r: {service: "shop", prefix: "/r", policy: "p"}`, []string{"policy.p.expression"}},
+		"missing, or removed": {`route: r: {service: "shop", prefix: "/r", policy: "p"}`, []string{"route.r.policy"}},
+		"hides the context": {`policy: p: expression: "caller == \"a\""
+route: r: {service: "shop", prefix: "/r", attributes: caller: "X", policy: "p"}`, []string{"route.r.attributes.caller"}},
+		"each by itself": {`policy: {p: expression: "caller", q: expression: "1 +"}`, []string{"policy.p.expression", "policy.q.expression"}},
+	} {
+		items, faults := Read([]byte(base + one.text))
+		for i, item := range items {
+			item.Version = &schema.Version{Epoch: 1, Sequence: uint64(i + 1)}
+		}
+		made, cross := Compile(State{}.With(items), 9)
+		var paths []string
+		for _, fault := range append(faults, cross...) {
+			paths = append(paths, fault.Path)
+		}
+		if diff := cmp.Diff(one.paths, paths); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+		// Compiled once: the next setup takes it over.
+		if next, _ := CompileAfter(made, State{}.With(items), 10); len(one.paths) == 0 && len(made.Routes) > 0 && next.Routes[0].Policy != made.Routes[0].Policy {
+			t.Errorf("%s: was compiled again", name)
+		}
+	}
+}
