Make the brake's thresholds settings; refuse leases to proxies of another lease; show it

Cause: thresholds were constants; a proxy set to a longer lease than the registries would have gone on deciding after they took it for run out. After: each threshold is a checked setting; LEASE_DIFFERS, and operator status names whose settings contradict. A conflict tells what stands and whose change it was.

--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -8,26 +8,32 @@
 	"meadowhinge/schema"
 )
 
-// Ratios of the brake at one proxy.
-const (
-	trialTimes  = 2.0  // the new version's failures as a multiple of the old version's
-	trialExcess = 0.02 // and above them, as a part of calls
-	trialSlow   = 10   // a call this many times as long as the old version's mean has failed
-	slowFloor   = 50 * time.Millisecond
-)
+// slowFloor is what no call is too slow below.
+const slowFloor = 50 * time.Millisecond
+
+// TrialOptions bound one proxy's part of the brake.
+type TrialOptions struct {
+	Length   time.Duration // how long a grant lasts
+	Failures int64         // that the whole fleet may take
+	Times    float64       // a version's failures as a multiple of the fallback version's
+	Excess   float64       // and above them, as a part of calls
+	Slow     float64       // a call this many times as long as the fallback version's mean has failed
+}
+
+// TrialDefaults are the settings' presets.
+var TrialDefaults = TrialOptions{Length: time.Second, Failures: 40, Times: 2, Excess: 0.02, Slow: 10}
 
 // Trials is one proxy's part of the brake: a version other than its service's fallback is used
 // only under a short grant, and only until this proxy has taken its own part of the failures
 // allowed.
 type Trials struct {
-	lock     sync.Mutex
-	length   time.Duration
-	failures float64 // for the whole fleet
-	members  func() int
-	guards   func() Guards
-	granted  map[[2]string]trialGrant // by service and version
-	tripped  map[[2]string]tripped    // where this proxy has taken its part
-	seen     map[[2]string]*trialWindow
+	lock    sync.Mutex
+	options TrialOptions
+	members func() int
+	guards  func() Guards
+	granted map[[2]string]trialGrant // by service and version
+	tripped map[[2]string]tripped    // where this proxy has taken its part
+	seen    map[[2]string]*trialWindow
 }
 
 // Guards is what the setup in use says of versions; setup.Setup has it.
@@ -73,9 +79,9 @@
 	window *trialWindow
 }
 
-// NewTrials takes the time a grant lasts and the failures that the fleet may take.
-func NewTrials(length time.Duration, failures int64, members func() int, guards func() Guards) *Trials {
-	return &Trials{length: length, failures: float64(failures), members: members, guards: guards,
+// NewTrials begins without any grant.
+func NewTrials(options TrialOptions, members func() int, guards func() Guards) *Trials {
+	return &Trials{options: options, members: members, guards: guards,
 		granted: map[[2]string]trialGrant{}, tripped: map[[2]string]tripped{}, seen: map[[2]string]*trialWindow{}}
 }
 
@@ -96,12 +102,12 @@
 			delete(t.tripped, key)
 			delete(t.seen, key)
 		}
-		if stop, stopped := t.tripped[key]; stopped && one.Fine && asked >= stop.at+judgedParts*t.length {
+		if stop, stopped := t.tripped[key]; stopped && one.Fine && asked >= stop.at+judgedParts*t.options.Length {
 			delete(t.tripped, key)
 			delete(t.seen, key)
 		}
 		// A stop stands until something else is stated, whoever grants later.
-		t.granted[key] = trialGrant{one.Plan, max(held.until, asked+t.length), held.stopped || one.Stopped}
+		t.granted[key] = trialGrant{one.Plan, max(held.until, asked+t.options.Length), held.stopped || one.Stopped}
 	}
 }
 
@@ -183,7 +189,7 @@
 // tooLong tells whether a call takes far longer than the old version's do.
 func (t *Trials) tooLong(call *TrialCall, now time.Duration) bool {
 	calls, _, mean := t.old(call.key[0], now)
-	return call.key[1] != t.guards().FallbackOf(call.key[0]) && calls > 0 && now-call.began > max(slowFloor, trialSlow*mean)
+	return call.key[1] != t.guards().FallbackOf(call.key[0]) && calls > 0 && now-call.began > max(slowFloor, time.Duration(t.options.Slow*float64(mean)))
 }
 
 // Held tells whether a version other than the fallback must not be used now.
@@ -205,13 +211,13 @@
 			calls, failures = calls+1, failures+1
 		}
 	}
-	part := max(1, t.failures/float64(max(1, t.members())))
+	part := max(1, float64(t.options.Failures)/float64(max(1, t.members())))
 	oldCalls, oldFailures, _ := t.old(service, now)
 	oldRate := 0.0
 	if oldCalls > 0 {
 		oldRate = oldFailures / oldCalls
 	}
-	if failures+1 <= part || failures/calls <= trialTimes*oldRate+trialExcess {
+	if failures+1 <= part || failures/calls <= t.options.Times*oldRate+t.options.Excess {
 		return false
 	}
 	t.tripped[key] = tripped{statement, now}
--- a/internal/dispatch/trial_test.go
+++ b/internal/dispatch/trial_test.go
@@ -25,7 +25,7 @@
 }
 
 func trialsOf(setup stated) *Trials {
-	return NewTrials(time.Second, 40, func() int { return 10 }, func() Guards { return setup })
+	return NewTrials(TrialDefaults, func() int { return 10 }, func() Guards { return setup })
 }
 
 func call(t *Trials, version string, now time.Duration, failed bool) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -225,7 +225,8 @@
 		Outdated: func(sequence uint64) bool {
 			return s.journal.View().Outdated(sequence, s.now(), s.lease/renewParts)
 		}}, int(given.Remembered))
-	s.trials = dispatch.NewTrials(time.Duration(given.Trial), given.TrialFailures, func() int { return int(s.members.Load()) },
+	s.trials = dispatch.NewTrials(dispatch.TrialOptions{Length: time.Duration(given.Trial), Failures: given.TrialFailures, Times: given.TrialTimes,
+		Excess: given.TrialExcess, Slow: given.TrialSlow}, func() int { return int(s.members.Load()) },
 		func() dispatch.Guards { return s.view().Setup })
 	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.incarnation,
 		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -125,7 +125,7 @@
 	defer cancel()
 	asked := s.now()
 	applied := s.journal.View().setup.Sequence
-	reply, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Lease(bounded, &schema.Renew{Proxy: s.options.Name, Incarnation: s.incarnation, Applied: applied, Knows: knows})
+	reply, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Lease(bounded, &schema.Renew{Proxy: s.options.Name, Incarnation: s.incarnation, Applied: applied, Knows: knows, LeaseNanos: int64(s.lease)})
 	if err != nil {
 		return ""
 	}
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -212,7 +212,8 @@
 	}
 	for ctx.Err() == nil {
 		s.lock.Lock()
-		pull := &schema.Pull{Node: "registry/" + s.options.Seat, Vector: s.table.Vector(), WaitNanos: int64(s.lease / pollParts), Core: s.cores[s.options.Seat]}
+		pull := &schema.Pull{Node: "registry/" + s.options.Seat, Vector: s.table.Vector(), WaitNanos: int64(s.lease / pollParts), Core: s.cores[s.options.Seat],
+			LeaseNanos: int64(s.lease), Order: s.options.Order}
 		s.lock.Unlock()
 		bounded, cancel := context.WithTimeout(ctx, s.lease)
 		pulled, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, seed)).Feed(bounded, pull)
@@ -298,6 +299,8 @@
 		}
 		s.lock.Lock()
 		s.learnCore(pull.Core)
+		s.table.Differs(pull.Node, "lease", time.Duration(pull.LeaseNanos).String(), s.lease.String(), pull.LeaseNanos != 0)
+		s.table.Differs(pull.Node, "order", pull.Order, s.options.Order, pull.Order != "")
 		s.lock.Unlock()
 	}
 	horizon := time.NewTimer(min(time.Duration(pull.WaitNanos), s.lease))
@@ -378,7 +381,7 @@
 	now := s.now()
 	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now),
 		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load(),
-		Claims: uint64(s.claims.Held()), ClaimsCount: s.claims.Counts(now), RefusedClaims: s.claims.Refused}, nil
+		Claims: uint64(s.claims.Held()), ClaimsCount: s.claims.Counts(now), RefusedClaims: s.claims.Refused, Odd: s.table.Odd()}, nil
 }
 
 // keyBytes is the length of a claim's digests.
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -34,6 +34,7 @@
 	Acknowledged bool              `json:"acknowledged"`
 	Waiting      []string          `json:"waiting,omitempty"` // proxies that may still use older rules
 	Current      map[string]uint64 `json:"current,omitempty"`
+	Standing     []ShownItem       `json:"standing,omitempty"` // on a conflict: what stands, and whose it is
 	Defect       defect.Kind       `json:"defect,omitempty"`
 	Faults       []*schema.Fault   `json:"faults,omitempty"`
 }
@@ -145,6 +146,15 @@
 		return
 	}
 	status, answer := answerOf(submission.ID, submitted.Outcome)
+	if submitted.Outcome.Ruling == schema.Ruling_RULING_CONFLICT {
+		s.lock.Lock()
+		for _, item := range items {
+			if held := s.state[setup.Key(item.Kind, item.Name)]; held != nil && !held.Deleted {
+				answer.Standing = append(answer.Standing, shownItem(held))
+			}
+		}
+		s.lock.Unlock()
+	}
 	if submitted.Outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
 		answer.Waiting = s.acknowledge(bounded, answer.Sequence)
 		answer.Acknowledged = answer.Waiting == nil
@@ -258,7 +268,12 @@
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
 	Version uint64          `json:"version"`
-	Body    json.RawMessage `json:"body"`
+	Change  string          `json:"change,omitempty"` // the id of the change that wrote it
+	Body    json.RawMessage `json:"body,omitempty"`
+}
+
+func shownItem(item *schema.Item) ShownItem {
+	return ShownItem{item.Kind, item.Name, item.Version.GetSequence(), item.Change, item.Body}
 }
 
 // Shown is the stable setup as operators see it.
@@ -280,7 +295,7 @@
 	}
 	for _, item := range items {
 		if !item.Deleted {
-			shown.Items = append(shown.Items, ShownItem{item.Kind, item.Name, item.Version.Sequence, item.Body})
+			shown.Items = append(shown.Items, shownItem(item))
 		}
 	}
 	daemon.Answer(call, fasthttp.StatusOK, shown)
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		if duty == nil {
-			duty = release.NewDuty(release.Defaults, s.options.Seat, s.lease/stepParts)
+			duty = release.NewDuty(s.steering(), s.options.Seat, s.lease/stepParts)
 		}
 		trials := duty.Trials(compiled)
 		s.takeTrials(trials)
@@ -82,6 +82,13 @@
 	}
 }
 
+// steering is the duty's options as the settings have them.
+func (s *Server) steering() release.Options {
+	given := s.options
+	return release.Options{TrialShare: 100 * given.TrialShare, CallsEnough: uint64(given.CallsEnough), FailuresMost: uint64(given.BrakeFailures), Excess: given.BrakeExcess,
+		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps)}
+}
+
 // gather collects the counts of all registries reached, handing out trials with the call. It
 // tells of what part of the fleet they are.
 func (s *Server) gather(ctx context.Context, trials []*schema.Trial) ([]*schema.SourceCounts, float64) {
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -3,6 +3,9 @@
 package registry
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,6 +64,7 @@
 	newest   uint64 // sequence traced last
 	trials   []*schema.Trial
 	trialsAt time.Duration // when the release duty last handed them out
+	odd      map[string]string
 }
 
 // trace is when a setup was where, as far as this registry saw.
@@ -75,7 +79,7 @@
 
 // NewTable makes the memory of a registry that has just started.
 func NewTable(options TableOptions) *Table {
-	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}, toldAt: map[leaseKey]time.Duration{}}
+	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}, toldAt: map[leaseKey]time.Duration{}, odd: map[string]string{}}
 }
 
 // SetCurrent tells that the registry knows at least what was stable when it started.
@@ -124,7 +128,11 @@
 	reply := &schema.Renewed{Stable: t.known, Members: uint32(t.Members(now)), Seat: t.options.Seat}
 	key := leaseKey{renew.Proxy, renew.Incarnation}
 	held := t.leases[key]
+	t.Differs("proxy "+renew.Proxy, "lease", time.Duration(renew.LeaseNanos).String(), t.options.Lease.String(), renew.LeaseNanos != 0)
 	switch {
+	// A proxy that counts on a longer lease than is kept here would decide after its end.
+	case renew.LeaseNanos != 0 && time.Duration(renew.LeaseNanos) != t.options.Lease:
+		reply.Reason = "LEASE_DIFFERS"
 	case !t.Grants(now):
 		reply.Reason = "REGISTRY_YOUNG"
 	case renew.Applied < t.required:
@@ -287,6 +295,22 @@
 	return passed
 }
 
+// oddMost bounds what is kept of settings that contradict.
+const oddMost = 64
+
+// Differs notes or forgets that a setting, which must be the same everywhere, is another elsewhere.
+func (t *Table) Differs(who, setting, theirs, ours string, told bool) {
+	key := who + ": " + setting
+	if !told || theirs == ours {
+		delete(t.odd, key)
+	} else if len(t.odd) < oddMost {
+		t.odd[key] = fmt.Sprintf("%s is %s there, %s here", key, theirs, ours)
+	}
+}
+
+// Odd lists settings of others that contradict this registry's.
+func (t *Table) Odd() []string { return slices.Sorted(maps.Values(t.odd)) }
+
 // Seat is whose table this is.
 func (t *Table) Seat() string { return t.options.Seat }
 
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -168,3 +169,23 @@
 		t.Errorf("silent sources are still listed: %v", news)
 	}
 }
+
+// A proxy whose settings have another lease gets none: it would count on a longer one than is
+// kept here, or be taken for dead. Status shows whose settings contradict, until they don't.
+func TestOddSettings(t *testing.T) {
+	table := core(1)[0]
+	renew := &schema.Renew{Proxy: "p", Incarnation: 1, Applied: 1, LeaseNanos: int64(2 * span)}
+	if reply := table.Renew(span, renew); reply.Granted || reply.Reason != "LEASE_DIFFERS" || len(table.Odd()) != 1 {
+		t.Errorf("%v, %v", reply, table.Odd())
+	}
+	renew.LeaseNanos = int64(span)
+	if reply := table.Renew(span, renew); !reply.Granted || len(table.Odd()) != 0 {
+		t.Errorf("%v, %v", reply, table.Odd())
+	}
+	for i := range 2 * oddMost {
+		table.Differs(fmt.Sprint("proxy ", i), "lease", "1s", "8s", true)
+	}
+	if len(table.Odd()) != oddMost {
+		t.Errorf("%d are kept", len(table.Odd()))
+	}
+}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -35,7 +35,7 @@
 	Steps        int     // that a ramp is made in
 }
 
-// Defaults are starting values; each is a setting of this package's callers.
+// Defaults are the settings' presets.
 var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20}
 
 // Count is what was seen of a version on a route.
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -26,13 +26,11 @@
 
 // Settings of the simulated proxies.
 const (
-	horizonMost   = 10 * time.Second
-	trialGrant    = time.Second
-	trialFailures = 40
-	extraRatio    = 0.2
-	extraFloor    = 60
-	dialBound     = lease / 16
-	remembered    = 1 << 14
+	horizonMost = 10 * time.Second
+	extraRatio  = 0.2
+	extraFloor  = 60
+	dialBound   = lease / 16
+	remembered  = 1 << 14
 )
 
 type proxyNode struct {
@@ -83,11 +81,11 @@
 		}
 		return gate.Open()
 	}
-	failures := int64(trialFailures)
+	trying := dispatch.TrialDefaults
 	if w.plant == PlantDeaf {
-		failures = 1 << 40
+		trying.Failures = 1 << 40
 	}
-	node.trials = dispatch.NewTrials(trialGrant, failures, func() int { return int(node.members.Load()) }, func() dispatch.Guards { return view().Setup })
+	node.trials = dispatch.NewTrials(trying, func() int { return int(node.members.Load()) }, func() dispatch.Guards { return view().Setup })
 	node.tally = dispatch.NewTally(512)
 	node.facts = dispatch.NewSoundness(5, 5*time.Second)
 	conns := node.conns
@@ -219,7 +217,7 @@
 	target := w.regs[i]
 	asked := node.clockOf(w.now)
 	applied := node.journal.View().Sequence()
-	renew := &schema.Renew{Proxy: node.name, Incarnation: node.incarnation, Applied: applied, Knows: knows}
+	renew := &schema.Renew{Proxy: node.name, Incarnation: node.incarnation, Applied: applied, Knows: knows, LeaseNanos: int64(lease)}
 	gate := node.gate
 	w.deliver(&node.machine, &target.machine, func() {
 		reply := target.table.Renew(w.ageOf(target), renew)
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -1087,7 +1087,7 @@
 	}
 	var items []*schema.Item
 	for _, item := range change.Items {
-		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version})
+		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version, Change: change.Id})
 	}
 	compiled, faults := setup.CompileAfter(before, state.With(items), version.Sequence)
 	if len(faults) > 0 {
