Test the operators' command line; stop, lift and watch; explain in words

Found by the tests: outcome -json printed nothing; a registry that has just started answered a question with 503 while the others could have answered it.

--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -11,9 +11,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -38,7 +40,9 @@
 	registries string
 	timeout    time.Duration
 	asJSON     bool
+	in         io.Reader
 	out        io.Writer
+	complaint  io.Writer
 }
 
 // ask calls the first registry that answers and gives its status and body.
@@ -51,6 +55,7 @@
 		}
 	}
 	silent := []string{}
+	var young []byte
 	for _, address := range options.List(c.registries) {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return 0, nil, defect.New(defect.BadOptions, fmt.Sprintf("registries: %q is not IP:port", address))
@@ -71,8 +76,16 @@
 			silent = append(silent, address)
 			continue
 		}
+		// One that has just started may not know; a question does no harm at another.
+		if method == http.MethodGet && response.StatusCode == http.StatusServiceUnavailable {
+			young = text
+			continue
+		}
 		return response.StatusCode, text, nil
 	}
+	if young != nil {
+		return http.StatusServiceUnavailable, young, nil
+	}
 	return 0, nil, defect.New(defect.NoMajority, "no answer from "+strings.Join(silent, ", "))
 }
 
@@ -103,7 +116,7 @@
 func (c *client) apply(file, id string) error {
 	text, err := os.ReadFile(file)
 	if file == "-" {
-		text, err = io.ReadAll(os.Stdin)
+		text, err = io.ReadAll(c.in)
 	}
 	if err != nil {
 		return &coded{exitUsage, defect.Wrap(err, defect.BadOptions, "setup")}
@@ -161,7 +174,7 @@
 	items, faults := setup.Read(text)
 	if len(faults) > 0 {
 		for _, fault := range faults {
-			fmt.Fprintf(os.Stderr, "%s: %s\n", fault.Path, fault.Reason)
+			fmt.Fprintf(c.complaint, "%s: %s\n", fault.Path, fault.Reason)
 		}
 		return &coded{exitRefused, defect.New(defect.BadSetup, "nothing of it was sent")}
 	}
@@ -176,9 +189,6 @@
 	if err != nil {
 		return &coded{exitUnreachable, defect.Wrap(err, defect.NoMajority, "ask again with: operator outcome "+submission.ID)}
 	}
-	if c.asJSON {
-		fmt.Fprintln(c.out, string(body))
-	}
 	return c.tell(status, body)
 }
 
@@ -188,7 +198,9 @@
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return &coded{exitUnreachable, defect.Wrap(err, defect.Malformed, string(body))}
 	}
-	if !c.asJSON {
+	if c.asJSON {
+		fmt.Fprintln(c.out, string(body))
+	} else {
 		fmt.Fprintf(c.out, "change %s: %s", answer.ID, answer.Ruling)
 		if answer.Sequence > 0 {
 			fmt.Fprintf(c.out, " as %d", answer.Sequence)
@@ -203,8 +215,11 @@
 		for _, fault := range answer.Faults {
 			fmt.Fprintf(c.out, "  %s: %s\n", fault.Path, fault.Reason)
 		}
-		for key, sequence := range answer.Current {
-			fmt.Fprintf(c.out, "  %s stands at %d\n", key, sequence)
+		for _, key := range slices.Sorted(maps.Keys(answer.Current)) {
+			fmt.Fprintf(c.out, "  %s stands at %d\n", key, answer.Current[key])
+		}
+		for _, item := range answer.Standing {
+			fmt.Fprintf(c.out, "  %s/%s, by change %s: %s\n", item.Kind, item.Name, item.Change, item.Body)
 		}
 	}
 	switch {
@@ -216,6 +231,27 @@
 	return &coded{exitRefused, defect.New(answer.Defect, answer.ID)}
 }
 
+// explain says in words which version a request would get, and why.
+func (c *client) explain(told *registry.Explanation) error {
+	fmt.Fprintf(c.out, "route %s of service %s, %s, within %s\n", told.Route, told.Service, told.Class, told.Horizon)
+	if told.Policy != "" {
+		fmt.Fprintf(c.out, "policy %s: %s\n", told.Policy, map[bool]string{true: "refuses it", false: "holds"}[told.Refused])
+	}
+	if told.Refused {
+		return nil
+	}
+	verdict := told.Verdict
+	fmt.Fprintf(c.out, "version %s, because %s of flag %s", verdict.Version, verdict.Reason, verdict.Flag)
+	for name, text := range map[string]string{"rule": verdict.RuleID, "error": string(verdict.Error), "in place of": verdict.Evaluated} {
+		if text != "" {
+			fmt.Fprintf(c.out, ", %s %s", name, text)
+		}
+	}
+	fmt.Fprintf(c.out, ", by setup %d\n", verdict.Setup)
+	fmt.Fprintf(c.out, "workers: %s\n", strings.Join(told.Pool, " "))
+	return nil
+}
+
 func (c *client) table(head string, rows [][]any) {
 	writer := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(writer, strings.ReplaceAll(head, " ", "\t"))
@@ -231,9 +267,13 @@
 	writer.Flush()
 }
 
-func main() {
-	c := &client{out: os.Stdout}
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+// run does one command and gives its exit code.
+func run(words []string, in io.Reader, out, complaint io.Writer) int {
+	c := &client{in: in, out: out, complaint: complaint}
 	root := flag.NewFlagSet("operator", flag.ContinueOnError)
+	root.SetOutput(complaint)
 	root.StringVar(&c.registries, "registries", "127.0.0.1:7102", "IP:port of the registries' operator interfaces, by comma")
 	root.DurationVar(&c.timeout, "timeout", 25*time.Second, "longest wait for one registry")
 	root.BoolVar(&c.asJSON, "json", false, "print answers as they came")
@@ -243,6 +283,7 @@
 		if set == nil {
 			set = flag.NewFlagSet(name, flag.ContinueOnError)
 		}
+		set.SetOutput(complaint)
 		return &ffcli.Command{Name: name, ShortUsage: "operator [flags] " + usage, ShortHelp: help, FlagSet: set,
 			Exec: func(_ context.Context, args []string) error {
 				if len(args) != words {
@@ -268,7 +309,35 @@
 	releaseSet.StringVar(&plan.Over, "over", "10m", "the time to get there")
 	releaseSet.StringVar(&plan.Pace, "pace", "go", "go, hold, or back (turn back to the fallback version)")
 
+	watching := func(set *flag.FlagSet) (*time.Duration, *int) {
+		return set.Duration("watch", 0, "show it again and again, with this pause"), set.Int("times", 0, "how often with -watch; 0 for until Ctrl-C")
+	}
+	// again shows a page once, or as often as asked for.
+	again := func(pause *time.Duration, times *int, show func() error) func([]string) error {
+		return func([]string) error {
+			for shown := 1; ; shown++ {
+				if err := show(); err != nil || *pause <= 0 || shown == *times {
+					return err
+				}
+				time.Sleep(*pause)
+				fmt.Fprintln(c.out)
+			}
+		}
+	}
+	verdictsSet, releasesSet := flag.NewFlagSet("verdicts", flag.ContinueOnError), flag.NewFlagSet("releases", flag.ContinueOnError)
+	verdictsPause, verdictsTimes := watching(verdictsSet)
+	releasesPause, releasesTimes := watching(releasesSet)
+	stopSet := flag.NewFlagSet("stop", flag.ContinueOnError)
+	reason := stopSet.String("reason", "an operator stopped it", "why")
+	before := map[string]uint64{}
+
 	commands := []*ffcli.Command{
+		command("stop", "stop [-reason TEXT] SERVICE VERSION", "let a version get no calls; its fallback version serves them", stopSet, 2, func(args []string) error {
+			return c.send("", []byte(fmt.Sprintf("stop: %q: {service: %q, version: %q, reason: %q}\n", setup.StopName(args[0], args[1]), args[0], args[1], *reason)))
+		}),
+		command("lift", "lift SERVICE VERSION", "lift a stop, an operator's or the brake's; the version is tried out anew", nil, 2, func(args []string) error {
+			return c.send("", []byte(fmt.Sprintf("stop: %q: {service: %q, version: %q, lifted: true}\n", setup.StopName(args[0], args[1]), args[0], args[1])))
+		}),
 		command("release", "release [-service S] [-version V] [-target PERCENT] [-over TIME] [-pace go|hold|back] NAME", "state a release plan, or change what flags give of one", releaseSet, 1,
 			func(args []string) error {
 				given := map[string]bool{}
@@ -278,7 +347,7 @@
 		command("cancel", "cancel NAME", "end a release plan; the flag stays as it is", nil, 1, func(args []string) error {
 			return c.send("", []byte(fmt.Sprintf("remove: release: [%q]\n", args[0])))
 		}),
-		command("releases", "releases", "show release plans: the set point beside the measured share", nil, 0, func([]string) error {
+		command("releases", "releases [-watch TIME] [-times N]", "show release plans: the set point beside the measured share", releasesSet, 0, again(releasesPause, releasesTimes, func() error {
 			var shown []registry.ShownRelease
 			if done, err := c.get("/v1/releases", &shown); done || err != nil {
 				return err
@@ -289,7 +358,7 @@
 			}
 			c.table("NAME SERVICE VERSION TARGET OVER PACE STATE SET-POINT MEASURED REASON", rows)
 			return nil
-		}),
+		})),
 		command("apply", "apply [-id ID] FILE", "state a setup change, written in CUE; - reads standard input", applySet, 1,
 			func(args []string) error { return c.apply(args[0], *id) }),
 		command("outcome", "outcome ID", "tell what became of a change", nil, 1, func(args []string) error {
@@ -315,18 +384,21 @@
 			c.table("KIND NAME VERSION BODY", rows)
 			return nil
 		}),
-		command("verdicts", "verdicts", "show verdict counts by flag, variation and reason", nil, 0, func([]string) error {
+		command("verdicts", "verdicts [-watch TIME] [-times N]", "show verdict counts by flag, variation and reason; watched, also what came since", verdictsSet, 0, again(verdictsPause, verdictsTimes, func() error {
 			var lines []registry.VerdictLine
 			if done, err := c.get("/v1/verdicts", &lines); done || err != nil {
 				return err
 			}
 			var rows [][]any
 			for _, line := range lines {
-				rows = append(rows, []any{line.Flag, line.Variation, line.Reason, line.Rule, line.Route, line.Outcome, line.Calls, line.Failures, fmt.Sprintf("%.2f", line.MeanMS)})
+				key := strings.Join([]string{line.Flag, line.Variation, line.Reason, line.Rule, line.Route, line.Outcome}, " ")
+				since := line.Calls - min(before[key], line.Calls)
+				before[key] = line.Calls
+				rows = append(rows, []any{line.Flag, line.Variation, line.Reason, line.Rule, line.Route, line.Outcome, line.Calls, since, line.Failures, fmt.Sprintf("%.2f", line.MeanMS)})
 			}
-			c.table("FLAG VARIATION REASON RULE ROUTE OUTCOME CALLS FAILURES MEAN-MS", rows)
+			c.table("FLAG VARIATION REASON RULE ROUTE OUTCOME CALLS SINCE FAILURES MEAN-MS", rows)
 			return nil
-		}),
+		})),
 		command("workers", "workers", "show the workers that described themselves", nil, 0, func([]string) error {
 			var shown []registry.ShownWorker
 			if done, err := c.get("/v1/workers", &shown); done || err != nil {
@@ -357,6 +429,12 @@
 				rows = append(rows, []any{one.Seat, one.Grants, one.Stable, strings.Join(leases, " ")})
 			}
 			c.table("REGISTRY GRANTS STABLE LEASES", rows)
+			for _, one := range status.Registries {
+				fmt.Fprintf(c.out, "registry %s: %d keys claimed, its word on them counts: %v\n", one.Seat, one.Claims, one.ClaimsCount)
+				for _, odd := range one.Odd {
+					fmt.Fprintf(c.out, "registry %s: SETTINGS CONTRADICT: %s\n", one.Seat, odd)
+				}
+			}
 			fmt.Fprintf(c.out, "members %d\n", status.Members)
 			return nil
 		}),
@@ -368,10 +446,15 @@
 			if status != http.StatusOK {
 				return &coded{exitRefused, defect.New(defect.NoRoute, string(body))}
 			}
-			var indented bytes.Buffer
-			_ = json.Indent(&indented, body, "", "  ")
-			fmt.Fprintln(c.out, indented.String())
-			return nil
+			if c.asJSON {
+				fmt.Fprintln(c.out, string(body))
+				return nil
+			}
+			var told registry.Explanation
+			if err := json.Unmarshal(body, &told); err != nil {
+				return &coded{exitRefused, defect.Wrap(err, defect.Malformed, "explanation")}
+			}
+			return c.explain(&told)
 		}),
 	}
 	top := &ffcli.Command{Name: "operator", ShortUsage: "operator [flags] COMMAND", FlagSet: root, Subcommands: commands,
@@ -382,14 +465,11 @@
 			}
 			return &coded{exitUsage, defect.New(defect.BadOptions, "no such command; see operator -help")}
 		}}
-	os.Exit(exit(top.ParseAndRun(context.Background(), os.Args[1:])))
-}
-
-func exit(err error) int {
+	err := top.ParseAndRun(context.Background(), words)
 	if err == nil || errors.Is(err, flag.ErrHelp) {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, "operator:", err)
+	fmt.Fprintln(complaint, "operator:", err)
 	if ended, ok := err.(*coded); ok {
 		return ended.code
 	}
--- /dev/null
+++ b/cmd/operator/main_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"meadowhinge/internal/registry"
+)
+
+// standIn is a registry's operators' interface with one answer for each page.
+func standIn(t *testing.T, pages map[string]string, status int) (address string, asked *[]string) {
+	t.Helper()
+	asked = &[]string{}
+	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, request *http.Request) {
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(request.Body)
+		*asked = append(*asked, request.Method+" "+request.URL.Path+" "+body.String())
+		page, known := pages[request.Method+" "+request.URL.Path]
+		switch {
+		case status != 0:
+			out.WriteHeader(status)
+		case !known:
+			out.WriteHeader(http.StatusNotFound)
+		case strings.Contains(page, `"conflict"`):
+			out.WriteHeader(http.StatusConflict)
+		case strings.Contains(page, `"acknowledged":false`):
+			out.WriteHeader(http.StatusAccepted)
+		}
+		_, _ = out.Write([]byte(page))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), asked
+}
+
+var goodPages = map[string]string{
+	"GET /v1/setup":       `{"sequence":7,"items":[{"kind":"segment","name":"s","version":3,"change":"ann-1","body":{"salt":"a"}}]}`,
+	"POST /v1/changes":    `{"id":"x","ruling":"accepted","sequence":8,"acknowledged":true}`,
+	"GET /v1/changes/x":   `{"id":"x","ruling":"accepted","sequence":8,"acknowledged":true}`,
+	"GET /v1/verdicts":    `[{"flag":"release.shop","variation":"1","reason":"FALLTHROUGH","route":"look","outcome":"answered","calls":12}]`,
+	"GET /v1/workers":     `[{"instance":"p/1","service":"shop","version":"1","area":"a","proxy":"p","load":0,"state":"serving"}]`,
+	"GET /v1/releases":    `[{"name":"to","service":"shop","version":"2","target":50,"over":"10m","pace":"go","state":"ramp","share":20,"measured":19}]`,
+	"GET /v1/status":      `{"registries":[{"seat":"a","grants":true,"stable":7,"claims":4,"claims_count":true,"odd":["proxy p: lease is 9s there, 8s here"]}],"members":5}`,
+	"POST /v1/explain":    `{"route":"look","service":"shop","class":"repeatable","horizon":"2s","verdict":{"flag":"release.shop","version":"1","reason":"FALLTHROUGH","setup":7},"pool":["p/1"]}`,
+	"GET /v1/changes/odd": `{`,
+}
+
+// Each command with good input says what came of it, in words or as JSON, and leaves with 0.
+func TestCommands(t *testing.T) {
+	address, asked := standIn(t, goodPages, 0)
+	for _, one := range []struct {
+		words []string
+		in    string
+		says  string
+		asks  string
+	}{
+		{[]string{"apply", "-"}, `segment: s: {salt: "b"}`, "accepted as 8, acknowledged: true", `"expected":{"segment/s":3}`},
+		{[]string{"apply", "-id", "x", "-"}, `segment: t: {salt: "b"}`, "change x: accepted", `"id":"x"`},
+		{[]string{"outcome", "x"}, "", "accepted as 8", ""},
+		{[]string{"show"}, "", "setup 7", ""},
+		{[]string{"verdicts"}, "", "FALLTHROUGH", ""},
+		{[]string{"verdicts", "-watch", "1ms", "-times", "3"}, "", "SINCE", ""},
+		{[]string{"workers"}, "", "serving", ""},
+		{[]string{"releases"}, "", "20.0", ""},
+		{[]string{"status"}, "", "SETTINGS CONTRADICT: proxy p: lease", ""},
+		{[]string{"explain", "/shop/look"}, "", "version 1, because FALLTHROUGH of flag release.shop, by setup 7", `"path":"/shop/look"`},
+		{[]string{"release", "-service", "shop", "-version", "2", "-target", "40", "new"}, "", "accepted", `target: 40`},
+		{[]string{"release", "-pace", "hold", "to"}, "", "accepted", `pace: \"hold\"`},
+		{[]string{"cancel", "to"}, "", "accepted", "remove: release"},
+		{[]string{"stop", "shop", "2"}, "", "accepted", `stop: \"shop.2\"`},
+		{[]string{"lift", "shop", "2"}, "", "accepted", "lifted: true"},
+		{[]string{"-version"}, "", "operator 0", ""},
+	} {
+		var out, complaint bytes.Buffer
+		*asked = nil
+		if code := run(append([]string{"-registries", address}, one.words...), strings.NewReader(one.in), &out, &complaint); code != 0 || !strings.Contains(out.String(), one.says) {
+			t.Errorf("%v: code %d, %q, %q", one.words, code, out.String(), complaint.String())
+		}
+		if sent := strings.Join(*asked, "\n"); !strings.Contains(sent, one.asks) {
+			t.Errorf("%v: asked %s", one.words, sent)
+		}
+		if one.words[0] == "-version" || len(one.words) > 4 && one.words[1] == "-watch" {
+			continue
+		}
+		out.Reset()
+		if code := run(append([]string{"-registries", address, "-json"}, one.words...), strings.NewReader(one.in), &out, &complaint); code != 0 || !json.Valid(out.Bytes()) {
+			t.Errorf("%v as JSON: code %d, %q", one.words, code, out.String())
+		}
+		out.Reset()
+		if code := run([]string{one.words[0], "-help"}, nil, &out, &complaint); code != 0 || !strings.Contains(complaint.String(), "operator [flags] "+one.words[0]) {
+			t.Errorf("%s -help: code %d, %q", one.words[0], code, complaint.String())
+		}
+	}
+}
+
+// What goes wrong has its exit code: refused 1, misused 2, not known 3.
+func TestExitCodes(t *testing.T) {
+	good, _ := standIn(t, goodPages, 0)
+	young, _ := standIn(t, nil, http.StatusServiceUnavailable)
+	with := func(page, answer string) string {
+		pages := map[string]string{"GET /v1/setup": goodPages["GET /v1/setup"], page: answer}
+		address, _ := standIn(t, pages, 0)
+		return address
+	}
+	const nobody = "127.0.0.1:1"
+	conflict, _ := json.Marshal(registry.Answer{ID: "x", Ruling: "conflict", Defect: "CONFLICT", Current: map[string]uint64{"segment/s": 9},
+		Standing: []registry.ShownItem{{Kind: "segment", Name: "s", Version: 9, Change: "ben-4", Body: json.RawMessage(`{"salt":"his"}`)}}})
+	for name, one := range map[string]struct {
+		registries string
+		words      []string
+		in         string
+		code       int
+		says       string
+	}{
+		"nobody there":                        {nobody, []string{"show"}, "", exitUnreachable, nobody},
+		"one of three is dead":                {nobody + "," + good, []string{"show"}, "", 0, "setup 7"},
+		"one of three is young":               {young + "," + good, []string{"show"}, "", 0, "setup 7"},
+		"all are young":                       {young, []string{"show"}, "", exitRefused, "NO_MAJORITY"},
+		"a change, one of three dead":         {nobody + "," + good, []string{"apply", "-"}, `segment: t: {salt: ""}`, 0, "accepted"},
+		"no such command":                     {good, []string{"dance"}, "", exitUsage, "no such command"},
+		"too few words":                       {good, []string{"apply"}, "", exitUsage, "usage"},
+		"no such flag":                        {good, []string{"show", "-colour"}, "", exitUsage, "colour"},
+		"an address that is none":             {"here", []string{"show"}, "", exitUnreachable, "is not IP:port"},
+		"no such file":                        {good, []string{"apply", "/nowhere"}, "", exitUsage, "BAD_OPTIONS"},
+		"a setup that breaks the schema":      {good, []string{"apply", "-"}, `route: r: {prefix: 4}`, exitRefused, "route.r.prefix"},
+		"a plan without its version":          {good, []string{"release", "-service", "shop", "new"}, "", exitUsage, "needs -service and -version"},
+		"an outcome nobody knows":             {good, []string{"outcome", "never"}, "", exitRefused, "UNKNOWN_CHANGE"},
+		"not yet acknowledged":                {with("POST /v1/changes", `{"id":"x","ruling":"accepted","acknowledged":false,"waiting":["p"]}`), []string{"apply", "-"}, `segment: t: {salt: ""}`, exitUnreachable, "operator outcome x"},
+		"a conflict tells what stands, whose": {with("POST /v1/changes", string(conflict)), []string{"apply", "-"}, `segment: s: {salt: "mine"}`, exitRefused, `by change ben-4: {"salt":"his"}`},
+		"an answer that is none":              {with("POST /v1/changes", `{`), []string{"apply", "-"}, `segment: t: {salt: ""}`, exitUnreachable, "MALFORMED"},
+	} {
+		var out, complaint bytes.Buffer
+		code := run(append([]string{"-registries", one.registries, "-timeout", "2s"}, one.words...), strings.NewReader(one.in), &out, &complaint)
+		if all := out.String() + complaint.String(); code != one.code || !strings.Contains(all, one.says) {
+			t.Errorf("%s: code %d, want %d: %q", name, code, one.code, all)
+		}
+	}
+}
