Let tombstones go that every seat has; whoever is behind takes the whole state

Cause: tombstones of removed items were kept for good. Ruled out: waiting for every lease as well (a copy behind what was let go is told the whole state in place of a difference, so none can revive what was removed). Before: as many as there were removals.

--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -62,7 +62,7 @@
 func Fold(before Picture, event Event) Picture {
 	after := before
 	if event.Setup > before.setup.Sequence {
-		after.state = before.state.With(event.Items)
+		after.state = before.state.Taking(event.Items, event.Whole)
 		after.setup, _ = setup.CompileAfter(before.setup, after.state, event.Setup)
 		after.replaced = append(append([]replacement(nil), before.replaced...), replacement{event.Setup, event.At})
 		if len(after.replaced) > replacedKept {
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -166,7 +166,7 @@
 	if back.Stable <= s.table.stable {
 		return
 	}
-	s.state = s.state.With(back.Items)
+	s.state = s.state.Taking(back.Items, back.Whole)
 	s.fresh = false // compiled again when somebody next asks for it
 	s.table.SetStable(s.now(), back.Stable)
 	s.announce()
@@ -309,12 +309,7 @@
 		s.lock.Lock()
 		pulled := &schema.Pulled{Sources: s.table.Feed(s.now(), pull.Vector), Setup: s.table.stable, Cores: s.coreList()}
 		if pull.Core == nil && s.table.stable > pull.Setup {
-			pulled.Whole = pull.Setup == 0
-			for _, item := range s.state.Items() {
-				if pulled.Whole || item.Version.Sequence > pull.Setup {
-					pulled.Items = append(pulled.Items, item)
-				}
-			}
+			pulled.Items, pulled.Whole = s.state.After(pull.Setup)
 		}
 		moved := s.moved
 		s.lock.Unlock()
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -294,7 +294,7 @@
 		return
 	}
 	for _, item := range items {
-		if !item.Deleted {
+		if !item.Deleted && item.Kind != setup.Purged {
 			shown.Items = append(shown.Items, shownItem(item))
 		}
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -188,6 +188,66 @@
 // State is the items by key, tombstones included.
 type State map[string]*schema.Item
 
+// Purged is the item that says up to which sequence tombstones are gone. It travels like any
+// other; only the seat with the admission duty writes it.
+const Purged = "purged"
+
+type purged struct {
+	To uint64 `json:"to"`
+}
+
+// Purge makes the item under which tombstones up to a sequence go.
+func Purge(to uint64) *schema.Item {
+	return &schema.Item{Kind: Purged, Name: "tombstones", Body: []byte(fmt.Sprintf(`{"to":%d}`, to))}
+}
+
+// PurgedTo is up to which sequence tombstones are gone. Who has an older state than that may
+// hold what was removed, and no difference would say so: it needs the whole state.
+func (s State) PurgedTo() uint64 {
+	if item := s[Key(Purged, "tombstones")]; item != nil {
+		return purgedIn(item)
+	}
+	return 0
+}
+
+func purgedIn(item *schema.Item) uint64 {
+	held := purged{}
+	if strict(item.Body, &held) != nil {
+		return 0
+	}
+	return held.To
+}
+
+// Tombstones counts the removed items that the state still knows of.
+func (s State) Tombstones() int {
+	count := 0
+	for _, item := range s {
+		if item.Deleted {
+			count++
+		}
+	}
+	return count
+}
+
+// After is what a copy lacks that has the state of a sequence: the newer items, or the whole.
+func (s State) After(sequence uint64) (items []*schema.Item, whole bool) {
+	whole = sequence == 0 || sequence < s.PurgedTo()
+	for _, item := range s.Items() {
+		if whole || item.Version.GetSequence() > sequence {
+			items = append(items, item)
+		}
+	}
+	return items, whole
+}
+
+// Taking gives the state that a copy has once it took what After gave: merged, or in its place.
+func (s State) Taking(items []*schema.Item, whole bool) State {
+	if whole {
+		return State{}.With(items)
+	}
+	return s.With(items)
+}
+
 // With gives a copy with items merged in: of two copies of an item the newer version stays.
 func (s State) With(items []*schema.Item) State {
 	merged := make(State, len(s)+len(items))
@@ -200,6 +260,12 @@
 			merged[key] = item
 		}
 	}
+	for _, item := range items {
+		if item.Kind == Purged {
+			to := purgedIn(item)
+			maps.DeleteFunc(merged, func(_ string, one *schema.Item) bool { return one.Deleted && one.Version.GetSequence() <= to })
+		}
+	}
 	return merged
 }
 
@@ -297,6 +363,7 @@
 		target.policies[item.Name] = decoded
 		return nil
 	},
+	Purged: func(_ *Setup, item *schema.Item) error { return strict(item.Body, &purged{}) },
 	"progress": func(target *Setup, item *schema.Item) error {
 		decoded := &Progress{}
 		if err := strict(item.Body, decoded); err != nil {
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -162,7 +162,9 @@
 		}
 		stable, state := beside.seat.Stable()
 		if stable > node.table.Stable() {
-			node.state = node.state.With(store.Difference(state, stable, node.table.Stable()).Items)
+			news := store.Difference(state, stable, node.table.Stable())
+			node.state = node.state.Taking(news.Items, news.Whole)
+			w.History.observe(w.now, node.name, stable, node.state)
 			node.setup, _ = setup.CompileAfter(node.setup, node.state, stable)
 			w.History.inForce(node.setup)
 			node.table.SetStable(w.ageOf(node), stable)
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -168,7 +168,11 @@
 		w.deliver(&node.machine, &target.machine, func() {
 			event := proxy.Event{Sources: target.table.Feed(w.ageOf(target), vector)}
 			if stable := target.table.Stable(); stable > sequence {
-				event.Setup, event.Items = stable, target.state.Items()
+				event.Setup = stable
+				event.Items, event.Whole = target.state.After(sequence)
+				if w.plant == PlantRevives {
+					event.Whole = false
+				}
 			}
 			w.deliver(&target.machine, &node.machine, func() {
 				busy = 0
@@ -191,6 +195,7 @@
 			event.At = node.clockOf(w.now)
 			before := node.journal.View().Sequence()
 			if after := node.journal.Append(event).Sequence(); after > before {
+				w.History.applied(w.now, node)
 				for i := range w.regs {
 					w.renew(node, i, 0, nil)
 				}
--- a/internal/simulator/play.go
+++ b/internal/simulator/play.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"meadowhinge/internal/setup"
@@ -99,6 +100,16 @@
 			serial = w.next()
 			items = append(items, route(fmt.Sprint("many", serial), serial))
 		}
+	case kind < 7 && w.roll(2) == 0:
+		// What was added goes again, so that tombstones pile up and are let go.
+		for _, item := range node.state.Items() {
+			if item.Kind == "route" && !item.Deleted && len(items) < 4 && (strings.HasPrefix(item.Name, "many") || strings.HasPrefix(item.Name, "grown")) {
+				items = append(items, &schema.Item{Kind: "route", Name: item.Name, Deleted: true})
+			}
+		}
+		if len(items) == 0 {
+			return
+		}
 	case kind < 7 && node.state["route/r0"] != nil:
 		items = []*schema.Item{{Kind: "route", Name: "r0", Deleted: true}}
 	case kind < 8 && both("saves"):
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -413,12 +413,8 @@
 
 // Difference lists the items of a state newer than a sequence, or all when it is 0.
 func Difference(state setup.State, stable, after uint64) *schema.StableBack {
-	back := &schema.StableBack{Stable: stable, Whole: after == 0}
-	for _, item := range state.Items() {
-		if after == 0 || item.Version.Sequence > after {
-			back.Items = append(back.Items, item)
-		}
-	}
+	back := &schema.StableBack{Stable: stable}
+	back.Items, back.Whole = state.After(after)
 	return back
 }
 
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -5,6 +5,7 @@
 package store
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -121,6 +122,7 @@
 	stableEpoch            uint64
 	stableState            setup.State
 	sinceWhole             int
+	purgeAt                uint64       // stable sequence from which the holder looks for tombstones again
 	compiled               *setup.Setup // of the last change taken here, to compile the next one after
 
 	nextMark uint64
@@ -459,6 +461,7 @@
 		}
 	}
 	s.endSentOn()
+	s.purge()
 	if !s.pinged || s.now-s.lastPing >= s.options.Silence/pingsPerSilence {
 		s.pinged, s.lastPing = true, s.now
 		for _, name := range s.others {
@@ -994,8 +997,13 @@
 	if _, accepted := s.outcomes[submit.Change.Id]; accepted {
 		return
 	}
+	s.admit(submit.Change)
+}
+
+// admit gives a change the next sequence and hands it to the others.
+func (s *Seat) admit(change *schema.Change) {
 	var entry *schema.Entry
-	entry, s.compiled = Accept(s.state, s.compiled, submit.Change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
+	entry, s.compiled = Accept(s.state, s.compiled, change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
 	s.append(entry)
 	s.persist(&schema.Record{Entries: []*schema.Entry{entry}}, afterSync{})
 	for _, name := range s.others {
@@ -1007,6 +1015,37 @@
 	}
 }
 
+// purgeParts is the part of the entries kept in which the holder looks for tombstones once, and
+// the number of them, of the same bound, that it lets stand.
+const purgeParts = 4
+
+// purge lets tombstones go that every seat has on disk. Whoever is further behind is told the
+// whole state, so nothing that was removed comes back.
+func (s *Seat) purge() {
+	few := uint64(max(1, s.options.EntriesMost/purgeParts))
+	if s.phase != active || s.stable < s.purgeAt {
+		return
+	}
+	s.purgeAt = s.stable + few
+	to := s.stable
+	for _, name := range s.others {
+		known := s.peers[name]
+		if known.epoch != s.epoch {
+			return
+		}
+		to = min(to, known.acked)
+	}
+	if uint64(s.stableState.Tombstones()) < few || to <= s.stableState.PurgedTo() {
+		return
+	}
+	item := setup.Purge(to)
+	change := &schema.Change{Id: fmt.Sprintf("purge-%d-%d", s.epoch, s.seq+1), Items: []*schema.Item{item}}
+	if held := s.state[setup.Key(item.Kind, item.Name)]; held != nil {
+		change.Expected = []*schema.Expected{{Kind: item.Kind, Name: item.Name, Sequence: held.Version.Sequence}}
+	}
+	s.admit(change)
+}
+
 func (s *Seat) answerWaiters() {
 	for _, id := range slices.Sorted(maps.Keys(s.waiters)) {
 		waiting := s.waiters[id]
