--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,10 +5,12 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +70,13 @@
 	dial   time.Duration
 	self   Peer
 	from   net.Addr
+	files  [2]string
+	now    func() time.Time
+
+	lock    sync.Mutex
+	held    *credentials
+	checked time.Time
+	fault   string
 
 	// Refused counts peers turned away for a wrong certificate, protocol or garbage.
 	Refused atomic.Uint64
@@ -79,6 +88,9 @@
 // WithDial bounds the time to open a link.
 func WithDial(bound time.Duration) Option { return func(e *Ends) { e.dial = bound } }
 
+// WithClock tells the time by another clock.
+func WithClock(now func() time.Time) Option { return func(e *Ends) { e.now = now } }
+
 // WithFrom dials from the IP of an address, so that a machine with several has one face.
 func WithFrom(address string) Option {
 	return func(e *Ends) {
@@ -88,8 +100,16 @@
 	}
 }
 
-// Load reads the credentials of this process.
-func Load(certificateFile, authorityFile string, changes ...Option) (*Ends, error) {
+// credentials are a process's certificate and whom it trusts, as they were read together.
+type credentials struct {
+	pair    tls.Certificate
+	leaf    *x509.Certificate
+	trusted *x509.CertPool
+	stamp   string // of the files they were read from
+}
+
+// read reads credentials and refuses what could not serve.
+func read(certificateFile, authorityFile string, now time.Time) (*credentials, error) {
 	pair, err := tls.LoadX509KeyPair(certificateFile, certificateFile)
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, "certificate")
@@ -98,36 +118,61 @@
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, "authority")
 	}
-	trusted := x509.NewCertPool()
-	if !trusted.AppendCertsFromPEM(authority) {
+	held := &credentials{pair: pair, trusted: x509.NewCertPool()}
+	if !held.trusted.AppendCertsFromPEM(authority) {
 		return nil, defect.New(defect.BadOptions, "authority holds no certificate")
 	}
-	leaf, err := x509.ParseCertificate(pair.Certificate[0])
-	if err != nil {
+	if held.leaf, err = x509.ParseCertificate(pair.Certificate[0]); err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, "certificate")
 	}
-	ends := &Ends{dial: time.Second, self: peerOf(leaf)}
+	if now.After(held.leaf.NotAfter) || now.Before(held.leaf.NotBefore) {
+		return nil, defect.New(defect.BadOptions, fmt.Sprintf("certificate is good from %s to %s only", held.leaf.NotBefore.Format(time.RFC3339), held.leaf.NotAfter.Format(time.RFC3339)))
+	}
+	return held, nil
+}
+
+// stampOf tells files' contents apart by their times and sizes.
+func stampOf(files ...string) string {
+	stamp := ""
+	for _, file := range files {
+		if info, err := os.Stat(file); err == nil {
+			stamp += fmt.Sprint(info.ModTime().UnixNano(), " ", info.Size(), ";")
+		}
+	}
+	return stamp
+}
+
+// Load reads the credentials of this process. They are read again whenever their files change.
+func Load(certificateFile, authorityFile string, changes ...Option) (*Ends, error) {
+	ends := &Ends{dial: time.Second, files: [2]string{certificateFile, authorityFile}, now: time.Now}
 	for _, change := range changes {
 		change(ends)
 	}
+	stamp := stampOf(certificateFile, authorityFile)
+	held, err := read(certificateFile, authorityFile, ends.now())
+	if err != nil {
+		return nil, err
+	}
+	held.stamp = stamp
+	ends.held, ends.checked, ends.self = held, ends.now(), peerOf(held.leaf)
 	ends.config = &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		RootCAs:      trusted,
-		ClientCAs:    trusted,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-		NextProtos:   []string{protocol},
+		// Which certificate is shown is asked anew at each handshake.
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &ends.current().pair, nil },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &ends.current().pair, nil },
+		ClientAuth:           tls.RequireAnyClientCert,
+		MinVersion:           tls.VersionTLS13,
+		NextProtos:           []string{protocol},
 		// Peers are named by role, not by host, so the chain is checked here and the name by the caller.
 		InsecureSkipVerify: true,
 		VerifyConnection: func(state tls.ConnectionState) error {
 			if state.NegotiatedProtocol != protocol {
 				return defect.New(defect.Stranger, "speaks another protocol")
 			}
-			held := state.PeerCertificates
-			if len(held) == 0 {
+			shown := state.PeerCertificates
+			if len(shown) == 0 {
 				return defect.New(defect.Stranger, "shows no certificate")
 			}
-			_, err := held[0].Verify(x509.VerifyOptions{Roots: trusted, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+			_, err := shown[0].Verify(x509.VerifyOptions{Roots: ends.current().trusted, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
 			return defect.Wrap(err, defect.Stranger, "certificate")
 		},
 	}
@@ -135,6 +180,49 @@
 	return ends, nil
 }
 
+// checkEvery is how often, at most, the files are looked at.
+const checkEvery = time.Second
+
+// current gives the credentials as the files have them now. Ones that could not serve are
+// refused: the old are kept, and why is shown.
+func (e *Ends) current() *credentials {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if now := e.now(); now.Sub(e.checked) >= checkEvery {
+		e.checked = now
+		if stamp := stampOf(e.files[0], e.files[1]); stamp != e.held.stamp {
+			fresh, err := read(e.files[0], e.files[1], now)
+			if err == nil {
+				if self := peerOf(fresh.leaf); self.Role != e.self.Role || self.Name != e.self.Name {
+					err = defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not %s %q", self.Role, self.Name, e.self.Role, e.self.Name))
+				}
+			}
+			if e.fault = ""; err != nil {
+				e.fault = err.Error()
+			} else {
+				fresh.stamp = stamp
+				e.held = fresh
+			}
+		}
+	}
+	return e.held
+}
+
+// Certificate is what a process says of its own certificate.
+type Certificate struct {
+	Name     string    `json:"name"`
+	NotAfter time.Time `json:"notAfter"`
+	Fault    string    `json:"fault,omitempty"` // why a newer one in the file is not used
+}
+
+// Certificate tells which certificate is in use.
+func (e *Ends) Certificate() any {
+	held := e.current()
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return Certificate{Name: e.self.Role + "/" + e.self.Name, NotAfter: held.leaf.NotAfter, Fault: e.fault}
+}
+
 // Self is the identity in this process's own certificate.
 func (e *Ends) Self() Peer { return e.self }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"os"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -136,3 +138,64 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A certificate is read again when its file changes; one that could not serve is refused, the
+// old one is kept, and why is shown.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	authority, err := rehearsal.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := authority.IssueUntil("proxy", "q", nil, time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	ends, err := link.Load(file, authority.File(), link.WithClock(func() time.Time { now = now.Add(2 * time.Second); return now }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ends.Close()
+	shown := func() link.Certificate { return ends.Certificate().(link.Certificate) }
+	first := shown()
+	good, _ := os.ReadFile(file)
+	write := func(text []byte, later time.Duration) {
+		t.Helper()
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(file, now, time.Now().Add(later)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	issue := func(role, name string, until time.Time) []byte {
+		t.Helper()
+		other, err := authority.IssueUntil(role, name, nil, until)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := os.ReadFile(other)
+		return text
+	}
+	for i, one := range []struct {
+		name  string
+		text  []byte
+		fault string
+		taken bool
+	}{
+		{"unreadable", []byte("x"), "PEM", false},
+		{"expired", issue("proxy", "q", now.Add(-time.Hour)), "good from", false},
+		{"somebody else's", issue("proxy", "r", now.Add(3*time.Hour)), "not proxy", false},
+		{"the first again", good, "", false},
+		{"a newer one", issue("proxy", "q", now.Add(5*time.Hour)), "", true},
+	} {
+		write(one.text, time.Duration(i+1)*time.Minute)
+		got := shown()
+		if (one.fault == "") != (got.Fault == "") || !strings.Contains(got.Fault, one.fault) || got.NotAfter.Equal(first.NotAfter) == one.taken {
+			t.Errorf("%s: %+v", one.name, got)
+		}
+	}
+	if _, err := link.Load("/nowhere", authority.File()); defect.KindOf(err) != defect.BadOptions {
+		t.Errorf("a file that is not there gave %v", err)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -131,6 +131,7 @@
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
 	frame.Page("/status", func() any { return s.status() })
+	frame.Page("/certificate", ends.Certificate)
 	frame.Page("/events", func() any { return s.events() })
 	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
 		return err
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -89,6 +89,7 @@
 	if err := schema.DRPCRegisterRegistry(mux, s); err != nil {
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
+	frame.Page("/certificate", ends.Certificate)
 	frame.Page("/status", func() any { status, _ := s.Look(ctx, nil); return status })
 	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
 		return err
--- a/internal/rehearsal/certificates.go
+++ b/internal/rehearsal/certificates.go
@@ -53,13 +53,18 @@
 
 // Issue makes a certificate for role/name that may speak for services.
 func (a *Authority) Issue(role, name string, services []string) (string, error) {
+	return a.IssueUntil(role, name, services, time.Now().Add(validity))
+}
+
+// IssueUntil makes one that is good until a time.
+func (a *Authority) IssueUntil(role, name string, services []string, until time.Time) (string, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return "", defect.Wrap(err, defect.Internal, "key")
 	}
 	a.serial++
 	request := &x509.Certificate{SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: role + "/" + name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(validity), KeyUsage: x509.KeyUsageDigitalSignature,
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: until, KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 		URIs:        []*url.URL{{Scheme: "mesh", Opaque: role + "/" + name}}}
 	for _, service := range services {
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -126,6 +126,7 @@
 	if err := schema.DRPCRegisterStore(mux, s); err != nil {
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
+	frame.Page("/certificate", ends.Certificate)
 	frame.Page("/status", func() any { return s.status() })
 	if err := frame.Probe(given.ProbeListen, func() daemon.Soundness {
 		status := s.status()
