--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -94,6 +95,10 @@
 					status = fasthttp.StatusServiceUnavailable
 				}
 				Answer(call, status, soundness)
+			case "/process":
+				var memory runtime.MemStats
+				runtime.ReadMemStats(&memory)
+				Answer(call, fasthttp.StatusOK, Process{Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc})
 			case "/journal":
 				call.SetContentType("text/plain")
 				call.SetBodyString(strings.Join(f.Ring.Lines(), "\n"))
@@ -109,6 +114,12 @@
 	return nil
 }
 
+// Process is what a program takes of its machine, as far as only it knows.
+type Process struct {
+	Goroutines int    `json:"goroutines"`
+	HeapBytes  uint64 `json:"heapBytes"`
+}
+
 // Answer writes JSON.
 func Answer(call *fasthttp.RequestCtx, status int, body any) {
 	text, err := json.Marshal(body)
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -1,8 +1,10 @@
 package rehearsal
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -27,7 +29,7 @@
 var free = map[string]bool{"worker drained": true, "worker gone": true, "address reused by another service": true, "worker of a version no setup lists": true,
 	"core machine killed": true, "core machine back": true, "core machine frozen": true, "core machine thawed": true, "core machine stopped": true, "core machine started": true,
 	"core machine back empty at a new address": true, "workers replaced one by one": true, "proxy restarted politely": true, "proxy back": true, "proxies back": true, "mended": true,
-	"setup grows by two thousand routes": true, "release plan stated": true, "warm": true, "proxy thawed": true, "a worker warms up slowly": true, "core split 2-1": true,
+	"setup grows by two thousand routes": true, "release plan stated": true, "release plan cancelled": true, "routes added": true, "routes removed": true, "warm": true, "proxy thawed": true, "a worker warms up slowly": true, "core split 2-1": true,
 	"one-way link loss in the core": true, "a good version, to turn bad late": true, "disk slow": true, "disk stalled": true, "disk whole": true, "storm of changes": true, "storm over": true}
 
 // Plays are the pieces by name.
@@ -42,6 +44,7 @@
 	"split":    {releases: true, acts: brakingSplit},
 	"gone":     {releases: true, acts: brakingGone},
 	"load":     {releases: true, acts: brakingLoad},
+	"long":     {acts: long},
 	"random":   {relayEdges: true, disks: true, random: true},
 }
 
@@ -354,6 +357,47 @@
 	{0.80, "mended", (*cast).mend},
 }
 
+// long goes through what grows with time: workers replaced one after another, plans stated,
+// done and cancelled, items added and removed. It wants fifteen minutes or more.
+var long = func() []act {
+	var acts []act
+	for i := range 30 {
+		at := float64(i) / 30
+		acts = append(acts, act{at + 0.002, "workers replaced one by one", func(c *cast) string {
+			return c.replaceWorker(c.someone(rand.New(rand.NewPCG(c.options.Seed, uint64(i)))))
+		}}, act{at + 0.010, "routes added", func(c *cast) string { return c.churn(i, true) }},
+			act{at + 0.022, "routes removed", func(c *cast) string { return c.churn(i, false) }})
+	}
+	for i := range 6 {
+		at := float64(i) / 6
+		acts = append(acts, act{at + 0.02, "release plan stated", func(c *cast) string { return c.release(c.service(i), 60, c.part(0.05)) }},
+			act{at + 0.14, "release plan cancelled", func(c *cast) string {
+				return NewOperator(fmt.Sprint("end-", i), c.fleet, c.ledger, c.now).Change(0, fmt.Sprintf("remove: release: [%q]\n", "to-"+c.service(i)), "").Ruling
+			}})
+	}
+	slices.SortStableFunc(acts, func(a, b act) int { return cmp.Compare(a.at, b.at) })
+	return acts
+}()
+
+// churn adds forty routes, or removes them.
+func (c *cast) churn(turn int, adds bool) string {
+	var text strings.Builder
+	for i := range 40 {
+		if adds {
+			fmt.Fprintf(&text, "route: \"churn-%d-%d\": {service: %q, prefix: \"/churn/%d/%d\"}\n", turn, i, c.service(0), turn, i)
+		} else if i == 0 {
+			text.WriteString("remove: route: [")
+		}
+		if !adds {
+			fmt.Fprintf(&text, "%q,", fmt.Sprintf("churn-%d-%d", turn, i))
+		}
+	}
+	if !adds {
+		text.WriteString("]\n")
+	}
+	return NewOperator(fmt.Sprintf("churn-%d-%v", turn, adds), c.fleet, c.ledger, c.now).Change(turn%c.options.Deployment.Cores, text.String(), "").Ruling
+}
+
 // brakingGone lets a version turn bad just as the whole core dies.
 var brakingGone = []act{
 	{0.00, "a good version, to turn bad late", func(c *cast) string { return c.release(c.service(0), 60, c.part(0.2)) }},
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -57,6 +57,9 @@
 	Acknowledged int                `json:"acknowledged"`
 	CPU          map[string]float64 `json:"cpuSecondsPer1000Calls"`
 	Unclean      []string           `json:"unclean"`
+	// Resources is what each program took of the machine, sampled through the run: the largest of
+	// its processes each time.
+	Resources []Sample `json:"resources"`
 	// BackSeconds is how long the fleet took to be back once all faults of a random play were mended.
 	BackSeconds float64 `json:"backSeconds,omitempty"`
 	// Survived is how many acknowledged changes were still there at the end.
@@ -213,11 +216,15 @@
 			own.Storm(stopChanges, 500*time.Millisecond, piece.releases)
 		}()
 	}
-	changing.Add(1)
+	changing.Add(2)
 	go func() {
 		defer changing.Done()
 		cast.measureDirect(stopChanges)
 	}()
+	go func() {
+		defer changing.Done()
+		cast.sample(stopChanges)
+	}()
 	if piece.releases {
 		changing.Add(1)
 		go func() {
@@ -244,7 +251,7 @@
 	unclean := fleet.Stop()
 	stopped = true
 	report := cast.report(loaded, before, after)
-	report.Unclean = unclean
+	report.Unclean, report.Resources = unclean, cast.resources
 	report.BackSeconds, report.Survived = cast.back.Seconds(), ledger.Survived
 	return report, nil
 }
@@ -262,6 +269,8 @@
 	lock    sync.Mutex     // of workers, used, edgeOf and named
 	named   int            // workers that came later
 	back    time.Duration  // that the fleet took to be back
+
+	resources []Sample
 }
 
 func (c *cast) startWorker(name string, edge int, service, version string) error {
@@ -438,6 +447,9 @@
 	fmt.Fprintf(out, "%s: %.0f s of load, %.0f calls a second, seed %d\n", r.Deployment, r.Seconds, r.Rate, r.Seed)
 	fmt.Fprintf(out, "outcomes %v, defects %v\n", r.Outcomes, r.Defects)
 	fmt.Fprintf(out, "changes %v, yes after ms: %s; %d acknowledged, of which %d were there at the end\n", r.Rulings, figures(r.AckMS), r.Acknowledged, r.Survived)
+	for _, program := range []string{"proxy", "registry", "store"} {
+		fmt.Fprintf(out, "%s, largest process at a third, two thirds and the end of the run: %s\n", program, thirds(r.Resources, program))
+	}
 	if r.BackSeconds > 0 {
 		fmt.Fprintf(out, "back %.1f s after the last fault\n", r.BackSeconds)
 	}
