--- a/internal/rehearsal/caller.go
+++ b/internal/rehearsal/caller.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/standin"
 )
 
 // inFlightMost bounds the calls of one caller that wait for an answer.
@@ -152,9 +153,9 @@
 	entry.Setup, _ = strconv.ParseUint(string(response.Header.Peek(dispatch.HeaderSetup)), 10, 64)
 	entry.Tries, _ = strconv.Atoi(string(response.Header.Peek(dispatch.HeaderTries)))
 	if entry.Outcome == "answered" {
-		var got reply
+		var got standin.Reply
 		if json.Unmarshal(response.Body(), &got) == nil {
-			entry.Echoed, entry.Worker, entry.Whole = got.Op, got.Worker, got.Sum == got.sum()
+			entry.Echoed, entry.Worker, entry.Whole = got.Op, got.Worker, got.Whole()
 		}
 		return
 	}
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -5,19 +5,8 @@
 	"slices"
 	"sort"
 	"time"
-)
 
-// The bounds that the judgement knows.
-const (
-	rulesBound   = 2 * time.Second
-	fallBound    = 250 * time.Millisecond
-	budgetWindow = 10 * time.Second
-	budgetRatio  = 0.2
-	budgetFloor  = 60
-	badRatio     = 0.1
-	badFloor     = 50
-	badFailures  = 50
-	badBound     = 5 * time.Second
+	"meadowhinge/internal/standin"
 )
 
 // Finding is the judgement of one never-rule.
@@ -145,7 +134,7 @@
 			if call.Setup == 0 {
 				continue
 			}
-			place := sort.Search(len(yeses), func(i int) bool { return yeses[i].Got+rulesBound > call.Sent }) - 1
+			place := sort.Search(len(yeses), func(i int) bool { return yeses[i].Got+standin.RulesBound > call.Sent }) - 1
 			if place < 0 {
 				continue
 			}
@@ -171,7 +160,7 @@
 			sort.Slice(entries, func(i, j int) bool { return entries[i].Asked < entries[j].Asked })
 			highest, next := uint64(0), 0
 			for _, one := range entries {
-				for next < len(byGot) && byGot[next].Got+fallBound < one.Asked {
+				for next < len(byGot) && byGot[next].Got+standin.FallBound < one.Asked {
 					highest = max(highest, byGot[next].Setup)
 					next++
 				}
@@ -219,16 +208,16 @@
 				}
 			}
 			f.Judged += all
-			if float64(len(its)) > badRatio*float64(all)+badFloor {
+			if float64(len(its)) > standin.BadRatio*float64(all)+standin.BadFloor {
 				f.breach("%s %s got %d of %d calls after it turned bad", bad.Service, bad.Version, len(its), all)
 			}
 			slices.Sort(failures)
-			if len(failures) < badFailures {
+			if len(failures) < standin.BadFailures {
 				continue
 			}
 			for _, at := range its {
-				if at > failures[badFailures-1]+badBound {
-					f.breach("%s %s got a call %v after failure 50", bad.Service, bad.Version, at-failures[badFailures-1])
+				if at > failures[standin.BadFailures-1]+standin.BadBound {
+					f.breach("%s %s got a call %v after failure 50", bad.Service, bad.Version, at-failures[standin.BadFailures-1])
 				}
 			}
 		}
@@ -243,12 +232,12 @@
 			first, extras := 0, 0
 			for i, call := range calls {
 				extras += max(0, call.Tries-1)
-				for calls[first].Sent < call.Sent-budgetWindow {
+				for calls[first].Sent < call.Sent-standin.BudgetWindow {
 					extras -= max(0, calls[first].Tries-1)
 					first++
 				}
 				f.Judged++
-				if bound := budgetRatio*float64(i-first+1) + budgetFloor; float64(extras) > bound {
+				if bound := standin.BudgetRatio*float64(i-first+1) + standin.BudgetFloor; float64(extras) > bound {
 					f.breach("%s had %d extra tries on %d calls in the 10 s up to %v", service, extras, i-first+1, call.Sent)
 				}
 			}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"hash/crc32"
 	"net"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/standin"
 )
 
 // opHeader carries the name of a request from caller to worker.
@@ -24,18 +24,6 @@
 // askHeader tells how often the request had been asked for before.
 const askHeader = "X-Ask"
 
-// reply is what a worker answers; Sum covers Op, Worker and Filler.
-type reply struct {
-	Op     string `json:"op"`
-	Worker string `json:"worker"`
-	Filler string `json:"filler"`
-	Sum    uint32 `json:"sum"`
-}
-
-func (r reply) sum() uint32 {
-	return crc32.ChecksumIEEE([]byte(r.Op + "|" + r.Worker + "|" + r.Filler))
-}
-
 // Worker is a stand-in worker. It runs what bears its token, and writes each run down.
 type Worker struct {
 	name    string
@@ -153,9 +141,7 @@
 	if w.delay > 0 {
 		time.Sleep(w.delay)
 	}
-	answer := reply{Op: op, Worker: w.name, Filler: string(bytes.Repeat([]byte("x"), 200))}
-	answer.Sum = answer.sum()
-	text, _ := json.Marshal(answer)
+	text, _ := json.Marshal(standin.NewReply(op, w.name, string(bytes.Repeat([]byte("x"), 200))))
 	call.SetContentType("application/json")
 	call.SetBody(text)
 }
--- a/internal/simulator/cast.go
+++ b/internal/simulator/cast.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -17,6 +16,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/plan"
+	"meadowhinge/internal/standin"
 	"meadowhinge/schema"
 )
 
@@ -201,18 +201,6 @@
 	return near, nil
 }
 
-// reply is what a worker answers.
-type reply struct {
-	Op     string `json:"op"`
-	Worker string `json:"worker"`
-	Filler string `json:"filler"`
-	Sum    uint32 `json:"sum"`
-}
-
-func (r reply) sum() uint32 {
-	return crc32.ChecksumIEEE([]byte(r.Op + "|" + r.Worker + "|" + r.Filler))
-}
-
 // occupant is the worker that stands at an address now.
 func (w *World) occupant(address string) *workerNode {
 	w.lock.Lock()
@@ -246,9 +234,7 @@
 		w.History.ran(w.time(), one, op, ask, request.Header.Get(dispatch.HeaderCaller), request.Header.Get(dispatch.HeaderRequest), fails || took > 200*time.Millisecond)
 		time.Sleep(took)
 		w.eased(one)
-		answer := reply{Op: op, Worker: one.name, Filler: "xxxxxxxxxxxxxxxxxxxx"}
-		answer.Sum = answer.sum()
-		body, _ := json.Marshal(answer)
+		body, _ := json.Marshal(standin.NewReply(op, one.name, "xxxxxxxxxxxxxxxxxxxx"))
 		status := "200 OK"
 		if fails {
 			status = "500 Ill"
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -21,14 +21,15 @@
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/standin"
 	"meadowhinge/schema"
 )
 
 // Settings of the simulated proxies.
 const (
 	horizonMost = 10 * time.Second
-	extraRatio  = 0.2
-	extraFloor  = 60
+	extraRatio  = standin.BudgetRatio
+	extraFloor  = standin.BudgetFloor
 	dialBound   = lease / 16
 	remembered  = 1 << 14
 )
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -13,6 +13,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/standin"
 	"meadowhinge/schema"
 )
 
@@ -116,16 +117,6 @@
 	breachesShown = 5
 )
 
-// Bounds of the brief.
-const (
-	leftBound    = 2 * time.Second
-	rulesBound   = 2 * time.Second
-	budgetWindow = 10 * time.Second
-	badPart      = 0.1
-	badSlack     = 50
-	badBound     = 5 * time.Second
-)
-
 func (h *History) breach(rule, format string, values ...any) {
 	if h.Breaches == nil {
 		h.Breaches = map[string][]string{}
@@ -214,7 +205,7 @@
 		return
 	}
 	wanted.runs = append(wanted.runs, runEntry{one, now, ask})
-	if at, left := h.left[one.token]; left && now > at+leftBound {
+	if at, left := h.left[one.token]; left && now > at+standin.LeftBound {
 		h.breach(RuleLeft, "%v: %s ran %s %v after it left", now, one.name, id, now-at)
 	}
 	// What was in force when it was asked for, or came into force since, may have allowed it.
@@ -222,7 +213,7 @@
 	if ask < len(wanted.asks) {
 		sent = wanted.asks[ask].sent
 	}
-	least, allowed := h.yesAt(sent-rulesBound), false
+	least, allowed := h.yesAt(sent-standin.RulesBound), false
 	for sequence, compiled := range h.setups {
 		if sequence < least {
 			continue
@@ -249,11 +240,11 @@
 		}
 		bad.its++
 		bad.last = now
-		if bad.failures >= badSlack && now > bad.fiftieth+badBound && bad.late == 0 {
+		if bad.failures >= standin.BadFailures && now > bad.fiftieth+standin.BadBound && bad.late == 0 {
 			bad.late = now
 		}
 		if failed {
-			if bad.failures++; bad.failures == badSlack {
+			if bad.failures++; bad.failures == standin.BadFailures {
 				bad.fiftieth = now
 			}
 		}
@@ -280,7 +271,7 @@
 		return
 	}
 	if made := entry.ended.Plan; made != nil {
-		if least := h.yesAt(entry.sent - rulesBound); made.Verdict.Setup < least {
+		if least := h.yesAt(entry.sent - standin.RulesBound); made.Verdict.Setup < least {
 			h.breach(RuleOlder, "%v: %s, asked at %v, was handled by %d; %d had been acknowledged", now, one.id, entry.sent, made.Verdict.Setup, least)
 		}
 		if made.Verdict.Reason == "HELD" {
@@ -298,9 +289,9 @@
 	if len(one.asks) > 1 {
 		h.Repeats++
 	}
-	var got reply
+	var got standin.Reply
 	carried := entry.ended.Carried
-	if json.Unmarshal(carried.Body, &got) != nil || got.Op != one.id || got.Sum != got.sum() {
+	if json.Unmarshal(carried.Body, &got) != nil || got.Op != one.id || !got.Whole() {
 		h.breach(RuleAnswer, "%v: %s got %q", now, one.id, carried.Body)
 	}
 	if len(one.runs) == 0 {
@@ -436,17 +427,17 @@
 		slices.Sort(extras)
 		from := 0
 		for i, at := range extras {
-			for extras[from] < at-budgetWindow {
+			for extras[from] < at-standin.BudgetWindow {
 				from++
 			}
-			inside := sort.Search(len(list), func(i int) bool { return list[i] > at }) - sort.Search(len(list), func(i int) bool { return list[i] >= at-budgetWindow })
-			if float64(i-from+1) > extraRatio*float64(inside)+h.world.Options.Floor {
+			inside := sort.Search(len(list), func(i int) bool { return list[i] > at }) - sort.Search(len(list), func(i int) bool { return list[i] >= at-standin.BudgetWindow })
+			if float64(i-from+1) > standin.BudgetRatio*float64(inside)+h.world.Options.Floor {
 				h.breach(RuleBudget, "%v: %s had %d extra tries on %d calls in ten seconds", at, service, i-from+1, inside)
 			}
 		}
 	}
 	for _, bad := range h.bad {
-		if float64(bad.its) > badPart*float64(bad.all)+badSlack {
+		if float64(bad.its) > standin.BadRatio*float64(bad.all)+standin.BadFloor {
 			h.breach(RuleBad, "%s %s got %d of %d calls since it was bad, %d of them failures", bad.service, bad.version, bad.its, bad.all, bad.failures)
 		}
 		if bad.late > 0 {
