Hold calls that another proxy would refuse for their setup; keep claims compactly

After: once refused, a proxy's calls wait for the setup before they are sent; one of them, not each, leaves the feed. A claim shares its names with others.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -74,6 +74,8 @@
 	budgets *xsync.Map[string, *Budget]
 	memory  *Memory
 	serial  atomic.Uint64
+	newest  atomic.Uint64 // a setup that another proxy refused an older one for
+	blamed  atomic.Uint64 // and the last for which the feed was left
 }
 
 // Start readies the carrier; it keeps so many idempotency keys.
@@ -184,6 +186,8 @@
 	}
 	failed := map[string]bool{}
 	for round := 0; round < roundsMost; round++ {
+		// What another proxy refused one call for, it would refuse the next one for too.
+		c.awaitNews(ctx, ended.Plan.Horizon-(c.Now()-began))
 		// A plan is only carried out on the setup it was made from; else it is made again.
 		if view := c.View(); round > 0 || view.Setup.Sequence != ended.Plan.Verdict.Setup {
 			made, err := c.plan(&call.Request)
@@ -246,13 +250,7 @@
 				refusal := defect.Kind(carried.Defect)
 				if refusal == defect.StalePlan || (refusal == defect.VersionBarred && carried.Setup > ended.Plan.Verdict.Setup) {
 					replan = true
-					// A proxy under a lease lags only so far: the newer setup is as good as here.
-					waiting, cancel := context.WithTimeout(ctx, left/newsParts)
-					c.AwaitView(waiting, func(view *plan.View) bool { return view.Setup.Sequence >= carried.Setup })
-					cancel()
-					if c.View().Setup.Sequence < carried.Setup {
-						c.Lagging()
-					}
+					c.newest.Store(max(c.newest.Load(), carried.Setup))
 				} else {
 					failed[candidate.Instance] = true
 				}
@@ -327,6 +325,28 @@
 	return carried.Request == carry.Request && uint64(len(carried.Body)) == carried.Length && crc32.ChecksumIEEE(carried.Body) == carried.Checksum
 }
 
+// awaitNews waits for a setup that another proxy is known to have: a proxy under a lease lags
+// only so far, so it is as good as here. If it does not come, its feed is to blame.
+func (c *Carrier) awaitNews(ctx context.Context, left time.Duration) {
+	newest := c.newest.Load()
+	if c.View().Setup.Sequence >= newest {
+		return
+	}
+	has := func(view *plan.View) bool { return view.Setup.Sequence >= newest }
+	waiting, cancel := context.WithTimeout(ctx, left/newsParts)
+	defer cancel()
+	soon, stop := context.WithTimeout(waiting, left/waitParts)
+	c.AwaitView(soon, has)
+	stop()
+	// Others have had it for a while; of all calls that wait, one is enough to leave the feed.
+	if !has(c.View()) && c.blamed.Swap(newest) != newest {
+		c.Lagging()
+	}
+	if !has(c.View()) {
+		c.AwaitView(waiting, has)
+	}
+}
+
 // awaitOthers waits a moment for a worker not yet tried.
 func (c *Carrier) awaitOthers(ctx context.Context, ended *Ended, failed map[string]bool, began time.Duration, pinned string) bool {
 	if pinned != "" {
--- a/internal/registry/claims.go
+++ b/internal/registry/claims.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"time"
+	"unique"
 
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
@@ -35,10 +36,19 @@
 	Refused uint64
 }
 
+// heldClaim is a claim as it is kept: there are very many, and their names are few.
 type heldClaim struct {
-	claim *schema.Claim
-	until time.Duration
-	gone  bool
+	key, body, request                       string
+	caller, proxy, instance, beside, address unique.Handle[string]
+	incarnation, place                       uint64
+	until                                    time.Duration
+	gone                                     bool
+}
+
+// claim is the claim as it is told to others.
+func (h *heldClaim) claim() *schema.Claim {
+	return &schema.Claim{Key: []byte(h.key), Body: []byte(h.body), Request: h.request, Caller: h.caller.Value(), Proxy: h.proxy.Value(), Incarnation: h.incarnation,
+		Instance: h.instance.Value(), Beside: h.beside.Value(), Address: h.address.Value(), Place: h.place}
 }
 
 // NewClaims makes the claims of a registry that has just started.
@@ -73,16 +83,16 @@
 
 func (c *Claims) forget(one *heldClaim) {
 	one.gone = true
-	if c.held[string(one.claim.Key)] == one {
-		delete(c.held, string(one.claim.Key))
+	if c.held[one.key] == one {
+		delete(c.held, one.key)
 	}
 }
 
 func (c *Claims) keep(claim *schema.Claim, until time.Duration) {
 	c.place++
-	claim.Place = c.place
-	fresh := &heldClaim{claim: claim, until: until}
-	c.held[string(claim.Key)] = fresh
+	fresh := &heldClaim{key: string(claim.Key), body: string(claim.Body), request: claim.Request, caller: unique.Make(claim.Caller), proxy: unique.Make(claim.Proxy),
+		instance: unique.Make(claim.Instance), beside: unique.Make(claim.Beside), address: unique.Make(claim.Address), incarnation: claim.Incarnation, place: c.place, until: until}
+	c.held[fresh.key] = fresh
 	c.order = append(c.order, fresh)
 }
 
@@ -97,17 +107,17 @@
 	c.newest[claim.Proxy] = claim.Incarnation
 	held := c.held[string(claim.Key)]
 	if claim.Drop {
-		if held != nil && held.claim.Request == claim.Request {
+		if held != nil && held.request == claim.Request {
 			c.forget(held)
 		}
 		return &schema.Claimed{Ruled: schema.Ruled_RULED_TAKEN}
 	}
 	switch {
-	case held != nil && held.claim.Request == claim.Request && c.Counts(now):
+	case held != nil && held.request == claim.Request && c.Counts(now):
 		// The same request goes to another worker, having been proved not to have run before.
 		c.forget(held)
-	case held != nil && held.claim.Request != claim.Request:
-		return &schema.Claimed{Ruled: schema.Ruled_RULED_HELD, Held: held.claim}
+	case held != nil && held.request != claim.Request:
+		return &schema.Claimed{Ruled: schema.Ruled_RULED_HELD, Held: held.claim()}
 	case !c.Counts(now):
 		return &schema.Claimed{Ruled: schema.Ruled_RULED_UNCOUNTED}
 	// A claim that stands is never forgotten to make room for another.
@@ -123,7 +133,7 @@
 func (c *Claims) Page(now time.Duration, after uint64) *schema.ClaimsPage {
 	c.sweep(now)
 	page := &schema.ClaimsPage{Counts: c.Counts(now)}
-	from := sort.Search(len(c.order), func(i int) bool { return c.order[i].claim.Place > after })
+	from := sort.Search(len(c.order), func(i int) bool { return c.order[i].place > after })
 	for _, one := range c.order[from:] {
 		if len(page.Claims) == pageMost {
 			return page
@@ -131,27 +141,21 @@
 		if one.gone {
 			continue
 		}
-		passed := claimOf(one.claim)
-		passed.LeftNanos, passed.Place = int64(one.until-now), one.claim.Place
+		passed := one.claim()
+		passed.LeftNanos = int64(one.until - now)
 		page.Claims = append(page.Claims, passed)
 	}
 	page.Last = true
 	return page
 }
 
-// claimOf copies a claim's fields, for one that is held is read by others.
-func claimOf(one *schema.Claim) *schema.Claim {
-	return &schema.Claim{Key: one.Key, Body: one.Body, Request: one.Request, Caller: one.Caller, Proxy: one.Proxy, Incarnation: one.Incarnation,
-		Instance: one.Instance, Beside: one.Beside, Address: one.Address}
-}
-
 // Fill takes a page of another seat's claims. It counts from when both others have been read
 // to the end, each while its own word counted.
 func (c *Claims) Fill(now time.Duration, seat string, page *schema.ClaimsPage) {
 	for _, claim := range page.Claims {
 		// Of two seats' claims to one key the first read stays: either way it does not run here.
 		if c.held[string(claim.Key)] == nil {
-			c.keep(claimOf(claim), now+min(time.Duration(claim.LeftNanos), c.options.Window))
+			c.keep(claim, now+min(time.Duration(claim.LeftNanos), c.options.Window))
 		}
 	}
 	if page.Last && page.Counts {
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -384,7 +384,7 @@
 func (c *cast) report(loaded time.Duration, before, after map[string]float64) *Report {
 	report := &Report{Deployment: c.options.Deployment.Name, Seed: c.options.Seed, Seconds: loaded.Seconds(), Findings: Judge(c.ledger, c.options.Deployment),
 		Phases: phases(c.ledger), Faults: c.ledger.Faults, Shares: c.ledger.Shares, Outcomes: map[string]int{}, Defects: map[string]int{}, Rulings: map[string]int{}, CPU: map[string]float64{}}
-	var one, two, acks []float64
+	var one, two, acks, keyed, plain []float64
 	sampled := map[string]int{}
 	for _, call := range c.ledger.Calls {
 		report.Outcomes[call.Outcome]++
@@ -398,6 +398,13 @@
 		}
 		if call.Outcome == "answered" {
 			took := float64(call.Got-call.Sent) / float64(time.Millisecond)
+			if call.Once && call.Ask == 0 {
+				if call.Keyed {
+					keyed = append(keyed, took)
+				} else {
+					plain = append(plain, took)
+				}
+			}
 			if edge, found := c.edgeOf[call.Worker]; found && c.fleet.Proxies[edge].Name == call.Proxy {
 				one = append(one, took)
 			} else {
@@ -413,7 +420,8 @@
 		}
 	}
 	report.Rate = float64(len(c.ledger.Calls)) / loaded.Seconds()
-	report.LatencyMS = map[string]map[string]float64{"direct": quantiles(c.direct), "one proxy": quantiles(one), "two proxies": quantiles(two)}
+	report.LatencyMS = map[string]map[string]float64{"direct": quantiles(c.direct), "one proxy": quantiles(one), "two proxies": quantiles(two),
+		"once, under a key": quantiles(keyed), "once, without one": quantiles(plain)}
 	report.AckMS = quantiles(acks)
 	for program, used := range after {
 		report.CPU[program] = (used - before[program]) / float64(len(c.ledger.Calls)) * 1000
@@ -453,7 +461,7 @@
 	if r.BackSeconds > 0 {
 		fmt.Fprintf(out, "back %.1f s after the last fault\n", r.BackSeconds)
 	}
-	for _, way := range []string{"direct", "one proxy", "two proxies"} {
+	for _, way := range []string{"direct", "one proxy", "two proxies", "once, without one", "once, under a key"} {
 		fmt.Fprintf(out, "latency ms, %s: %s\n", way, figures(r.LatencyMS[way]))
 	}
 	fmt.Fprintf(out, "processor seconds per 1,000 calls: %s\n", figures(r.CPU))
