--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 // request from running twice.
 type desk struct {
 	stages [2]*stage
+	lock   sync.Mutex // of claims: a key is let go beside the thread that had it
 	claims [3]*registry.Claims
 	hung   [3]bool // a registry that does not answer
 	began  time.Time
@@ -48,13 +50,18 @@
 
 // restart lets a registry begin anew and, if it is sound, read the others before it counts.
 func (d *desk) restart(i int, way string) {
-	d.claims[i] = d.fresh()
+	fresh := d.fresh()
+	if way == countsAtOnce {
+		fresh.Unused()
+	}
+	d.lock.Lock()
+	d.claims[i] = fresh
+	d.lock.Unlock()
 	switch way {
 	case countsAtOnce:
-		d.claims[i].Unused()
 		return
 	case readsLater:
-		time.Sleep(d.claims[i].ReadsFrom())
+		time.Sleep(fresh.ReadsFrom())
 	}
 	d.refill(i)
 }
@@ -67,6 +74,8 @@
 )
 
 func (d *desk) refill(i int) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
 	for other := range d.claims {
 		if other != i {
 			d.claims[i].Fill(d.now(), fmt.Sprint(other), d.claims[other].Page(d.now(), 0))
@@ -86,7 +95,10 @@
 			seat := (from + i) % 3
 			yield()
 			if !d.hung[seat] {
-				round.Take(d.now(), fmt.Sprint(seat), d.claims[seat].Take(d.now(), claim))
+				d.lock.Lock()
+				claimed := d.claims[seat].Take(d.now(), claim)
+				d.lock.Unlock()
+				round.Take(d.now(), fmt.Sprint(seat), claimed)
 			}
 			if verdict := round.Verdict(i == 2); verdict != session.ClaimOpen {
 				return verdict, round.Holder
--- a/internal/interleave/interleave.go
+++ b/internal/interleave/interleave.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,10 +19,11 @@
 }
 
 type thread struct {
-	name   string
-	turn   chan struct{}
-	parked bool
-	done   bool
+	name string
+	turn chan struct{}
+	// A thread that the clock wakes has no other tie to whoever looks at these.
+	parked atomic.Bool
+	done   atomic.Bool
 }
 
 // Go adds a thread. Its body starts parked, as if it had just yielded.
@@ -30,12 +32,12 @@
 	r.threads = append(r.threads, one)
 	go func() {
 		yield := func() {
-			one.parked = true
+			one.parked.Store(true)
 			<-one.turn
 		}
 		yield()
 		body(yield)
-		one.done = true
+		one.done.Store(true)
 	}()
 }
 
@@ -101,10 +103,10 @@
 		var ready []*thread
 		left := 0
 		for _, one := range r.threads {
-			if !one.done {
+			if !one.done.Load() {
 				left++
 			}
-			if one.parked {
+			if one.parked.Load() {
 				ready = append(ready, one)
 			}
 		}
@@ -125,7 +127,7 @@
 		}
 		options = append(options, len(ready))
 		r.trace = append(r.trace, ready[choice].name)
-		ready[choice].parked = false
+		ready[choice].parked.Store(false)
 		ready[choice].turn <- struct{}{}
 	}
 }
