Never run a request that was refused as not run when it is delivered again

Ruled out: a fault of the claims (one ask, one claim, both runs of one call). After: noted first of all; TestWhatWasRefusedNeverRuns fails before, passes after.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -80,6 +80,11 @@
 		defer cancel()
 		return clone(r.memory.Recall(bounded, keyOf(carry.Caller, carry.Service, carry.Route, carry.Idempotency), printOf(carry.Target, carry.Body)))
 	}
+	// Noted before anything can refuse it: what is refused here as not run must not run when it
+	// comes a second time, by then perhaps under a lease again.
+	if !r.seen.First(carry.Request) {
+		return unknown(defect.Repeated)
+	}
 	bounded, cancel := context.WithTimeout(ctx, left()/waitParts)
 	r.AwaitSetup(bounded, carry.Setup)
 	cancel()
@@ -98,9 +103,6 @@
 	if _, _, refusal := r.Workers.find(carry); refusal != "" {
 		return notRun(refusal, view.Setup.Sequence)
 	}
-	if !r.seen.First(carry.Request) {
-		return unknown(defect.Repeated)
-	}
 	if carry.Once && carry.Idempotency != "" {
 		key := keyOf(carry.Caller, carry.Service, carry.Route, carry.Idempotency)
 		return clone(r.memory.Do(ctx, key, printOf(carry.Target, carry.Body), func(string) (*schema.Carried, string) {
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -257,3 +257,23 @@
 		t.Errorf("%d of an old and a new key ran again", runs)
 	}
 }
+
+// What was refused as not run stays so when it is delivered again, though nothing refuses it then.
+func TestWhatWasRefusedNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t)
+		instance, _ := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+		leased := false
+		s.runner.Leased = func() bool { return leased }
+		if got := s.runner.Run(t.Context(), client, carry("r1", instance)); got.Ending != schema.Ending_ENDING_NOT_RUN {
+			t.Fatalf("ended %v", got.Ending)
+		}
+		leased = true
+		if got := s.runner.Run(t.Context(), client, carry("r1", instance)); got.Ending != schema.Ending_ENDING_UNKNOWN || len(s.ledger()) > 0 {
+			t.Errorf("delivered again it ended %v, with runs %v", got.Ending, s.ledger())
+		}
+		if got := s.runner.Run(t.Context(), client, carry("r2", instance)); got.Ending != schema.Ending_ENDING_ANSWERED {
+			t.Errorf("another request ended %v", got.Ending)
+		}
+	})
+}
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -40,9 +40,10 @@
 }
 
 type runEntry struct {
-	worker *workerNode
-	at     time.Duration
-	ask    int
+	worker  *workerNode
+	at      time.Duration
+	ask     int
+	request string // the dispatch
 }
 
 // faultEntry is a fault and how long it went on.
@@ -204,7 +205,7 @@
 		h.breach(RuleSent, "%v: %s ran %s (%s) as from %q", now, one.name, id, request, caller)
 		return
 	}
-	wanted.runs = append(wanted.runs, runEntry{one, now, ask})
+	wanted.runs = append(wanted.runs, runEntry{one, now, ask, request})
 	if at, left := h.left[one.token]; left && now > at+standin.LeftBound {
 		h.breach(RuleLeft, "%v: %s ran %s %v after it left", now, one.name, id, now-at)
 	}
@@ -410,7 +411,11 @@
 	for _, id := range sortedOps(h.ops) {
 		one := h.ops[id]
 		if one.once && len(one.runs) > 1 {
-			h.breach(RuleTwice, "%s (keyed %v) ran %d times, first at %v; asked %s", id, one.keyed, len(one.runs), one.runs[0].at, one.told())
+			var runs []string
+			for _, run := range one.runs {
+				runs = append(runs, fmt.Sprintf("%s at %s (%s) at %v", run.request, run.worker.name, run.worker.beside.name, run.at))
+			}
+			h.breach(RuleTwice, "%s (keyed %v) ran %d times: %s; asked %s", id, one.keyed, len(one.runs), strings.Join(runs, ", "), one.told())
 		}
 		for ask, entry := range one.asks {
 			calls[one.service] = append(calls[one.service], entry.sent)
--- a/internal/simulator/play.go
+++ b/internal/simulator/play.go
@@ -320,7 +320,7 @@
 		w.links(func() { w.mangle = 0.2 * w.dice.Float64() })
 		return func() { w.links(func() { w.mangle = 0 }) }
 	}},
-	{"links that repeat", false, false, func(w *World) func() {
+	{"links that repeat", true, false, func(w *World) func() {
 		w.links(func() { w.repeat = 0.3 * w.dice.Float64() })
 		return func() { w.links(func() { w.repeat = 0 }) }
 	}},
