Give links a plain form, and the schema what the users' platform needs

Plain links greet with protocol, role and name and are believed; TLS stays the preset. Settings get choices, switches, and 'needed unless'. Nothing is decided by the new fields yet.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,14 +6,20 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -65,7 +71,7 @@
 
 // Ends holds this process's credentials and its open links.
 type Ends struct {
-	config *tls.Config
+	config *tls.Config // nil for plain links
 	pool   *drpcpool.Pool[string, *drpcconn.Conn]
 	dial   time.Duration
 	self   Peer
@@ -176,10 +182,64 @@
 			return defect.Wrap(err, defect.Stranger, "certificate")
 		},
 	}
-	ends.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: time.Minute, Capacity: 4096, KeyCapacity: 256})
+	ends.pool = newPool()
 	return ends, nil
 }
 
+// Plain makes ends without keys: peers say who they are and are believed. It is for networks
+// that only our own processes can reach, where no keys are to be had.
+func Plain(role, name string, speaks []string, changes ...Option) *Ends {
+	ends := &Ends{dial: time.Second, now: time.Now, self: Peer{Role: role, Name: name, speaks: map[string]bool{}, verified: true}}
+	for _, service := range speaks {
+		ends.self.speaks[service] = true
+	}
+	for _, change := range changes {
+		change(ends)
+	}
+	ends.pool = newPool()
+	return ends
+}
+
+func newPool() *drpcpool.Pool[string, *drpcconn.Conn] {
+	return drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: time.Minute, Capacity: 4096, KeyCapacity: 256})
+}
+
+// greetingMost bounds what a peer says of itself on a plain link, in bytes.
+const greetingMost = 4096
+
+// greeting is the line with which a plain link begins: protocol, role, name, whom it speaks for.
+func (p Peer) greeting() string {
+	return strings.Join([]string{protocol, p.Role, p.Name, strings.Join(slices.Sorted(maps.Keys(p.speaks)), ",")}, " ") + "\n"
+}
+
+// readGreeting reads a peer's greeting byte by byte, so that nothing after it is taken.
+func readGreeting(raw net.Conn) (Peer, error) {
+	line, one := make([]byte, 0, 64), make([]byte, 1)
+	for {
+		if _, err := io.ReadFull(raw, one); err != nil {
+			return Peer{}, defect.Wrap(err, defect.Stranger, "greeting")
+		}
+		if one[0] == '\n' {
+			break
+		}
+		if line = append(line, one[0]); len(line) > greetingMost {
+			return Peer{}, defect.New(defect.Stranger, "greeting is too long")
+		}
+	}
+	words := strings.Split(string(line), " ")
+	const wordsOfGreeting = 4
+	if len(words) != wordsOfGreeting || words[0] != protocol {
+		return Peer{}, defect.New(defect.Stranger, "speaks another protocol")
+	}
+	peer := Peer{Role: words[1], Name: words[2], speaks: map[string]bool{}, verified: true}
+	for _, service := range strings.Split(words[3], ",") {
+		if service != "" {
+			peer.speaks[service] = true
+		}
+	}
+	return peer, nil
+}
+
 // checkEvery is how often, at most, the files are looked at.
 const checkEvery = time.Second
 
@@ -217,6 +277,9 @@
 
 // Certificate tells which certificate is in use.
 func (e *Ends) Certificate() any {
+	if e.config == nil {
+		return Certificate{Name: e.self.Role + "/" + e.self.Name, Fault: "links are plain: there is none"}
+	}
 	held := e.current()
 	e.lock.Lock()
 	defer e.lock.Unlock()
@@ -234,14 +297,46 @@
 func (e *Ends) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.dial)
 	defer cancel()
-	dialer := tls.Dialer{NetDialer: &net.Dialer{LocalAddr: e.from}, Config: e.config}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	plain := &net.Dialer{LocalAddr: e.from, KeepAliveConfig: e.alive(), Control: e.control}
+	var raw net.Conn
+	var err error
+	if e.config == nil {
+		if raw, err = plain.DialContext(ctx, "tcp", address); err == nil {
+			_, err = io.WriteString(raw, e.self.greeting())
+		}
+	} else {
+		raw, err = (&tls.Dialer{NetDialer: plain, Config: e.config}).DialContext(ctx, "tcp", address)
+	}
 	if err != nil {
 		return nil, defect.Wrap(err, defect.LinkUnopened, address)
 	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: e.limits()}), nil
 }
 
+// Ratios to the time that a link may take to open: a peer that does not answer for so long is
+// gone. A machine without power says nothing, so without these its links would hang.
+const (
+	greetParts   = 5 // a peer may take so much longer to say who it is
+	unheardParts = 2
+	probesMost   = 3
+)
+
+func (e *Ends) alive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: max(time.Second, e.dial*unheardParts), Interval: max(time.Second, e.dial), Count: probesMost}
+}
+
+// control bounds how long what was sent may stay unacknowledged.
+func (e *Ends) control(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(handle uintptr) {
+		failed = unix.SetsockoptInt(int(handle), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int((e.dial * unheardParts).Milliseconds()))
+	})
+	if err == nil {
+		err = failed
+	}
+	return defect.Wrap(err, defect.LinkUnopened, "socket")
+}
+
 // To gives a connection to address; each call on it takes a link of its own from the pool.
 func (e *Ends) To(ctx context.Context, address string) drpc.Conn {
 	return e.pool.Get(ctx, address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
@@ -277,16 +372,9 @@
 			return defect.Wrap(err, defect.Internal, "accept")
 		}
 		go func() {
-			secured := tls.Server(raw, e.config)
+			secured, peer, err := e.greet(ctx, raw)
 			defer secured.Close()
-			greeting, cancel := context.WithTimeout(ctx, e.dial*5)
-			defer cancel()
-			if err := secured.HandshakeContext(greeting); err != nil {
-				e.Refused.Add(1)
-				return
-			}
-			peer := peerOf(secured.ConnectionState().PeerCertificates[0])
-			if !allowed[peer.Role] {
+			if err != nil || !allowed[peer.Role] {
 				e.Refused.Add(1)
 				return
 			}
@@ -298,5 +386,28 @@
 	}
 }
 
+// greet learns who opened a link, within a bound.
+func (e *Ends) greet(ctx context.Context, raw net.Conn) (net.Conn, Peer, error) {
+	if tcp, is := raw.(*net.TCPConn); is {
+		_ = tcp.SetKeepAliveConfig(e.alive())
+		if inner, err := tcp.SyscallConn(); err == nil {
+			_ = e.control("", "", inner)
+		}
+	}
+	if e.config == nil {
+		_ = raw.SetReadDeadline(time.Now().Add(e.dial * greetParts))
+		peer, err := readGreeting(raw)
+		_ = raw.SetReadDeadline(time.Time{})
+		return raw, peer, err
+	}
+	secured := tls.Server(raw, e.config)
+	greeting, cancel := context.WithTimeout(ctx, e.dial*greetParts)
+	defer cancel()
+	if err := secured.HandshakeContext(greeting); err != nil {
+		return secured, Peer{}, defect.Wrap(err, defect.Stranger, "handshake")
+	}
+	return secured, peerOf(secured.ConnectionState().PeerCertificates[0]), nil
+}
+
 // Close ends all pooled links.
 func (e *Ends) Close() { e.pool.Close() }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -199,3 +199,52 @@
 		t.Errorf("a file that is not there gave %v", err)
 	}
 }
+
+// A plain link tells who stands at its other end; who speaks another protocol, or in a role that
+// is not taken here, is cut off and counted.
+func TestPlainLinksGreet(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := &peerTold{seen: make(chan link.Peer, 8)}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterHop(mux, told); err != nil {
+		t.Fatal(err)
+	}
+	server := link.Plain("proxy", "p", nil)
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, listener, mux, "proxy") }()
+	call := func(role string) error {
+		ends := link.Plain(role, "q", []string{"shop", "bag"})
+		defer ends.Close()
+		bounded, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		_, err := schema.NewDRPCHopClient(ends.To(bounded, listener.Addr().String())).Run(bounded, &schema.Carry{Request: "r"})
+		return err
+	}
+	if err := call("proxy"); err != nil {
+		t.Fatal(err)
+	}
+	if peer := <-told.seen; peer.Role != "proxy" || peer.Name != "q" || !peer.Speaks("bag") || peer.Speaks("other") {
+		t.Fatalf("%+v", peer)
+	}
+	if err := call("store"); err == nil {
+		t.Fatal("a role that is not taken here was served")
+	}
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	if _, err := raw.Read(make([]byte, 1)); err == nil {
+		t.Fatal("another protocol was answered")
+	}
+	if refused := server.Refused.Load(); refused != 2 {
+		t.Fatalf("%d refused", refused)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -75,8 +76,17 @@
 	if set.NArg() > 0 {
 		faults = append(faults, fmt.Sprintf("%s: takes no words besides its flags, got %q", program, set.Args()))
 	}
+	given := map[string]string{}
+	for i := range values {
+		given[flagName(fields.Get(i))] = *values[i]
+	}
 	for i := 0; i < fields.Len(); i++ {
 		field, rule := fields.Get(i), ruleOf(fields.Get(i))
+		// Some settings are needed only as long as another does not make them needless.
+		if name, value, depends := strings.Cut(rule.Unless, "="); depends && given[name] != value && *values[i] == "" {
+			faults = append(faults, flagName(field)+": is required")
+			continue
+		}
 		value, reason := check(*values[i], field, rule)
 		if reason != "" {
 			faults = append(faults, flagName(field)+": "+reason)
@@ -97,6 +107,9 @@
 	if rule.Least != "" || rule.Most != "" {
 		text += fmt.Sprintf(" (%s to %s)", rule.Least, rule.Most)
 	}
+	if rule.Choices != "" {
+		text += fmt.Sprintf(" (one of %s)", rule.Choices)
+	}
 	if rule.Required {
 		text += " (required)"
 	}
@@ -160,6 +173,19 @@
 		}
 		return protoreflect.ValueOfInt64(value), ""
 	},
+	"choice": func(text string, rule *schema.Rule) (protoreflect.Value, string) {
+		if !slices.Contains(List(rule.Choices), text) {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not one of %s", text, rule.Choices)
+		}
+		return protoreflect.ValueOfString(text), ""
+	},
+	"switch": func(text string, _ *schema.Rule) (protoreflect.Value, string) {
+		value, err := strconv.ParseBool(text)
+		if err != nil {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not true or false", text)
+		}
+		return protoreflect.ValueOfBool(value), ""
+	},
 	"ratio": func(text string, rule *schema.Rule) (protoreflect.Value, string) {
 		value, err := strconv.ParseFloat(text, 64)
 		least, _ := strconv.ParseFloat(rule.Least, 64)
