Let stores found a core from seeds alone, over plain links

The users' platform gives no keys and no order of seats, only the addresses of up to three others. With plain links and no order the seats are the IPs of the seeds, sorted, so that every process names the same ones; a store stands at a seat's IP and its own port.

The probe listener may be left out: there its store serves nobody but stores and registries.

Before: Run needed a certificate and an order.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,7 +72,12 @@
 }
 
 // Page adds a JSON page to the probe listener.
-func (f *Frame) Page(path string, page func() any) { f.pages[path] = page }
+func (f *Frame) Page(path string, page func() any) {
+	if f.pages == nil {
+		f.pages = map[string]func() any{}
+	}
+	f.pages[path] = page
+}
 
 // Probe serves /live, /ready, /journal and the program's own pages.
 func (f *Frame) Probe(address string, ready func() Soundness) error {
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,12 +63,12 @@
 	for _, change := range changes {
 		change(running)
 	}
-	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+	ends, err := endsOf(given)
 	if err != nil {
 		return err
 	}
 	defer ends.Close()
-	order := options.List(given.Order)
+	order := orderOf(given)
 	if self := ends.Self(); self.Role != "store" || self.Name != given.Seat {
 		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not store %q", self.Role, self.Name, given.Seat))
 	}
@@ -128,14 +130,10 @@
 	}
 	frame.Page("/certificate", ends.Certificate)
 	frame.Page("/status", func() any { return s.status() })
-	if err := frame.Probe(given.ProbeListen, func() daemon.Soundness {
-		status := s.status()
-		if status.Holder == "" || !status.Counted || status.Unfit {
-			return daemon.Soundness{Reason: string(defect.NoMajority)}
+	if given.ProbeListen != "" {
+		if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
+			return err
 		}
-		return daemon.Soundness{Ready: true}
-	}); err != nil {
-		return err
 	}
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(ctx, listener, mux, "store", "registry") }()
@@ -159,6 +157,49 @@
 	}
 }
 
+// endsOf makes the links' ends: with keys, or plain ones that need none.
+func endsOf(given *schema.StoreOptions) (*link.Ends, error) {
+	if given.Links == plainLinks {
+		return link.Plain("store", given.Seat, nil, link.WithFrom(given.Listen)), nil
+	}
+	return link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+}
+
+const plainLinks = "plain"
+
+// orderOf names the seats: those of the order or, without one, the IPs of the seeds.
+func orderOf(given *schema.StoreOptions) []string {
+	if given.Order != "" {
+		return options.List(given.Order)
+	}
+	var names []string
+	for _, seed := range options.List(given.Seeds) {
+		if place, err := netip.ParseAddrPort(seed); err == nil {
+			names = append(names, place.Addr().String())
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// placeOf is where a seat named by its IP stands: every store has the same port.
+func placeOf(given *schema.StoreOptions, name string) string {
+	own, err := netip.ParseAddrPort(given.Listen)
+	place, wrong := netip.ParseAddr(name)
+	if err != nil || wrong != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(place, own.Port()).String()
+}
+
+func (s *Server) soundness() daemon.Soundness {
+	status := s.status()
+	if status.Holder == "" || !status.Counted || status.Unfit {
+		return daemon.Soundness{Reason: string(defect.NoMajority)}
+	}
+	return daemon.Soundness{Ready: true}
+}
+
 func (s *Server) status() *schema.SeatStatus {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -279,9 +320,15 @@
 func (s *Server) addressesOf(name string) []string {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if address := s.seat.Addresses()[name]; address != "" {
+	if address := s.seat.Addresses()[name]; address != "" && s.options.Order == "" {
+		return []string{address}
+	} else if address != "" {
 		return append([]string{address}, options.List(s.options.Seeds)...)
 	}
+	// Seats that are named by their IPs are found by their names.
+	if s.options.Order == "" {
+		return []string{placeOf(s.options, name)}
+	}
 	return options.List(s.options.Seeds)
 }
 
