--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -21,16 +21,22 @@
 	lines  []string
 	next   int
 	filled bool
-	file   string
+	unsaid int    // lines added since they were last written to standard error
+	file   string // empty for standard error
 	last   time.Time
 	pause  time.Duration
 	now    func() time.Time
 }
 
-// New makes a ring of size lines that is written to folder/name.log.
+// New makes a ring of size lines that is written to folder/name.log, or without a folder to
+// standard error.
 func New(folder, name string, size int) *Ring {
+	file := ""
+	if folder != "" {
+		file = filepath.Join(folder, name+".log")
+	}
 	// A storm of defects must not become a storm of disk writes: one dump a second is enough.
-	return &Ring{lines: make([]string, size), file: filepath.Join(folder, name+".log"), pause: time.Second, now: time.Now}
+	return &Ring{lines: make([]string, size), file: file, pause: time.Second, now: time.Now}
 }
 
 // Logger gives the logr front; an Error call dumps the ring.
@@ -48,6 +54,7 @@
 	defer r.lock.Unlock()
 	r.lines[r.next] = line
 	r.next++
+	r.unsaid = min(r.unsaid+1, len(r.lines))
 	if r.next == len(r.lines) {
 		r.next, r.filled = 0, true
 	}
@@ -75,6 +82,9 @@
 	if !due {
 		return nil
 	}
+	if r.file == "" {
+		return r.say()
+	}
 	text := strings.Join(r.Lines(), "\n") + "\n"
 	// Written beside and moved into place, so that a dump cut short leaves the one before.
 	if err := os.WriteFile(r.file+".new", []byte(text), 0o640); err != nil {
@@ -82,3 +92,16 @@
 	}
 	return defect.Wrap(os.Rename(r.file+".new", r.file), defect.DiskFailed, "log ring")
 }
+
+// say writes to standard error what it has not been told yet: unlike a file it is not replaced.
+func (r *Ring) say() error {
+	lines := r.Lines()
+	r.lock.Lock()
+	lines, r.unsaid = lines[len(lines)-min(r.unsaid, len(lines)):], 0
+	r.lock.Unlock()
+	if len(lines) == 0 {
+		return nil
+	}
+	_, err := os.Stderr.WriteString(strings.Join(lines, "\n") + "\n")
+	return defect.Wrap(err, defect.DiskFailed, "log ring")
+}
