Give the talk between a proxy and its workers a seam of its own

Cause: how a worker is called, what its answers say, which headers pass and how it describes itself were written into the runner and the proxy, so no other way of saying the same could be put in their place. Ruled out: a second runner or listener beside the first, which would decide things twice. Before: one way. After: WorkerSpeech and BeatSpeech, of which our own interface is the first implementation and the default; proxy.Run takes options that change them. A description may bring a worker's own id, its slots, how long it is warm and a serial. Conclusion: nothing changes for whoever speaks our interface; its tests are as they were.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"hash/crc32"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,6 +43,7 @@
 	Outdated func(sequence uint64) bool
 	Leased   func() bool
 	Now      func() time.Duration
+	Speech   WorkerSpeech // nil for our own
 	seen     *Seen
 	memory   *Memory
 }
@@ -54,6 +53,9 @@
 
 // NewRunner keeps so many request ids and keys.
 func NewRunner(runner Runner, remembered int) *Runner {
+	if runner.Speech == nil {
+		runner.Speech = OwnSpeech{}
+	}
 	runner.seen, runner.memory = NewSeen(remembered), NewMemory(remembered)
 	return &runner
 }
@@ -141,22 +143,22 @@
 	case !leased:
 		return notRun(defect.NoLease, 0)
 	}
-	request.SetHost(held.address)
-	request.Header.Set(HeaderToken, token)
-	request.Header.Set(HeaderCaller, carry.Caller)
-	request.Header.Set(HeaderRequest, carry.Request)
-	request.Header.Set(HeaderVersion, carry.Version)
+	r.Speech.Dress(request, carry, Registered{Instance: held.instance, Address: held.address, Token: token, Service: carry.Service, Version: carry.Version}, remaining)
 	response.StreamBody = true
 	response.SkipBody = carry.Method == fasthttp.MethodHead
 	err := held.client.DoTimeout(request, response, remaining)
 	if err != nil {
 		return outcomeOfError(err)
 	}
-	if response.StatusCode() == fasthttp.StatusMisdirectedRequest && len(response.Header.Peek(HeaderRefused)) > 0 {
+	switch said := r.Speech.Read(&response.Header, carry); {
+	case said.Elsewhere:
 		r.Workers.disown(held)
 		return notRun(defect.WrongInstance, 0)
+	case said.NotRun:
+		_ = response.CloseBodyStream()
+		return notRun(defect.BufferFull, 0)
 	}
-	return answerOf(carry, response, r.Workers.options.BodyMost)
+	return answerOf(carry, response, r.Speech, r.Workers.options.BodyMost)
 }
 
 // outcomeOfError tells what an error from the client proves: only a connection that never
@@ -174,23 +176,13 @@
 	return unknown(defect.WorkerLost)
 }
 
-// hopHeaders are meant for one connection only, or are set anew at each.
-var hopHeaders = map[string]bool{"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true, "te": true,
-	"trailer": true, "transfer-encoding": true, "upgrade": true, "content-length": true, "host": true, "proxy-connection": true, "expect": true}
-
-// passes tells whether a header is passed on.
-func passes(name string) bool {
-	lower := strings.ToLower(name)
-	return !hopHeaders[lower] && !strings.HasPrefix(lower, strings.ToLower(Namespace))
-}
-
 // bodiless answers have no body, whatever their headers say.
 func bodiless(method string, status int) bool {
 	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 // answerOf checks that an answer is whole before it counts as one.
-func answerOf(carry *schema.Carry, response *fasthttp.Response, most int) *schema.Carried {
+func answerOf(carry *schema.Carry, response *fasthttp.Response, speech WorkerSpeech, most int) *schema.Carried {
 	// The length is read before the body, for the library puts its own in place of it after.
 	length, status := response.Header.ContentLength(), response.StatusCode()
 	var body []byte
@@ -217,28 +209,15 @@
 	if status < 200 || status > 599 {
 		return unknown(defect.BadAnswer)
 	}
-	kind, _, _ := strings.Cut(string(response.Header.ContentType()), ";")
-	if strings.TrimSpace(strings.ToLower(kind)) == "application/json" && len(body) > 0 && !json.Valid(body) {
+	if !speech.Sound(&response.Header, body) {
 		return unknown(defect.BadAnswer)
 	}
 	carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: int32(status), Body: body,
 		Length: uint64(len(body)), Checksum: crc32.ChecksumIEEE(body)}
 	for name, value := range response.Header.All() {
-		if passes(string(name)) {
+		if speech.Passes(name, true) {
 			carried.Headers = append(carried.Headers, &schema.Header{Name: string(name), Value: string(value)})
 		}
 	}
 	return carried
 }
-
-// HeadersOf copies the headers of a request that are passed on; claims in our own
-// namespace are dropped here, before anything can read them.
-func HeadersOf(header *fasthttp.RequestHeader) []*schema.Header {
-	var headers []*schema.Header
-	for name, value := range header.All() {
-		if passes(string(name)) {
-			headers = append(headers, &schema.Header{Name: string(name), Value: string(value)})
-		}
-	}
-	return headers
-}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -25,12 +25,28 @@
 	Gone    bool    `json:"gone"`
 	Token   string  `json:"token"`  // handed back with each request, so that the worker knows it was meant
 	BeatMS  int64   `json:"beatMs"` // how often it describes itself
+
+	// ID is the worker's own, another for each of its lives. With it the registration is the
+	// same wherever and however often it is told, and it stands in place of the token.
+	ID     string `json:"id,omitempty"`
+	Serial uint64 `json:"serial,omitempty"` // grows with every description; one that comes late changes nothing
+	Slots  uint32 `json:"slots,omitempty"`  // requests it works on at once
+	WarmMS int64  `json:"warmMs,omitempty"` // how long it is still slow after its start
+}
+
+// token is what the worker knows a request by that is meant for it.
+func (d *Description) token() string {
+	if d.ID != "" {
+		return d.ID
+	}
+	return d.Token
 }
 
 // Bounds on a description.
 const (
 	nameMost  = 64
 	tokenMost = 128
+	slotsMost = 1 << 16
 	beatMost  = time.Minute
 )
 
@@ -48,8 +64,11 @@
 	if len(d.Area) > nameMost {
 		faults = append(faults, fmt.Sprintf("area: takes at most %d bytes", nameMost))
 	}
-	if d.Token == "" || len(d.Token) > tokenMost {
-		faults = append(faults, fmt.Sprintf("token: needs 1 to %d bytes", tokenMost))
+	if d.token() == "" || len(d.token()) > tokenMost {
+		faults = append(faults, fmt.Sprintf("token: needs 1 to %d bytes, or an id as long", tokenMost))
+	}
+	if d.WarmMS < 0 || d.Slots > slotsMost {
+		faults = append(faults, fmt.Sprintf("slots, warmMs: must be from 0 up, slots to %d", slotsMost))
 	}
 	if !(d.Load >= 0 && d.Load <= 1e6) {
 		faults = append(faults, "load: must be a number from 0 up")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -58,6 +57,7 @@
 	log         logr.Logger
 	started     time.Time
 	speaks      link.Peer
+	speeches    running
 
 	journal *journal.Journal[Event, Picture]
 	workers *dispatch.Workers
@@ -86,7 +86,7 @@
 }
 
 // Run serves a proxy until ctx ends.
-func Run(ctx context.Context, frame *daemon.Frame, given *schema.ProxyOptions) error {
+func Run(ctx context.Context, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) error {
 	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen), link.WithDial(time.Duration(given.Lease)/dialParts))
 	if err != nil {
 		return err
@@ -102,7 +102,7 @@
 		}
 	}
 	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
-		log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
+		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
 	if s.address == "" {
 		s.address = given.Listen
 	}
@@ -147,7 +147,7 @@
 	go s.tell(linked)
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(linked, listener, mux, "proxy") }()
-	beside, err := s.listen(given.WorkersListen, s.workerHandler, 1<<16)
+	beside, err := s.listen(given.WorkersListen, func(call *fasthttp.RequestCtx) { s.speeches.beats.Handle(call, s.workers) }, 1<<16)
 	if err != nil {
 		return err
 	}
@@ -219,7 +219,7 @@
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
 		Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}, s.workersChanged)
-	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, View: s.view, Leased: s.gate.Open, Now: s.now,
+	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now,
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
 		},
@@ -388,7 +388,7 @@
 func (s *Server) callOf(caller string, call *fasthttp.RequestCtx) *dispatch.Call {
 	taken := &dispatch.Call{Target: string(call.RequestURI()), Body: append([]byte(nil), call.PostBody()...)}
 	values := map[string]string{}
-	taken.Headers = dispatch.HeadersOf(&call.Request.Header)
+	taken.Headers = dispatch.HeadersOf(&call.Request.Header, s.speeches.worker)
 	for _, header := range taken.Headers {
 		name := strings.ToLower(header.Name)
 		if _, found := values[name]; !found {
@@ -432,28 +432,3 @@
 		call.Response.Header.Set(dispatch.HeaderTries, strconv.Itoa(ended.Tries))
 	}
 }
-
-// workerHandler takes workers' descriptions of themselves.
-func (s *Server) workerHandler(call *fasthttp.RequestCtx) {
-	if string(call.Path()) != "/v1/worker" || !call.IsPost() {
-		daemon.Refuse(call, defect.New(defect.NoRoute, string(call.Path())), "", nil)
-		return
-	}
-	said := dispatch.Description{}
-	decoder := json.NewDecoder(strings.NewReader(string(call.PostBody())))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&said); err != nil {
-		daemon.Refuse(call, defect.Wrap(err, defect.Malformed, "description"), "", nil)
-		return
-	}
-	if faults := said.Check(); len(faults) > 0 {
-		daemon.Refuse(call, defect.New(defect.Malformed, "description"), "", faults)
-		return
-	}
-	instance, err := s.workers.Describe(said)
-	if err != nil {
-		s.refuse(call, err, "")
-		return
-	}
-	daemon.Answer(call, fasthttp.StatusOK, map[string]string{"instance": instance})
-}
