Let an order for a version be placed as one change, and be asked about

Cause: the users' platform orders that a service's calls move to a version, and asks what came of it; the product only took plans written as setup. An order becomes the flag, the plan and, where a service leaves its versions out, what stands for them, in one change. It is thought over again on a conflict, so an order given twice is stated once. Ruled out: a plan kept outside the setup, which would need a durability of its own. Before: nothing to call. After: registry.Server has Order and Ordered; TestOrders, TestBadOrders.

--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
 	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
@@ -130,6 +132,52 @@
 	}
 }
 
+// Order states that a service's calls move to a version, as one ordinary change. It gives nothing
+// but nil once that is stable, or was before: an order may be given again to any registry.
+func (s *Server) Order(ctx context.Context, order release.Order) error {
+	for ctx.Err() == nil {
+		compiled, state := s.compiledState()
+		if !s.caughtUp() {
+			break
+		}
+		step, err := release.Place(compiled, state, order)
+		if err != nil || step == nil {
+			return err
+		}
+		submitted := s.offer(ctx, step.Change(s.options.Seat, s.born, rand.Uint64(), state))
+		if submitted == nil {
+			break
+		}
+		switch submitted.Outcome.Ruling {
+		case schema.Ruling_RULING_ACCEPTED:
+			return nil
+		case schema.Ruling_RULING_INVALID:
+			return defect.New(defect.BadSetup, submitted.Outcome.String())
+		}
+		// Somebody else wrote meanwhile, perhaps a step of the plan before: it is thought over
+		// against what stands then.
+		s.pause(ctx, retryParts)
+	}
+	return defect.New(defect.NoMajority, "order for "+order.Service)
+}
+
+// Ordered tells which version was last ordered for a service and what has come of it: one of
+// release.Trial, Ramp, Hold, Done and Back, or nothing.
+func (s *Server) Ordered(service string) (version, state string, err error) {
+	if !s.caughtUp() {
+		return "", "", defect.New(defect.NoMajority, "this registry has not caught up")
+	}
+	version, state = release.StateOf(s.compiled(), service)
+	return version, state, nil
+}
+
+// caughtUp tells whether this registry knows what was stable when it started.
+func (s *Server) caughtUp() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.table.current
+}
+
 // ShownRelease is a plan beside what has come of it.
 type ShownRelease struct {
 	Name     string  `json:"name"`
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -146,7 +146,7 @@
 // steer makes a plan's next step, if one is due and worth a change.
 func (d *Duty) steer(now time.Duration, compiled *setup.Setup, state setup.State, planned *setup.Release, evidence Evidence) (*Step, error) {
 	before := setup.Progress{}
-	identity := planned.Service + " " + planned.Version
+	identity := identity(planned)
 	if known := compiled.Progress[planned.Name]; known != nil && known.Set == identity {
 		before = *known
 	}
