Give the talk between callers and a proxy a seam, and proxies a way to serve in doubt

Cause: callers on the users' platform speak otherwise than our own interface, and there a proxy that has lost touch should go on by what it knows. CallerSpeech is the seam; our JSON and headers are its first form. The presets are as they were.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,7 @@
 	Draining *atomic.Bool
 	probe    *fasthttp.Server
 	pages    map[string]func() any
+	readyAt  []string
 }
 
 // Soundness is what a program says when it is probed for readiness.
@@ -79,6 +81,9 @@
 	f.pages[path] = page
 }
 
+// ReadyAt lets readiness be asked for at another path too.
+func (f *Frame) ReadyAt(path string) { f.readyAt = append(f.readyAt, path) }
+
 // Probe serves /live, /ready, /journal and the program's own pages.
 func (f *Frame) Probe(address string, ready func() Soundness) error {
 	listener, err := net.Listen("tcp", address)
@@ -87,7 +92,11 @@
 	}
 	f.probe = &fasthttp.Server{Name: "meadowhinge", Concurrency: 256, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 		NoDefaultServerHeader: true, Handler: func(call *fasthttp.RequestCtx) {
-			switch path := string(call.Path()); path {
+			path := string(call.Path())
+			if slices.Contains(f.readyAt, path) {
+				path = "/ready"
+			}
+			switch path {
 			case "/live":
 				Answer(call, fasthttp.StatusOK, map[string]bool{"live": true})
 			case "/ready":
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -382,7 +382,8 @@
 	carry := &schema.Carry{Request: fmt.Sprintf("%s-%d", ended.ID, ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
 		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
-		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name}
+		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name,
+		Host: call.Request.Host, Identity: call.Request.Identity}
 	// A call that may be repeated leaves itself time to be, should this proxy hang.
 	patience := left
 	if ended.Plan.Class == setup.Repeatable {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -52,6 +52,8 @@
 	Caller      string
 	Method      string
 	Path        string
+	Host        string // that the caller named
+	Identity    string // the caller's own id of this try, "" for none
 	Header      func(name string) (string, bool)
 	Keyed       bool          // an Idempotency-Key came with it
 	Idempotency string        // its value
--- a/internal/proxy/option.go
+++ b/internal/proxy/option.go
@@ -4,13 +4,20 @@
 
 // running is what a proxy is given beside its settings: how it is spoken to.
 type running struct {
-	worker dispatch.WorkerSpeech
-	beats  BeatSpeech
+	callers CallerSpeech
+	worker  dispatch.WorkerSpeech
+	beats   BeatSpeech
+	readyAt []string
 }
 
 // Option changes how a proxy is spoken to; without any it is our own interface.
 type Option func(*running)
 
+// WithCallerSpeech lets callers be understood and answered in another way.
+func WithCallerSpeech(speech CallerSpeech) Option {
+	return func(given *running) { given.callers = speech }
+}
+
 // WithWorkerSpeech lets workers be called in another way.
 func WithWorkerSpeech(speech dispatch.WorkerSpeech) Option {
 	return func(given *running) { given.worker = speech }
@@ -19,8 +26,13 @@
 // WithBeatSpeech lets workers describe themselves in another way.
 func WithBeatSpeech(speech BeatSpeech) Option { return func(given *running) { given.beats = speech } }
 
+// WithReady lets readiness be asked for at another path of the probe listener too.
+func WithReady(path string) Option {
+	return func(given *running) { given.readyAt = append(given.readyAt, path) }
+}
+
 func speechesOf(changes []Option) running {
-	given := running{worker: dispatch.OwnSpeech{}, beats: ownBeats{}}
+	given := running{callers: ownCallers{}, worker: dispatch.OwnSpeech{}, beats: ownBeats{}}
 	for _, change := range changes {
 		change(&given)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,7 +69,8 @@
 	trials  *dispatch.Trials
 
 	lock     sync.Mutex
-	gate     *session.Gate
+	granted  *session.Gate
+	gate     gate // whether this proxy may decide calls
 	cores    map[string]*schema.Core
 	seats    int           // how many core seats there are
 	behind   time.Duration // since when some registry knew a newer setup than the one applied; 0 for never
@@ -87,7 +87,8 @@
 
 // Run serves a proxy until ctx ends.
 func Run(ctx context.Context, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) error {
-	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen), link.WithDial(time.Duration(given.Lease)/dialParts))
+	callers := options.Pairs(given.Callers)
+	ends, err := linksOf(given, callers)
 	if err != nil {
 		return err
 	}
@@ -95,7 +96,6 @@
 	if self := ends.Self(); self.Role != "proxy" || self.Name != given.Name {
 		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not proxy %q", self.Role, self.Name, given.Name))
 	}
-	callers := options.Pairs(given.Callers)
 	for caller := range callers {
 		if !ends.Self().Speaks(caller) {
 			return defect.New(defect.BadOptions, fmt.Sprintf("callers: the certificate may not speak for %q", caller))
@@ -106,10 +106,14 @@
 	if s.address == "" {
 		s.address = given.Listen
 	}
-	s.gate = session.NewGate(s.lease, s.now)
 	s.members.Store(given.MembersMost)
 	s.fleet = session.NewFleet(given.MembersMost, s.lease)
 	s.journal = journal.New(EmptyPicture(), eventsKept, Fold)
+	s.granted = session.NewGate(s.lease, s.now)
+	s.gate = s.granted
+	if serving(given) {
+		s.gate = pictureGate{s.journal}
+	}
 	s.tally = dispatch.NewTally(tallyLines)
 	s.facts = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
 	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
@@ -133,6 +137,9 @@
 	frame.Page("/status", func() any { return s.status() })
 	frame.Page("/certificate", ends.Certificate)
 	frame.Page("/events", func() any { return s.events() })
+	for _, path := range s.speeches.readyAt {
+		frame.ReadyAt(path)
+	}
 	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
 		return err
 	}
@@ -147,7 +154,8 @@
 	go s.tell(linked)
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(linked, listener, mux, "proxy") }()
-	beside, err := s.listen(given.WorkersListen, func(call *fasthttp.RequestCtx) { s.speeches.beats.Handle(call, s.workers) }, 1<<16)
+	beside, err := s.listen(given.WorkersListen, func(call *fasthttp.RequestCtx) { s.speeches.beats.Handle(call, s.workers) }, 1<<16,
+		func(call *fasthttp.RequestCtx, err error) { daemon.Refuse(call, err, notRun, nil) })
 	if err != nil {
 		return err
 	}
@@ -159,7 +167,8 @@
 	}
 	var outward []*fasthttp.Server
 	for caller, address := range callers {
-		server, err := s.listen(address, s.callerHandler(caller), int(given.BodyMost))
+		server, err := s.listen(address, s.callerHandler(caller), int(given.BodyMost),
+			func(call *fasthttp.RequestCtx, err error) { s.refuse(call, err, notRun) })
 		if err != nil {
 			return err
 		}
@@ -221,10 +230,14 @@
 		Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}, s.workersChanged)
 	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now,
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
+			// What is not refused for an old setup need not wait for the new one.
+			if serving(given) {
+				return
+			}
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
 		},
 		Outdated: func(sequence uint64) bool {
-			return s.journal.View().Outdated(sequence, s.now(), s.lease/renewParts)
+			return !serving(given) && s.journal.View().Outdated(sequence, s.now(), s.lease/renewParts)
 		}}, int(given.Remembered))
 	s.trials = dispatch.NewTrials(dispatch.TrialOptions{Length: time.Duration(given.Trial), Failures: given.TrialFailures, Times: given.TrialTimes,
 		Excess: given.TrialExcess, Slow: given.TrialSlow}, func() int { return int(s.members.Load()) },
@@ -289,7 +302,7 @@
 			known += len(pool)
 		}
 	}
-	return Status{Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.gate.Until() - s.now()).Milliseconds(),
+	return Status{Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.granted.Until() - s.now()).Milliseconds(),
 		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
 		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
 }
@@ -315,7 +328,7 @@
 	return shown
 }
 
-func (s *Server) listen(address string, handler fasthttp.RequestHandler, bodyMost int) (*fasthttp.Server, error) {
+func (s *Server) listen(address string, handler fasthttp.RequestHandler, bodyMost int, refuse func(*fasthttp.RequestCtx, error)) (*fasthttp.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, address)
@@ -325,7 +338,7 @@
 		DisablePreParseMultipartForm: true, StreamRequestBody: true,
 		Handler: func(call *fasthttp.RequestCtx) {
 			if err := readBody(call, bodyMost); err != nil {
-				daemon.Refuse(call, err, "not-run", nil)
+				refuse(call, err)
 				call.SetConnectionClose()
 				return
 			}
@@ -340,7 +353,7 @@
 			if err == fasthttp.ErrBodyTooLarge {
 				kind = defect.TooLarge
 			}
-			daemon.Refuse(call, defect.Wrap(err, kind, "request"), "not-run", nil)
+			refuse(call, defect.Wrap(err, kind, "request"))
 			call.SetConnectionClose()
 		}}
 	go func() { _ = server.Serve(listener) }()
@@ -351,6 +364,9 @@
 // connection closed on unread bytes is reset, and the caller would never see the refusal.
 const drainParts = 16
 
+// notRun is the outcome's name of a request that was refused before anything was sent.
+var notRun = dispatch.OutcomeName(schema.Ending_ENDING_NOT_RUN)
+
 // readBody takes a request's body into memory if it is within the bound.
 func readBody(call *fasthttp.RequestCtx, most int) error {
 	if !call.Request.IsBodyStream() {
@@ -373,11 +389,15 @@
 func (s *Server) callerHandler(caller string) fasthttp.RequestHandler {
 	return func(call *fasthttp.RequestCtx) {
 		ended := make(chan *dispatch.Ended, 1)
-		taken := s.callOf(caller, call)
+		taken, err := s.callOf(caller, call)
+		if err != nil {
+			s.refuse(call, err, notRun)
+			return
+		}
 		s.inFlight.Add(1)
 		defer s.inFlight.Done()
 		if err := s.calls.Submit(func() { ended <- s.carrier.Carry(context.Background(), taken) }); err != nil {
-			s.refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), "not-run")
+			s.refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), notRun)
 			return
 		}
 		s.answer(call, <-ended)
@@ -385,7 +405,7 @@
 }
 
 // callOf copies a request out of the server's buffers.
-func (s *Server) callOf(caller string, call *fasthttp.RequestCtx) *dispatch.Call {
+func (s *Server) callOf(caller string, call *fasthttp.RequestCtx) (*dispatch.Call, error) {
 	taken := &dispatch.Call{Target: string(call.RequestURI()), Body: append([]byte(nil), call.PostBody()...)}
 	values := map[string]string{}
 	taken.Headers = dispatch.HeadersOf(&call.Request.Header, s.speeches.worker)
@@ -395,20 +415,18 @@
 			values[name] = header.Value
 		}
 	}
-	taken.Request = plan.Request{Caller: caller, Method: string(call.Method()), Path: string(call.Path()),
-		Header:      func(name string) (string, bool) { value, found := values[strings.ToLower(name)]; return value, found },
-		Idempotency: values["idempotency-key"]}
-	_, taken.Request.Keyed = values["idempotency-key"]
-	if asked, err := strconv.ParseInt(string(call.Request.Header.Peek(dispatch.HeaderHorizon)), 10, 32); err == nil && asked > 0 {
-		taken.Request.Asked = time.Duration(asked) * time.Millisecond
+	taken.Request = plan.Request{Caller: caller, Method: string(call.Method()), Path: string(call.Path()), Host: string(call.Host()),
+		Header: func(name string) (string, bool) { value, found := values[strings.ToLower(name)]; return value, found }}
+	if err := s.speeches.callers.Take(call, taken); err != nil {
+		return nil, err
 	}
-	return taken
+	return taken, nil
 }
 
 // answer writes what became of a call.
 func (s *Server) answer(call *fasthttp.RequestCtx, ended *dispatch.Ended) {
 	if ended.Err != nil {
-		outcome := "not-run"
+		outcome := notRun
 		if ended.Carried != nil {
 			outcome = dispatch.OutcomeName(ended.Carried.Ending)
 		}
@@ -421,14 +439,5 @@
 		}
 		call.SetBody(ended.Carried.Body)
 	}
-	call.Response.Header.Set(dispatch.HeaderRequest, ended.ID)
-	if ended.Carried != nil {
-		call.Response.Header.Set(dispatch.HeaderOutcome, dispatch.OutcomeName(ended.Carried.Ending))
-	}
-	if ended.Plan != nil {
-		call.Response.Header.Set(dispatch.HeaderVersion, ended.Plan.Verdict.Version)
-		call.Response.Header.Set(dispatch.HeaderReason, string(ended.Plan.Verdict.Reason))
-		call.Response.Header.Set(dispatch.HeaderSetup, strconv.FormatUint(ended.Plan.Verdict.Setup, 10))
-		call.Response.Header.Set(dispatch.HeaderTries, strconv.Itoa(ended.Tries))
-	}
+	s.speeches.callers.Answer(call, ended)
 }
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -1,12 +1,10 @@
 package proxy
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"meadowhinge/internal/daemon"
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
@@ -54,12 +52,15 @@
 	return time.Duration(given.HorizonMost) / horizonParts
 }
 
-// refuse gives a caller its final answer, with word when to come back if that makes sense.
-func (s *Server) refuse(call *fasthttp.RequestCtx, err error, outcome string) {
-	daemon.Refuse(call, err, outcome, nil)
+// waitAfter is when asking again makes sense after a failure, 0 if it does not.
+func (s *Server) waitAfter(err error) time.Duration {
 	if wait := comeBack[defect.KindOf(err)]; wait != nil {
-		// The header counts in whole seconds, and coming back too early helps nobody.
-		seconds := max(1, int64((wait(s.options)+time.Second-1)/time.Second))
-		call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+		return wait(s.options)
 	}
+	return 0
+}
+
+// refuse gives a caller its final answer, with word when to come back if that makes sense.
+func (s *Server) refuse(call *fasthttp.RequestCtx, err error, outcome string) {
+	s.speeches.callers.Refuse(call, err, outcome, s.waitAfter(err))
 }
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -147,7 +147,7 @@
 	if !reply.Granted {
 		return reply.Seat
 	}
-	s.gate.Granted(reply.Seat, int(reply.Seats), asked)
+	s.granted.Granted(reply.Seat, int(reply.Seats), asked)
 	return reply.Seat
 }
 
