Count what goes over links; let a proxy be built without listeners

Links now count bytes as the sockets carry them, links opened and calls taken; /traffic shows it at every program. Counting inside drpc was ruled out: it sees frames before TLS, not what the wire carries.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -86,6 +86,8 @@
 
 	// Refused counts peers turned away for a wrong certificate, protocol or garbage.
 	Refused atomic.Uint64
+
+	meter meter
 }
 
 // Option changes a default of Ends.
@@ -301,11 +303,17 @@
 	var raw net.Conn
 	var err error
 	if e.config == nil {
-		if raw, err = plain.DialContext(ctx, "tcp", address); err == nil {
-			_, err = io.WriteString(raw, e.self.greeting())
+		if raw, err = e.dialed(plain.DialContext(ctx, "tcp", address)); err == nil {
+			if _, err = io.WriteString(raw, e.self.greeting()); err != nil {
+				raw.Close()
+			}
 		}
-	} else {
-		raw, err = (&tls.Dialer{NetDialer: plain, Config: e.config}).DialContext(ctx, "tcp", address)
+	} else if raw, err = e.dialed(plain.DialContext(ctx, "tcp", address)); err == nil {
+		secured := tls.Client(raw, e.config)
+		if err = secured.HandshakeContext(ctx); err != nil {
+			raw.Close()
+		}
+		raw = secured
 	}
 	if err != nil {
 		return nil, defect.Wrap(err, defect.LinkUnopened, address)
@@ -313,6 +321,15 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: e.limits()}), nil
 }
 
+// dialed counts what goes over a link that this process opened.
+func (e *Ends) dialed(raw net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	e.meter.opened.Add(1)
+	return metered{raw, &e.meter}, nil
+}
+
 // Ratios to the time that a link may take to open: a peer that does not answer for so long is
 // gone. A machine without power says nothing, so without these its links would hang.
 const (
@@ -354,7 +371,7 @@
 
 // Serve answers calls on listener until ctx ends. Roles not allowed are cut at the handshake.
 func (e *Ends) Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, roles ...string) error {
-	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: e.limits()})
+	server := drpcserver.NewWithOptions(counting{handler, &e.meter}, drpcserver.Options{Manager: e.limits()})
 	allowed := map[string]bool{}
 	for _, role := range roles {
 		allowed[role] = true
@@ -394,6 +411,7 @@
 			_ = e.control("", "", inner)
 		}
 	}
+	raw = metered{raw, &e.meter}
 	if e.config == nil {
 		_ = raw.SetReadDeadline(time.Now().Add(e.dial * greetParts))
 		peer, err := readGreeting(raw)
--- /dev/null
+++ b/internal/link/traffic.go
@@ -0,0 +1,67 @@
+package link
+
+import (
+	"maps"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"storj.io/drpc"
+)
+
+// Traffic is what has gone over this process's links since it started.
+type Traffic struct {
+	In     uint64            `json:"in"`     // bytes, as the sockets carried them
+	Out    uint64            `json:"out"`    // the same
+	Opened uint64            `json:"opened"` // links that this process opened
+	Served map[string]uint64 `json:"served"` // calls taken, by what was called
+}
+
+// meter counts what goes over links.
+type meter struct {
+	in, out, opened atomic.Uint64
+
+	lock   sync.Mutex
+	served map[string]uint64
+}
+
+// Traffic tells what has gone over this process's links.
+func (e *Ends) Traffic() Traffic {
+	e.meter.lock.Lock()
+	defer e.meter.lock.Unlock()
+	return Traffic{In: e.meter.in.Load(), Out: e.meter.out.Load(), Opened: e.meter.opened.Load(), Served: maps.Clone(e.meter.served)}
+}
+
+// metered counts the bytes of one link.
+type metered struct {
+	net.Conn
+	meter *meter
+}
+
+func (m metered) Read(into []byte) (int, error) {
+	count, err := m.Conn.Read(into)
+	m.meter.in.Add(uint64(count))
+	return count, err
+}
+
+func (m metered) Write(from []byte) (int, error) {
+	count, err := m.Conn.Write(from)
+	m.meter.out.Add(uint64(count))
+	return count, err
+}
+
+// counting counts the calls that a handler takes.
+type counting struct {
+	drpc.Handler
+	meter *meter
+}
+
+func (c counting) HandleRPC(stream drpc.Stream, rpc string) error {
+	c.meter.lock.Lock()
+	if c.meter.served == nil {
+		c.meter.served = map[string]uint64{}
+	}
+	c.meter.served[rpc]++
+	c.meter.lock.Unlock()
+	return c.Handler.HandleRPC(stream, rpc)
+}
--- /dev/null
+++ b/internal/link/traffic_test.go
@@ -0,0 +1,47 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"meadowhinge/internal/link"
+	"meadowhinge/schema"
+)
+
+// What goes over links is counted at both ends: bytes, links opened, calls by name.
+func TestTrafficIsCounted(t *testing.T) {
+	const calls, body = 3, 10_000
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterHop(mux, &peerTold{seen: make(chan link.Peer, calls)}); err != nil {
+		t.Fatal(err)
+	}
+	server, client := link.Plain("proxy", "p", nil), link.Plain("proxy", "q", nil)
+	t.Cleanup(server.Close)
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go func() { _ = server.Serve(ctx, listener, mux, "proxy") }()
+	for range calls {
+		if _, err := schema.NewDRPCHopClient(client.To(ctx, listener.Addr().String())).Run(ctx, &schema.Carry{Body: make([]byte, body)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sent, taken := client.Traffic(), server.Traffic()
+	// Beyond the bodies there are a greeting and a frame for each call, of a hundred bytes at most.
+	for _, bytes := range []uint64{sent.Out, taken.In} {
+		if bytes < calls*body || bytes > calls*(body+200) {
+			t.Errorf("%d bytes counted of %d sent in bodies", bytes, calls*body)
+		}
+	}
+	if sent.Opened != 1 || taken.Served["/meadowhinge.Hop/Run"] != calls {
+		t.Errorf("opened %d links, served %v", sent.Opened, taken.Served)
+	}
+}
--- a/internal/proxy/option.go
+++ b/internal/proxy/option.go
@@ -1,6 +1,11 @@
 package proxy
 
-import "meadowhinge/internal/dispatch"
+import (
+	"net"
+	"time"
+
+	"meadowhinge/internal/dispatch"
+)
 
 // running is what a proxy is given beside its settings: how it is spoken to.
 type running struct {
@@ -8,6 +13,8 @@
 	worker  dispatch.WorkerSpeech
 	beats   BeatSpeech
 	readyAt []string
+	dial    func(address string) (net.Conn, error) // a worker
+	fold    func(Picture, Event) Picture
 }
 
 // Option changes how a proxy is spoken to; without any it is our own interface.
@@ -32,7 +39,8 @@
 }
 
 func speechesOf(changes []Option) running {
-	given := running{callers: ownCallers{}, worker: dispatch.OwnSpeech{}, beats: ownBeats{}}
+	given := running{callers: ownCallers{}, worker: dispatch.OwnSpeech{}, beats: ownBeats{}, fold: Fold,
+		dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}
 	for _, change := range changes {
 		change(&given)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -101,30 +101,11 @@
 			return defect.New(defect.BadOptions, fmt.Sprintf("callers: the certificate may not speak for %q", caller))
 		}
 	}
-	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
-		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
-	if s.address == "" {
-		s.address = given.Listen
-	}
-	s.members.Store(given.MembersMost)
-	s.fleet = session.NewFleet(given.MembersMost, s.lease)
-	s.journal = journal.New(EmptyPicture(), eventsKept, Fold)
-	s.granted = session.NewGate(s.lease, s.now)
-	s.gate = s.granted
-	if serving(given) {
-		s.gate = pictureGate{s.journal}
-	}
-	s.tally = dispatch.NewTally(tallyLines)
-	s.facts = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
-	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
-		return defect.Wrap(err, defect.Internal, "pool")
-	}
-	if s.hops, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
-		return defect.Wrap(err, defect.Internal, "pool")
+	s, err := build(ends, frame, given, changes...)
+	if err != nil {
+		return err
 	}
-	defer s.calls.Release()
-	defer s.hops.Release()
-	s.assemble()
+	defer s.release()
 
 	listener, err := net.Listen("tcp", given.Listen)
 	if err != nil {
@@ -136,6 +117,7 @@
 	}
 	frame.Page("/status", func() any { return s.status() })
 	frame.Page("/certificate", ends.Certificate)
+	frame.Page("/traffic", func() any { return ends.Traffic() })
 	frame.Page("/events", func() any { return s.events() })
 	for _, path := range s.speeches.readyAt {
 		frame.ReadyAt(path)
@@ -146,12 +128,7 @@
 	// Links to other proxies outlive the signal until the calls in flight have ended.
 	linked, unlink := context.WithCancel(context.Background())
 	defer unlink()
-	s.linked = linked
-	for i := range options.List(given.Seeds) {
-		go s.renew(linked, i)
-	}
-	go s.feed(linked)
-	go s.tell(linked)
+	s.join(linked)
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(linked, listener, mux, "proxy") }()
 	beside, err := s.listen(given.WorkersListen, func(call *fasthttp.RequestCtx) { s.speeches.beats.Handle(call, s.workers) }, 1<<16,
@@ -184,6 +161,50 @@
 	return s.drain(append(outward, beside))
 }
 
+// build makes a proxy that has no listeners and no sessions yet.
+func build(ends *link.Ends, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) (*Server, error) {
+	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
+		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
+	if s.address == "" {
+		s.address = given.Listen
+	}
+	s.members.Store(given.MembersMost)
+	s.fleet = session.NewFleet(given.MembersMost, s.lease)
+	s.journal = journal.New(EmptyPicture(), eventsKept, s.speeches.fold)
+	s.granted = session.NewGate(s.lease, s.now)
+	s.gate = s.granted
+	if serving(given) {
+		s.gate = pictureGate{s.journal}
+	}
+	s.tally = dispatch.NewTally(tallyLines)
+	s.facts = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
+	var err error
+	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "pool")
+	}
+	if s.hops, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "pool")
+	}
+	s.assemble()
+	return s, nil
+}
+
+// release lets go of what build took.
+func (s *Server) release() {
+	s.calls.Release()
+	s.hops.Release()
+}
+
+// join begins this proxy's sessions with the registries; they end with ctx.
+func (s *Server) join(ctx context.Context) {
+	s.linked = ctx
+	for i := range options.List(s.options.Seeds) {
+		go s.renew(ctx, i)
+	}
+	go s.feed(ctx)
+	go s.tell(ctx)
+}
+
 // drain stops taking calls and waits for those in flight, as long as settings allow.
 func (s *Server) drain(outward []*fasthttp.Server) error {
 	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.Drain))
@@ -227,7 +248,7 @@
 	s.speaks = link.Local("proxy", given.Name, speaks)
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
-		Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}, s.workersChanged)
+		Dial: s.speeches.dial}, s.workersChanged)
 	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now,
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			// What is not refused for an old setup need not wait for the new one.
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -90,6 +90,7 @@
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
 	frame.Page("/certificate", ends.Certificate)
+	frame.Page("/traffic", func() any { return ends.Traffic() })
 	frame.Page("/status", func() any { status, _ := s.Look(ctx, nil); return status })
 	if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
 		return err
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -129,6 +129,7 @@
 		return defect.Wrap(err, defect.Internal, "mux")
 	}
 	frame.Page("/certificate", ends.Certificate)
+	frame.Page("/traffic", func() any { return ends.Traffic() })
 	frame.Page("/status", func() any { return s.status() })
 	if given.ProbeListen != "" {
 		if err := frame.Probe(given.ProbeListen, s.soundness); err != nil {
