Take hosts, aims, splits, limits and standing versions into the setup; plan by them

Cause: the users' platform names hosts, splits a route over services, bounds tries and states no versions; the setup had no words for these, and every change decoded every flag anew. Routes gain host, aim, tries, rank and split; services may leave their versions to the item 'standing'; limits are one item. A split is a flag of the route's own, decided by the same rollout as versions are; SPLIT_EMPTY is its one exception. Routes are found by host and prefix in a sorted index, and whatever item stayed is taken over from the setup before. Ruled out: a map of prefixes by length (two allocations a host at each change), and refusing two routes at one place where operators give versions and race: each was valid when sent.

--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -15,6 +15,12 @@
 	failures atomic.Int64 // in a row
 	until    atomic.Int64 // ejected until
 	disowned atomic.Bool  // its proxy knows it no more, or it is leaving: it never comes back
+	full     atomic.Int64 // it has no room until
+	toldAt   atomic.Int64 // when its load was told last, 0 for never
+	running  atomic.Int64
+	waiting  atomic.Int64
+	slots    atomic.Int64
+	pace     atomic.Int64 // moving mean of what it takes for a call, in nanoseconds; 0 for not known
 }
 
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
@@ -89,6 +95,40 @@
 	}
 }
 
+// paceParts is the part of a new time that goes into a worker's moving mean.
+const paceParts = 16
+
+// Served notes how long a worker took for a call that it answered.
+func (s *Soundness) Served(instance string, took time.Duration) {
+	facts := s.of(instance)
+	if before := facts.pace.Load(); before > 0 {
+		facts.pace.Store(before + (int64(took)-before)/paceParts)
+	} else {
+		facts.pace.Store(int64(took))
+	}
+}
+
+// Told notes a worker's load, as the proxy beside it told it with an answer or a refusal.
+func (s *Soundness) Told(instance string, now time.Duration, running, waiting, slots int) {
+	facts := s.of(instance)
+	facts.running.Store(int64(running))
+	facts.waiting.Store(int64(waiting))
+	facts.slots.Store(int64(slots))
+	facts.toldAt.Store(int64(max(now, 1)))
+}
+
+// Full notes that a worker has no room: it is tried last until back has passed, the time in
+// which its proxy expects room, 0 for not known.
+func (s *Soundness) Full(instance string, now, back time.Duration) {
+	if back <= 0 {
+		back = s.ejection / fullParts
+	}
+	s.of(instance).full.Store(int64(now + min(back, s.ejection)))
+}
+
+// fullParts is the part of an ejection for which a worker without room is tried last.
+const fullParts = 64
+
 // Keep forgets workers that are no longer listed, so that memory does not grow with replacements.
 func (s *Soundness) Keep(listed map[string]bool) {
 	s.facts.Range(func(instance string, facts *workerFacts) bool {
--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -49,9 +49,16 @@
 func (t *Tally) Add(ended *Ended, took time.Duration) {
 	t.folding.RLock()
 	defer t.folding.RUnlock()
-	verdict := ended.Plan.Verdict
-	key := tallyKey{flag: verdict.Flag, service: ended.Plan.Service, variation: verdict.Version, reason: string(verdict.Reason), rule: verdict.RuleID,
-		route: ended.Plan.Route.Name, outcome: outcomeNames[ended.Carried.Ending], setup: verdict.Setup}
+	verdict, outcome := &ended.Plan.Verdict, outcomeNames[ended.Carried.Ending]
+	t.add(tallyKey{flag: verdict.Flag, service: ended.Plan.Service, variation: verdict.Version, reason: string(verdict.Reason), rule: verdict.RuleID,
+		route: ended.Plan.Route.Name, outcome: outcome, setup: verdict.Setup}, ended, took)
+	// A split's verdict is of no service's versions, so its line names none.
+	if split := &ended.Plan.Split; split.Flag != "" {
+		t.add(tallyKey{flag: split.Flag, variation: split.Version, reason: string(split.Reason), route: ended.Plan.Route.Name, outcome: outcome, setup: split.Setup}, ended, took)
+	}
+}
+
+func (t *Tally) add(key tallyKey, ended *Ended, took time.Duration) {
 	// Old setups would pile up lines without end; beyond the bound they share one line.
 	if _, known := t.lines.Load(key); !known && t.lines.Size() >= t.most {
 		key.setup = 0
--- a/internal/flag/compile.go
+++ b/internal/flag/compile.go
@@ -20,12 +20,29 @@
 func (s *Set) Compile() []Fault {
 	var faults []Fault
 	for _, key := range slices.Sorted(maps.Keys(s.Segments)) {
-		faults = append(faults, s.Segments[key].compile(s)...)
+		faults = append(faults, s.Segments[key].Prepare()...)
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.Flags)) {
-		faults = append(faults, s.Flags[key].compile(s)...)
+		faults = append(faults, s.Flags[key].Prepare()...)
 	}
-	return append(faults, s.cycles()...)
+	return append(faults, s.Check()...)
+}
+
+// Check reports what is wrong between definitions that are each prepared. Most refer to no
+// other and cost nothing here.
+func (s *Set) Check() []Fault {
+	var faults []Fault
+	var referring []string
+	for key, one := range s.Flags {
+		if one.refers {
+			referring = append(referring, key)
+		}
+	}
+	slices.Sort(referring)
+	for _, key := range referring {
+		faults = append(faults, s.Flags[key].check(s)...)
+	}
+	return append(faults, s.cycles(referring)...)
 }
 
 func listed(values []string) map[string]bool {
@@ -36,8 +53,10 @@
 	return set
 }
 
-func (f *Flag) compile(set *Set) []Fault {
+// Prepare readies a flag for evaluation and reports what is wrong with it by itself.
+func (f *Flag) Prepare() []Fault {
 	path := "flag." + f.Key
+	f.refers = len(f.Prerequisites) > 0
 	var faults []Fault
 	add := func(at, format string, values ...any) {
 		faults = append(faults, Fault{path + at, fmt.Sprintf(format, values...)})
@@ -51,15 +70,6 @@
 		add(".variations", "a flag needs at least one variation")
 	}
 	index(".offVariation", f.OffVariation)
-	for i, prerequisite := range f.Prerequisites {
-		at := fmt.Sprintf(".prerequisites[%d]", i)
-		needed, found := set.Flags[prerequisite.Key]
-		if !found {
-			add(at, "flag %q does not exist", prerequisite.Key)
-		} else if prerequisite.Variation < 0 || prerequisite.Variation >= len(needed.Variations) {
-			add(at, "flag %q has no variation %d", prerequisite.Key, prerequisite.Variation)
-		}
-	}
 	for i := range f.Targets {
 		index(fmt.Sprintf(".targets[%d]", i), f.Targets[i].Variation)
 		f.Targets[i].listed = listed(f.Targets[i].Values)
@@ -93,19 +103,47 @@
 			add(at, "needs an id of its own")
 		}
 		seen[f.Rules[i].ID] = true
-		faults = append(faults, compileClauses(f.Rules[i].Clauses, path+at, set, true)...)
+		faults = append(faults, compileClauses(f.Rules[i].Clauses, path+at, true)...)
+		f.refers = f.refers || slices.ContainsFunc(f.Rules[i].Clauses, func(one Clause) bool { return one.Operator == segmentMatch })
 		served(at, f.Rules[i].Serve)
 	}
 	served(".fallthrough", f.Fallthrough)
 	return faults
 }
 
-func (s *Segment) compile(set *Set) []Fault {
+// check reports what a flag names and is not there.
+func (f *Flag) check(set *Set) []Fault {
+	path := "flag." + f.Key
+	var faults []Fault
+	for i, prerequisite := range f.Prerequisites {
+		at := fmt.Sprintf("%s.prerequisites[%d]", path, i)
+		needed, found := set.Flags[prerequisite.Key]
+		if !found {
+			faults = append(faults, Fault{at, fmt.Sprintf("flag %q does not exist", prerequisite.Key)})
+		} else if prerequisite.Variation < 0 || prerequisite.Variation >= len(needed.Variations) {
+			faults = append(faults, Fault{at, fmt.Sprintf("flag %q has no variation %d", prerequisite.Key, prerequisite.Variation)})
+		}
+	}
+	for i := range f.Rules {
+		for j := range f.Rules[i].Clauses {
+			clause := &f.Rules[i].Clauses[j]
+			for k := range clause.Values {
+				if name, _ := clause.Values[k].(string); clause.Operator == segmentMatch && set.Segments[name] == nil {
+					faults = append(faults, Fault{fmt.Sprintf("%s.rules[%d].clauses[%d].values[%d]", path, i, j, k), fmt.Sprintf("segment %v does not exist", clause.Values[k])})
+				}
+			}
+		}
+	}
+	return faults
+}
+
+// Prepare readies a segment for evaluation and reports what is wrong with it.
+func (s *Segment) Prepare() []Fault {
 	s.included, s.excluded = listed(s.Included), listed(s.Excluded)
 	var faults []Fault
 	for i := range s.Rules {
 		at := fmt.Sprintf("segment.%s.rules[%d]", s.Key, i)
-		faults = append(faults, compileClauses(s.Rules[i].Clauses, at, set, false)...)
+		faults = append(faults, compileClauses(s.Rules[i].Clauses, at, false)...)
 		if weight := s.Rules[i].Weight; weight != nil && (*weight < 0 || *weight > Whole) {
 			faults = append(faults, Fault{at, fmt.Sprintf("weight %d is outside 0 to %d", *weight, Whole)})
 		}
@@ -114,8 +152,8 @@
 }
 
 // compileValue prepares one value of a clause for its operator, or says what is wrong with it.
-var compileValue = map[string]func(clause *Clause, i int, set *Set) string{
-	"matches": func(clause *Clause, i int, _ *Set) string {
+var compileValue = map[string]func(clause *Clause, i int) string{
+	"matches": func(clause *Clause, i int) string {
 		text, isText := clause.Values[i].(string)
 		pattern, err := regexp.Compile(text)
 		if !isText || err != nil {
@@ -136,17 +174,14 @@
 	"startsWith":         needText,
 	"endsWith":           needText,
 	"contains":           needText,
-	"in":                 func(*Clause, int, *Set) string { return "" },
-	"segmentMatch": func(clause *Clause, i int, set *Set) string {
-		name, _ := clause.Values[i].(string)
-		if _, found := set.Segments[name]; !found {
-			return fmt.Sprintf("segment %v does not exist", clause.Values[i])
-		}
-		return ""
-	},
+	"in":                 func(*Clause, int) string { return "" },
+	segmentMatch:         func(*Clause, int) string { return "" }, // what it names is checked against the set
 }
 
-func compileSemver(clause *Clause, i int, _ *Set) string {
+// segmentMatch is the operator that asks for segments.
+const segmentMatch = "segmentMatch"
+
+func compileSemver(clause *Clause, i int) string {
 	text, isText := clause.Values[i].(string)
 	version, err := semver.NewVersion(text)
 	if !isText || err != nil {
@@ -156,7 +191,7 @@
 	return ""
 }
 
-func compileTime(clause *Clause, i int, _ *Set) string {
+func compileTime(clause *Clause, i int) string {
 	instant, isMoment := moment(clause.Values[i])
 	if !isMoment {
 		return fmt.Sprintf("%v is neither milliseconds since 1970 nor RFC 3339 text", clause.Values[i])
@@ -165,21 +200,21 @@
 	return ""
 }
 
-func needNumber(clause *Clause, i int, _ *Set) string {
+func needNumber(clause *Clause, i int) string {
 	if _, isNumber := numeric(clause.Values[i]); !isNumber {
 		return fmt.Sprintf("%v is not a number", clause.Values[i])
 	}
 	return ""
 }
 
-func needText(clause *Clause, i int, _ *Set) string {
+func needText(clause *Clause, i int) string {
 	if _, isText := clause.Values[i].(string); !isText {
 		return fmt.Sprintf("%v is not text", clause.Values[i])
 	}
 	return ""
 }
 
-func compileClauses(clauses []Clause, path string, set *Set, segments bool) []Fault {
+func compileClauses(clauses []Clause, path string, segments bool) []Fault {
 	var faults []Fault
 	for i := range clauses {
 		clause, at := &clauses[i], fmt.Sprintf("%s.clauses[%d]", path, i)
@@ -191,16 +226,16 @@
 		case !known:
 			faults = append(faults, Fault{at, fmt.Sprintf("operator %q does not exist", clause.Operator)})
 			continue
-		case clause.Operator == "segmentMatch" && !segments:
+		case clause.Operator == segmentMatch && !segments:
 			faults = append(faults, Fault{at, "a segment's own rules may not use segmentMatch"})
 			continue
-		case clause.Operator != "segmentMatch" && clause.Attribute == "":
+		case clause.Operator != segmentMatch && clause.Attribute == "":
 			faults = append(faults, Fault{at, "names no attribute"})
 		case len(clause.Values) == 0:
 			faults = append(faults, Fault{at, "has no values"})
 		}
 		for j := range clause.Values {
-			if reason := prepare(clause, j, set); reason != "" {
+			if reason := prepare(clause, j); reason != "" {
 				faults = append(faults, Fault{fmt.Sprintf("%s.values[%d]", at, j), reason})
 			}
 		}
@@ -208,8 +243,8 @@
 	return faults
 }
 
-// cycles finds flags that are prerequisites of themselves.
-func (s *Set) cycles() []Fault {
+// cycles finds flags that are prerequisites of themselves, among those that have any.
+func (s *Set) cycles(referring []string) []Fault {
 	var faults []Fault
 	const walking, done = 1, 2
 	state := map[string]int{}
@@ -229,7 +264,7 @@
 		}
 		state[key] = done
 	}
-	for _, key := range slices.Sorted(maps.Keys(s.Flags)) {
+	for _, key := range referring {
 		if state[key] == 0 {
 			walk(key)
 		}
--- a/internal/flag/flag.go
+++ b/internal/flag/flag.go
@@ -104,6 +104,8 @@
 	Targets       []Target       `json:"targets,omitempty"`
 	Rules         []Rule         `json:"rules,omitempty"`
 	Fallthrough   Serve          `json:"fallthrough"`
+
+	refers bool // to other flags or to segments
 }
 
 // Reachable lists the variations that an evaluation may give as the flag stands, in order.
@@ -337,7 +339,7 @@
 }
 
 func (s *Set) holds(clause *Clause, context Context, segments bool) bool {
-	if clause.Operator == "segmentMatch" {
+	if clause.Operator == segmentMatch {
 		if !segments {
 			return false
 		}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -23,6 +23,10 @@
 	ReasonHeld flag.Reason = "HELD"
 	// ReasonPolicy: the route's policy refused the call, so no version was asked for.
 	ReasonPolicy flag.Reason = "POLICY"
+	// ReasonSplitEmpty: the split's service has no worker, and another of the split has.
+	ReasonSplitEmpty flag.Reason = "SPLIT_EMPTY"
+	// ReasonNoVersion: no version of the service is stated, and no worker has told one yet.
+	ReasonNoVersion flag.Reason = "NO_VERSION"
 )
 
 // CallerKind is the context kind that tells which service calls, and from where.
@@ -36,6 +40,10 @@
 	Area     string
 	Load     float64
 	Since    time.Duration // when it was first known, on this process's clock
+	Slots    int           // requests that it works on at once, 0 for not told
+	Running  int           // requests that it worked on when it was last told of
+	Waiting  int           // and that waited, at it or at its proxy
+	Warm     time.Duration // until when it is slow after its start, on this process's clock
 }
 
 // Directory lists workers by service and version.
@@ -50,6 +58,8 @@
 // Request is what a plan needs to know of a request.
 type Request struct {
 	Caller      string
+	Host        string // as the caller named it
+	Identity    string // the caller's own id of this try: the context's key where the route names no header
 	Method      string
 	Path        string
 	Host        string // that the caller named
@@ -75,10 +85,12 @@
 type Plan struct {
 	Route      *setup.Route
 	Service    string
+	Split      Verdict // of a route that is split: the service, in place of a version; else without a flag
 	Verdict    Verdict
 	Class      setup.Class
 	Horizon    time.Duration
-	Candidates []Candidate // in the order in which to try them
+	Aim        time.Duration // the time within which an answer is worth most, 0 for none
+	Candidates []Candidate   // in the order in which to try them
 }
 
 // Facts are what a process knows of workers beyond the directory.
@@ -114,61 +126,135 @@
 // Dice gives numbers in [0,1).
 type Dice func() float64
 
-// Make makes the plan of a request. Beside a refusal by policy it gives what there is of the
-// plan, so that the refusal can be counted and shown.
+// Make makes the plan of a request. Beside a refusal it gives what there is of the plan, if any,
+// so that the refusal can be counted and shown.
 func Make(view *View, request *Request, options Options, facts Facts, now time.Duration, dice Dice) (*Plan, error) {
-	route, found := view.Setup.Match(request.Path, request.Method)
+	route, found := view.Setup.Match(request.Host, request.Path, request.Method)
 	if !found {
 		return nil, defect.New(defect.NoRoute, request.Method+" "+request.Path)
 	}
-	service := view.Setup.Services[route.Service]
-	if service == nil {
-		return nil, defect.New(defect.NoRoute, route.Service)
-	}
-	if !service.AllowsCaller(request.Caller) {
-		return nil, defect.New(defect.NotAllowed, request.Caller+" may not call "+route.Service)
+	made := &Plan{Route: route, Class: route.ClassFor(request.Method), Horizon: options.HorizonMost}
+	if route.Horizon > 0 {
+		made.Horizon = min(made.Horizon, route.Horizon)
 	}
-	made := &Plan{Route: route, Service: route.Service, Class: route.ClassFor(request.Method), Horizon: min(route.Horizon, options.HorizonMost)}
 	// A caller may ask for less time than the route gives, never for more.
 	if request.Asked > 0 {
 		made.Horizon = min(made.Horizon, request.Asked)
 	}
+	made.Aim = min(route.Aim, made.Horizon)
+	context := ContextOf(route, request, options.Area)
+	made.Service = route.Service
+	if len(route.Split) > 0 {
+		made.Split = split(view, route, context)
+		made.Service = made.Split.Version
+	}
+	service := view.Setup.Services[made.Service]
+	if service == nil {
+		return nil, defect.New(defect.NoRoute, made.Service)
+	}
+	if !service.AllowsCaller(request.Caller) {
+		return nil, defect.New(defect.NotAllowed, request.Caller+" may not call "+made.Service)
+	}
 	// A key that can't be kept would protect nothing, so its sender is told. Where requests may
 	// be repeated anyway, a key says nothing and is left alone.
 	if made.Class == setup.Once && request.Keyed && (request.Idempotency == "" || len(request.Idempotency) > keyMost) {
 		return nil, defect.New(defect.Malformed, fmt.Sprintf("Idempotency-Key needs 1 to %d bytes", keyMost))
 	}
-	context := ContextOf(route, request, options.Area)
 	// A policy says whether there is to be a call at all; only then the flag decides its version.
 	if route.Policy != nil && !route.Policy.Holds(policyContext(route, request, options.Area, context)) {
-		made.Verdict = Verdict{Flag: setup.FlagOf(route.Service), Reason: ReasonPolicy, Setup: view.Setup.Sequence}
+		made.Verdict = Verdict{Flag: setup.FlagOf(made.Service), Reason: ReasonPolicy, Setup: view.Setup.Sequence}
 		return made, defect.New(defect.PolicyRefused, route.PolicyName)
 	}
-	made.Verdict = decide(view, service, route, context)
+	verdict, pool := decide(view, made.Service, context, facts, now)
+	// Of a split, any service with weight may serve: where the one that was decided has nobody,
+	// those that have somebody share its calls by their weights.
+	if len(pool) == 0 && len(route.Split) > 0 {
+		if other := otherOf(view, route, request.Caller, context, facts, now); other != "" {
+			made.Split.Evaluated, made.Split.Version, made.Split.Reason = made.Service, other, ReasonSplitEmpty
+			made.Service = other
+			verdict, pool = decide(view, other, context, facts, now)
+		}
+	}
+	made.Verdict = verdict
+	if verdict.Version == "" {
+		return made, defect.New(defect.NoWorker, made.Service+" has no version yet")
+	}
+	if request.Idempotency != "" && made.Class == setup.Once {
+		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one Candidate) bool { return facts.Unreached(one, now) })
+	} else {
+		made.Candidates = place(pool, options, facts, now, dice)
+	}
+	return made, nil
+}
+
+// split decides the service of a route that is split.
+func split(view *View, route *setup.Route, context flag.Context) Verdict {
+	key := route.SplitFlag()
+	result := view.Setup.Flags.Evaluate(key, context)
+	verdict := Verdict{Flag: key, Version: result.Value, Reason: result.Reason, Error: result.Error, Setup: view.Setup.Sequence}
+	if result.Index < 0 {
+		// The fallback of a split is the first that has any weight.
+		verdict.Reason = flag.ReasonError
+		if services := route.Services(); len(services) > 0 {
+			verdict.Version = services[0]
+		}
+	}
+	return verdict
+}
+
+// otherOf picks, for a split whose service has nobody, one that has: by the same bucket over the
+// weights of those, so that a key stays with its service for as long as that is so.
+func otherOf(view *View, route *setup.Route, caller string, context flag.Context, facts Facts, now time.Duration) string {
+	var able []setup.Share
+	whole := 0.0
+	for _, share := range route.Split {
+		service := view.Setup.Services[share.Service]
+		if share.Weight <= 0 || service == nil || !service.AllowsCaller(caller) {
+			continue
+		}
+		if _, pool := decide(view, share.Service, context, facts, now); len(pool) > 0 {
+			able = append(able, share)
+			whole += share.Weight
+		}
+	}
+	bucket, sum := flag.Bucket(route.SplitFlag(), route.Name, nil, context, flag.DefaultKind, ""), 0.0
+	for _, share := range able {
+		if sum += share.Weight; bucket < sum/whole {
+			return share.Service
+		}
+	}
+	if len(able) > 0 {
+		return able[len(able)-1].Service
+	}
+	return ""
+}
+
+// decide gives the verdict on the version of a service, and the pool that is to serve.
+func decide(view *View, name string, context flag.Context, facts Facts, now time.Duration) (Verdict, []Candidate) {
+	service := view.Setup.Services[name]
+	verdict := evaluate(view, service, name, context)
+	if verdict.Version == "" {
+		return verdict, nil
+	}
 	// The brake: a version other than the fallback gets no call that it may not have just now.
-	if made.Verdict.Version != service.Fallback && (view.Setup.StopOn(route.Service, made.Verdict.Version) != nil || facts.Held(route.Service, made.Verdict.Version, now)) {
-		made.Verdict.Evaluated = made.Verdict.Version
-		made.Verdict.Version, made.Verdict.Reason = service.Fallback, ReasonHeld
+	if verdict.Version != service.Fallback && (view.Setup.StopOn(name, verdict.Version) != nil || facts.Held(name, verdict.Version, now)) {
+		verdict.Evaluated = verdict.Version
+		verdict.Version, verdict.Reason = service.Fallback, ReasonHeld
 	}
-	pool := view.Directory[route.Service][made.Verdict.Version]
+	pool := view.Directory[name][verdict.Version]
 	// An empty pool would turn proper callers away; the fallback version is allowed to serve
 	// them. A pool of which nobody can be reached is as good as empty, while the other's can.
-	rest := view.Directory[route.Service][service.Fallback]
+	rest := view.Directory[name][service.Fallback]
 	empty := len(pool) == 0 || (!reached(pool, facts, now) && reached(rest, facts, now))
-	if empty && made.Verdict.Version != service.Fallback {
+	if empty && verdict.Version != service.Fallback {
 		// What an exception changed before was not what the flag said.
-		if made.Verdict.Evaluated == "" {
-			made.Verdict.Evaluated = made.Verdict.Version
+		if verdict.Evaluated == "" {
+			verdict.Evaluated = verdict.Version
 		}
-		made.Verdict.Version, made.Verdict.Reason = service.Fallback, ReasonPoolEmpty
+		verdict.Version, verdict.Reason = service.Fallback, ReasonPoolEmpty
 		pool = rest
 	}
-	if request.Idempotency != "" && made.Class == setup.Once {
-		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one Candidate) bool { return facts.Unreached(one, now) })
-	} else {
-		made.Candidates = place(pool, options, facts, now, dice)
-	}
-	return made, nil
+	return verdict, pool
 }
 
 // reached tells whether any worker of a pool stands at a proxy that answers.
@@ -185,7 +271,10 @@
 func ContextOf(route *setup.Route, request *Request, area string) flag.Context {
 	context := flag.Context{CallerKind: {Key: request.Caller, Attributes: map[string]any{"area": area}}}
 	user := flag.Single{Attributes: map[string]any{"method": request.Method, "path": request.Path}}
-	user.Key, _ = request.Header(route.Key)
+	// Where the route names no header, the request's own identity is the key.
+	if user.Key = request.Identity; route.Key != "" {
+		user.Key, _ = request.Header(route.Key)
+	}
 	for name, header := range route.Attributes {
 		if value, present := request.Header(header); present {
 			user.Attributes[name] = typed(value)
@@ -221,14 +310,18 @@
 	return seen
 }
 
-func decide(view *View, service *setup.Service, route *setup.Route, context flag.Context) Verdict {
-	key := setup.FlagOf(route.Service)
+// evaluate asks the flag for the version of a service.
+func evaluate(view *View, service *setup.Service, name string, context flag.Context) Verdict {
+	key := setup.FlagOf(name)
 	result := view.Setup.Flags.Evaluate(key, context)
 	verdict := Verdict{Flag: key, Version: result.Value, Reason: result.Reason, RuleID: result.RuleID, Error: result.Error, Setup: view.Setup.Sequence}
 	// The fallback stands in for an error. A version the setup does not list is never called.
 	if result.Index < 0 || !service.Allows(result.Value) {
 		verdict.Version, verdict.Reason = service.Fallback, flag.ReasonError
 	}
+	if service.Fallback == "" {
+		verdict.Version, verdict.Reason, verdict.Error = "", ReasonNoVersion, ""
+	}
 	return verdict
 }
 
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -440,11 +440,13 @@
 
 // Question is a request to be explained, not sent.
 type Question struct {
-	Caller  string            `json:"caller"`
-	Method  string            `json:"method"`
-	Path    string            `json:"path"`
-	Area    string            `json:"area"`
-	Headers map[string]string `json:"headers"`
+	Caller   string            `json:"caller"`
+	Host     string            `json:"host,omitempty"`
+	Identity string            `json:"identity,omitempty"` // the key, where the route names no header
+	Method   string            `json:"method"`
+	Path     string            `json:"path"`
+	Area     string            `json:"area"`
+	Headers  map[string]string `json:"headers"`
 }
 
 // Explanation says which version a request would get, and why.
@@ -457,6 +459,8 @@
 	Pool    []string     `json:"pool"`
 	Policy  string       `json:"policy,omitempty"`  // that the route names
 	Refused bool         `json:"refused,omitempty"` // by it
+
+	Split *plan.Verdict `json:"split,omitempty"` // which service, of a route that is split
 }
 
 // noFacts is for plans that are explained, not carried out.
@@ -483,16 +487,20 @@
 	for name, value := range question.Headers {
 		headers[strings.ToLower(name)] = value
 	}
-	request := &plan.Request{Caller: question.Caller, Method: question.Method, Path: question.Path,
+	request := &plan.Request{Caller: question.Caller, Host: question.Host, Identity: question.Identity, Method: question.Method, Path: question.Path,
 		Header: func(name string) (string, bool) { value, found := headers[strings.ToLower(name)]; return value, found }}
 	made, err := plan.Make(view, request, plan.Options{Area: question.Area, HorizonMost: time.Hour}, noFacts{}, 0, func() float64 { return 0 })
 	refused := defect.KindOf(err) == defect.PolicyRefused && err != nil
-	if err != nil && !refused {
+	// A service of which no version is known yet has a verdict that says so.
+	if err != nil && made == nil {
 		daemon.Refuse(call, err, "", nil)
 		return
 	}
 	explained := Explanation{Route: made.Route.Name, Service: made.Service, Class: made.Class, Horizon: made.Horizon.String(), Verdict: made.Verdict, Pool: []string{},
 		Policy: made.Route.PolicyName, Refused: refused}
+	if made.Split.Flag != "" {
+		explained.Split = &made.Split
+	}
 	for _, one := range made.Candidates {
 		explained.Pool = append(explained.Pool, one.Instance)
 	}
--- a/internal/setup/read.go
+++ b/internal/setup/read.go
@@ -69,6 +69,14 @@
 	}
 	var items []*schema.Item
 	for kind, named := range parts {
+		// There is one item of limits, so nobody need name it.
+		if kind == limitsKind {
+			limits, err := json.Marshal(named)
+			if err != nil {
+				return nil, []*schema.Fault{{Path: kind, Reason: err.Error()}}
+			}
+			named = map[string]json.RawMessage{LimitsName: limits}
+		}
 		for name, part := range named {
 			if kind != "remove" {
 				items = append(items, &schema.Item{Kind: kind, Name: name, Body: part})
--- a/internal/setup/schema.cue
+++ b/internal/setup/schema.cue
@@ -6,14 +6,27 @@
 #Span:    =~"^([0-9]+(\\.[0-9]+)?(ms|s|m|h))+$"
 #Header:  =~"^[A-Za-z0-9-]{1,64}$"
 
+#Host:    =~"^[A-Za-z0-9._-]{1,253}$"
+
+// Left out are versions and fallback together: then they are those that stand by what workers tell.
 #Service: {
-	versions: [...#Name]
-	fallback: #Name
-	callers: [...#Name]
+	versions?: [...#Name]
+	fallback?: #Name
+	callers?: [...#Name]
 }
 
-#Route: {
+#Share: {
 	service: #Name
+	weight:  number & >=0
+}
+
+#Route: {
+	host?:    #Host
+	service?: #Name
+	split?: [...#Share]
+	aim?:   #Span
+	tries?: int & >=0 & <=100
+	rank?:  int & >=0 & <=255
 	prefix:  =~"^/[^?#\\s]{0,255}$"
 	methods: [...("GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE" | "OPTIONS")] | *[]
 	class?:  "once" | "repeatable"
@@ -67,6 +80,13 @@
 
 #Policy: expression: string
 
+#Limits: {
+	headerMost?: int & >0 & <=1048576
+	bodyMost?:   int & >0 & <=1073741824
+	headerWait?: #Span
+	quiet?:      #Span
+}
+
 #Stop: {
 	service: #Name
 	version: #Name
@@ -85,6 +105,7 @@
 	release?: [#Name]: #Release
 	stop?: [#StopName]: #Stop
 	policy?: [#Name]:  #Policy
+	limits?: #Limits
 	remove?: {
 		service?: [...#Name]
 		route?: [...#Name]
@@ -93,5 +114,6 @@
 		release?: [...#Name]
 		stop?: [...#StopName]
 		policy?: [...#Name]
+		limits?: [..."limits"]
 	}
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -3,13 +3,10 @@
 package setup
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"meadowhinge/internal/flag"
@@ -26,11 +23,12 @@
 	Repeatable Class = "repeatable"
 )
 
-// Service lists what may be called of a service, and by whom.
+// Service lists what may be called of a service, and by whom. Versions and fallback may be left
+// out: they are then what stands in Standing.
 type Service struct {
-	Versions []string `json:"versions"`
-	Fallback string   `json:"fallback"`
-	Callers  []string `json:"callers"`
+	Versions []string `json:"versions,omitempty"`
+	Fallback string   `json:"fallback,omitempty"`
+	Callers  []string `json:"callers,omitempty"` // left out: anyone
 
 	allowed map[string]bool
 	callers map[string]bool
@@ -40,24 +38,78 @@
 func (s *Service) Allows(version string) bool { return s.allowed[version] }
 
 // AllowsCaller tells whether a caller may call the service.
-func (s *Service) AllowsCaller(caller string) bool { return s.callers[caller] }
+func (s *Service) AllowsCaller(caller string) bool { return s.Callers == nil || s.callers[caller] }
+
+// Standing is the versions of a service of which the operators named none: what its workers told
+// and what release plans made of that. The release duty writes it, under the service's name.
+type Standing struct {
+	Versions []string `json:"versions"`
+	Fallback string   `json:"fallback"`
+}
 
-// Route sends requests with a prefix and method to a service.
+// Share is the part of a route's requests that goes to a service, by weight against the others.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Route sends requests of a host, with a prefix and method, to a service or to several.
 type Route struct {
 	Name       string            `json:"-"`
-	Service    string            `json:"service"`
+	HostIn     *string           `json:"host,omitempty"` // left out: any host
+	Service    string            `json:"service,omitempty"`
+	Split      []Share           `json:"split,omitempty"` // in place of a service
 	Prefix     string            `json:"prefix"`
-	Methods    []string          `json:"methods"`
+	Methods    []string          `json:"methods,omitempty"`
 	Class      Class             `json:"class,omitempty"`
-	HorizonIn  string            `json:"horizon"`
-	Key        string            `json:"key"`
-	Attributes map[string]string `json:"attributes"`
+	HorizonIn  string            `json:"horizon,omitempty"` // left out: as long as the caller and the proxy allow
+	AimIn      string            `json:"aim,omitempty"`
+	Tries      int               `json:"tries,omitempty"` // most workers that one request may be handed to, 0 for no bound
+	Rank       int               `json:"rank,omitempty"`  // 0 is served first where not all can be
+	Key        string            `json:"key,omitempty"`   // left out: the request's own identity is the key
+	Attributes map[string]string `json:"attributes,omitempty"`
 	PolicyName string            `json:"policy,omitempty"`
 
-	Horizon time.Duration   `json:"-"`
+	Host    string          `json:"-"` // in lower case, empty for any
+	Horizon time.Duration   `json:"-"` // 0 for none of its own
+	Aim     time.Duration   `json:"-"` // the time within which an answer is worth most, 0 for none
 	Policy  *policy.Program `json:"-"` // must hold for a call to be planned; nil for none
+
+	splitFlag *flag.Flag
+	given     uint64
 }
 
+// SplitFlag names the flag that decides the service of a route that is split.
+func (r *Route) SplitFlag() string { return RouteFlagOf(r.Name) }
+
+// Services lists the services that a route may send to, those without weight left out.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	var services []string
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	return services
+}
+
+// Limits bound what a client may send, and how long it may take or stay idle.
+type Limits struct {
+	HeaderMost   int    `json:"headerMost,omitempty"` // bytes of a request's head
+	BodyMost     int64  `json:"bodyMost,omitempty"`   // bytes of a request's body
+	HeaderWaitIn string `json:"headerWait,omitempty"`
+	QuietIn      string `json:"quiet,omitempty"`
+
+	HeaderWait time.Duration `json:"-"` // for a whole head, from its first byte
+	Quiet      time.Duration `json:"-"` // of a connection without a request
+}
+
+// DefaultLimits hold where no limits are stated.
+var DefaultLimits = Limits{HeaderMost: 16 << 10, BodyMost: 1 << 20, HeaderWait: 10 * time.Second, Quiet: time.Minute}
+
 // Policy is an expression over a call's context that routes may name.
 type Policy struct {
 	Expression string `json:"expression"`
@@ -126,28 +178,21 @@
 type Setup struct {
 	Sequence uint64
 	Services map[string]*Service
-	Routes   []*Route // longest prefix first
+	Routes   []*Route // by host, prefix and name
 	Flags    *flag.Set
 	Releases map[string]*Release
 	Progress map[string]*Progress // by release
+	Standing map[string]*Standing // by service
 	Stops    map[string]*Stop     // by StopName
 	Guards   map[string][]string  // by service: the versions besides the fallback that its flag may give
+	Limits   Limits
 
 	statements map[[2]string]uint64 // by service and version
 	policies   map[string]*Policy
 	programs   map[string]*policy.Program // by expression and attributes, taken over from setup to setup
-
-	decoded map[*schema.Item]*Route // so that the next setup need not decode what stayed
-}
-
-// Match finds the route for a path and method.
-func (s *Setup) Match(path, method string) (*Route, bool) {
-	for _, route := range s.Routes {
-		if strings.HasPrefix(path, route.Prefix) && route.takes(method) {
-			return route, true
-		}
-	}
-	return nil, false
+	parts      map[string]*part           // by Key, taken over where the item stayed
+	match      matcher
+	decodes    int // bodies decoded for this setup
 }
 
 // Statement tells whether the brake guards a version of a service, and under what: the sequence
@@ -182,6 +227,9 @@
 // FlagOf names the flag that decides the version of a service.
 func FlagOf(service string) string { return "release." + service }
 
+// RouteFlagOf names the flag that decides the service of a route that is split.
+func RouteFlagOf(route string) string { return "route." + route }
+
 // Key joins kind and name.
 func Key(kind, name string) string { return kind + "/" + name }
 
@@ -291,301 +339,6 @@
 	return items
 }
 
-// decodeByKind turns an item's body into its part of the setup.
-var decodeByKind = map[string]func(target *Setup, item *schema.Item) error{
-	"service": func(target *Setup, item *schema.Item) error {
-		service := &Service{}
-		if err := strict(item.Body, service); err != nil {
-			return err
-		}
-		service.allowed, service.callers = set(service.Versions), set(service.Callers)
-		target.Services[item.Name] = service
-		return nil
-	},
-	"route": func(target *Setup, item *schema.Item) error {
-		if route := target.decoded[item]; route != nil {
-			target.Routes = append(target.Routes, route)
-			return nil
-		}
-		route := &Route{Name: item.Name}
-		if err := strict(item.Body, route); err != nil {
-			return err
-		}
-		horizon, err := time.ParseDuration(route.HorizonIn)
-		route.Horizon = horizon
-		target.Routes = append(target.Routes, route)
-		target.decoded[item] = route
-		return err
-	},
-	"flag": func(target *Setup, item *schema.Item) error {
-		decoded := &flag.Flag{}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		decoded.Key = item.Name
-		target.Flags.Flags[item.Name] = decoded
-		return nil
-	},
-	"segment": func(target *Setup, item *schema.Item) error {
-		decoded := &flag.Segment{}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		decoded.Key = item.Name
-		target.Flags.Segments[item.Name] = decoded
-		return nil
-	},
-	"release": func(target *Setup, item *schema.Item) error {
-		decoded := &Release{Name: item.Name, Sequence: item.Version.GetSequence()}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		over, err := time.ParseDuration(decoded.OverIn)
-		decoded.Over = over
-		target.Releases[item.Name] = decoded
-		target.state(decoded.Service, decoded.Version, item)
-		return err
-	},
-	"stop": func(target *Setup, item *schema.Item) error {
-		decoded := &Stop{}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		target.Stops[item.Name] = decoded
-		target.state(decoded.Service, decoded.Version, item)
-		return nil
-	},
-	"policy": func(target *Setup, item *schema.Item) error {
-		decoded := &Policy{}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		target.policies[item.Name] = decoded
-		return nil
-	},
-	Purged: func(_ *Setup, item *schema.Item) error { return strict(item.Body, &purged{}) },
-	"progress": func(target *Setup, item *schema.Item) error {
-		decoded := &Progress{}
-		if err := strict(item.Body, decoded); err != nil {
-			return err
-		}
-		target.Progress[item.Name] = decoded
-		return nil
-	},
-}
-
-// state notes that an item states something of a version; the latest counts.
-func (s *Setup) state(service, version string, item *schema.Item) {
-	key := [2]string{service, version}
-	s.statements[key] = max(s.statements[key], item.Version.GetSequence())
-}
-
-func strict(body []byte, target any) error {
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	return decoder.Decode(target)
-}
-
-func set(names []string) map[string]bool {
-	members := make(map[string]bool, len(names))
-	for _, name := range names {
-		members[name] = true
-	}
-	return members
-}
-
-// Compile makes a setup of the state and lists every fault, each at its path.
-func Compile(state State, sequence uint64) (*Setup, []*schema.Fault) {
-	return CompileAfter(nil, state, sequence)
-}
-
-// CompileAfter is Compile with the routes of an earlier setup taken over where their items
-// stayed. Flags and segments are few and refer to each other, so they are made anew.
-func CompileAfter(before *Setup, state State, sequence uint64) (*Setup, []*schema.Fault) {
-	made := &Setup{
-		decoded:  map[*schema.Item]*Route{},
-		Sequence: sequence,
-		Services: map[string]*Service{},
-		Flags:    &flag.Set{Flags: map[string]*flag.Flag{}, Segments: map[string]*flag.Segment{}},
-		Releases: map[string]*Release{},
-		Progress: map[string]*Progress{},
-		Stops:    map[string]*Stop{},
-		Guards:   map[string][]string{},
-
-		statements: map[[2]string]uint64{},
-		policies:   map[string]*Policy{},
-		programs:   map[string]*policy.Program{},
-	}
-	var faults []*schema.Fault
-	add := func(path, format string, values ...any) {
-		faults = append(faults, &schema.Fault{Path: path, Reason: fmt.Sprintf(format, values...)})
-	}
-	for _, item := range state.Items() {
-		if item.Deleted {
-			continue
-		}
-		if before != nil && before.decoded[item] != nil {
-			made.decoded[item] = before.decoded[item]
-		}
-		decode, known := decodeByKind[item.Kind]
-		if !known {
-			add(item.Kind+"."+item.Name, "kind %q does not exist", item.Kind)
-			continue
-		}
-		if err := decode(made, item); err != nil {
-			add(item.Kind+"."+item.Name, "%v", err)
-		}
-	}
-	for _, fault := range made.Flags.Compile() {
-		add(fault.Path, "%s", fault.Reason)
-	}
-	made.crossCheck(add)
-	made.bindPolicies(before, add)
-	for _, name := range names(made.Services) {
-		if decider := made.Flags.Flags[FlagOf(name)]; decider != nil {
-			for _, version := range decider.Reachable() {
-				if version != made.Services[name].Fallback {
-					made.Guards[name] = append(made.Guards[name], version)
-				}
-			}
-		}
-	}
-	sort.SliceStable(made.Routes, func(i, j int) bool { return len(made.Routes[i].Prefix) > len(made.Routes[j].Prefix) })
-	return made, faults
-}
-
-// bindPolicies compiles each policy once for each set of attributes that routes give it, and
-// takes over what the setup before had compiled.
-func (s *Setup) bindPolicies(before *Setup, add func(path, format string, values ...any)) {
-	compile := func(name string, attributes []string, user string) *policy.Program {
-		expression := s.policies[name].Expression
-		key := expression + "\x00" + strings.Join(attributes, "\x00")
-		if before != nil && before.programs[key] != nil {
-			s.programs[key] = before.programs[key]
-		}
-		if s.programs[key] == nil {
-			program, fault := policy.Compile(expression, attributes)
-			if fault != nil {
-				add("policy."+name+".expression", "line %d, column %d: %s%s", fault.Line, fault.Column, fault.Reason, user)
-				return nil
-			}
-			s.programs[key] = program
-		}
-		return s.programs[key]
-	}
-	used := map[string]bool{}
-	for i, route := range s.Routes {
-		if route.PolicyName == "" {
-			continue
-		}
-		if s.policies[route.PolicyName] == nil {
-			add("route."+route.Name+".policy", "policy %q does not exist", route.PolicyName)
-			continue
-		}
-		used[route.PolicyName] = true
-		for _, name := range names(route.Attributes) {
-			if policy.Reserved(name) {
-				add("route."+route.Name+".attributes."+name, "a policy knows %q as its own", name)
-			}
-		}
-		// A route may be shared with the setup before, whose policy was another.
-		bound := *route
-		bound.Policy = compile(route.PolicyName, append([]string{}, names(route.Attributes)...), " (as route "+route.Name+" names it)")
-		s.Routes[i] = &bound
-	}
-	for _, name := range names(s.policies) {
-		if !used[name] {
-			compile(name, nil, "")
-		}
-	}
-}
-
-// names lists a map's keys in order, so that faults come in the same order each time.
-func names[V any](from map[string]V) []string {
-	return slices.Sorted(maps.Keys(from))
-}
-
-// crossCheck finds what no item shows alone.
-func (s *Setup) crossCheck(add func(path, format string, values ...any)) {
-	for _, name := range names(s.Services) {
-		service := s.Services[name]
-		if !service.Allows(service.Fallback) {
-			add("service."+name+".fallback", "version %q is not in versions", service.Fallback)
-		}
-		decider, found := s.Flags.Flags[FlagOf(name)]
-		if !found {
-			continue
-		}
-		for i, version := range decider.Variations {
-			if !service.Allows(version) {
-				add(fmt.Sprintf("flag.%s.variations[%d]", decider.Key, i), "service %q does not list version %q", name, version)
-			}
-		}
-	}
-	for _, key := range names(s.Flags.Flags) {
-		if service, decides := strings.CutPrefix(key, FlagOf("")); decides && s.Services[service] == nil {
-			add("flag."+key, "service %q does not exist", service)
-		}
-	}
-	taken := map[string]string{}
-	for _, route := range s.Routes {
-		if s.Services[route.Service] == nil {
-			add("route."+route.Name+".service", "service %q does not exist", route.Service)
-		}
-		if route.Horizon <= 0 {
-			add("route."+route.Name+".horizon", "must be above zero")
-		}
-		methods := route.Methods
-		if len(methods) == 0 {
-			methods = []string{"*"}
-		}
-		for _, method := range methods {
-			place := method + " " + route.Prefix
-			if other, found := taken[place]; found {
-				add("route."+route.Name, "%s is taken by route %q", place, other)
-			}
-			taken[place] = route.Name
-		}
-	}
-	for _, name := range names(s.Stops) {
-		stop, path := s.Stops[name], "stop."+name
-		service := s.Services[stop.Service]
-		switch {
-		case name != StopName(stop.Service, stop.Version):
-			add(path, "must be named %q", StopName(stop.Service, stop.Version))
-		case service == nil:
-			add(path+".service", "service %q does not exist", stop.Service)
-		case !service.Allows(stop.Version):
-			add(path+".version", "service %q does not list version %q", stop.Service, stop.Version)
-		case stop.Version == service.Fallback && !stop.Lifted:
-			add(path+".version", "is the fallback version, which has none to take its calls")
-		}
-	}
-	planned := map[string]string{}
-	for _, name := range names(s.Releases) {
-		release := s.Releases[name]
-		path := "release." + name
-		service := s.Services[release.Service]
-		if service == nil {
-			add(path+".service", "service %q does not exist", release.Service)
-		} else if !service.Allows(release.Version) {
-			add(path+".version", "service %q does not list version %q", release.Service, release.Version)
-		}
-		if release.Over <= 0 {
-			add(path+".over", "must be a time above zero")
-		}
-		if decider := s.Flags.Flags[FlagOf(release.Service)]; decider == nil || !slices.Contains(decider.Variations, release.Version) {
-			add(path, "flag %q does not have the variation %q", FlagOf(release.Service), release.Version)
-		} else if service != nil && release.Version == service.Fallback {
-			add(path+".version", "is the fallback version, which has no other to be weighed against")
-		}
-		if other, found := planned[release.Service]; found {
-			add(path, "service %q has the plan %q already", release.Service, other)
-		}
-		planned[release.Service] = name
-	}
-}
-
 // DutyOf is the release duty's epoch in a progress item.
 func DutyOf(item *schema.Item) uint64 {
 	progress := &Progress{}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -41,12 +41,12 @@
 	for _, want := range []struct{ path, method, route string }{
 		{"/shop/buy", "POST", "buy"}, {"/shop/buy", "GET", "look"}, {"/shop/x", "POST", "look"}, {"/other", "GET", ""},
 	} {
-		route, found := made.Match(want.path, want.method)
+		route, found := made.Match("", want.path, want.method)
 		if got := map[bool]func() string{true: func() string { return route.Name }, false: func() string { return "" }}[found](); got != want.route {
 			t.Errorf("%s %s matched %q, want %q", want.method, want.path, got, want.route)
 		}
 	}
-	route, _ := made.Match("/shop/buy", "POST")
+	route, _ := made.Match("", "/shop/buy", "POST")
 	if route.ClassFor("POST") != Once || route.ClassFor("GET") != Repeatable {
 		t.Error("only GET and HEAD may be repeated unasked")
 	}
@@ -156,10 +156,10 @@
 	if diff := cmp.Diff(prefixes(anew), prefixes(after)); diff != "" {
 		t.Error(diff)
 	}
-	if _, found := after.Match("/grown/3", "GET"); found {
+	if _, found := after.Match("", "/grown/3", "GET"); found {
 		t.Error("a removed route is still there")
 	}
-	if route, found := after.Match("/moved", "GET"); !found || route.Key != "K" {
+	if route, found := after.Match("", "/moved", "GET"); !found || route.Key != "K" {
 		t.Error("a changed route was taken over as it was")
 	}
 }
