--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -62,8 +62,6 @@
 	Identity    string // the caller's own id of this try: the context's key where the route names no header
 	Method      string
 	Path        string
-	Host        string // that the caller named
-	Identity    string // the caller's own id of this try, "" for none
 	Header      func(name string) (string, bool)
 	Keyed       bool          // an Idempotency-Key came with it
 	Idempotency string        // its value
