Let registries run on plain links, among seats that the stores agree on

Who the seats are comes through one method: from the order, from what the store beside tells, or from the seeds until it does. Links to other registries follow it. With acknowledge-after=stable a change is answered once it is stable, and a registry that has just started need not wait for leases that nothing rests on. Operators may speak otherwise than in the product's pages through a seam of its own; changes handed in so are worked on after their caller has stopped waiting, and the same change handed in again joins the first.

--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +35,8 @@
 type Server struct {
 	schema.DRPCRegistryUnimplementedServer
 	options *schema.RegistryOptions
-	order   []string
+	order   []string // of the seats as set; nil where the stores agree on them
+	speech  OperatorSpeech
 	lease   time.Duration
 	address string
 	ends    *link.Ends
@@ -49,14 +52,41 @@
 	fresh  bool
 	fleet  *session.Fleet
 	cores  map[string]*schema.Core
+	agreed []*schema.Core // the seats as the store beside has them, where no order rules
 	moved  chan struct{}
 	store  schema.DRPCStoreClient
-	stale  atomic.Uint64 // steps refused because a later epoch had the release duty
+
+	offerSerial uint64
+	offers      map[string]*offered // changes on their way, by what they ask for
+	stale       atomic.Uint64       // steps refused because a later epoch had the release duty
+}
+
+// Option changes how a registry runs.
+type Option func(*Server)
+
+// WithOperatorSpeech lets operators speak otherwise than in the product's own pages.
+func WithOperatorSpeech(speech OperatorSpeech) Option {
+	return func(s *Server) { s.speech = speech }
+}
+
+// Values of settings.
+const (
+	plainLinks  = "plain"
+	afterStable = "stable"
+)
+
+// endsOf opens this registry's links as the settings have them.
+func endsOf(given *schema.RegistryOptions) (*link.Ends, error) {
+	from := link.WithFrom(given.Listen)
+	if given.Links == plainLinks {
+		return link.Plain("registry", given.Seat, nil, from), nil
+	}
+	return link.Load(given.Certificate, given.Authority, from)
 }
 
 // Run serves a registry until ctx ends.
-func Run(ctx context.Context, frame *daemon.Frame, given *schema.RegistryOptions) error {
-	ends, err := link.Load(given.Certificate, given.Authority, link.WithFrom(given.Listen))
+func Run(ctx context.Context, frame *daemon.Frame, given *schema.RegistryOptions, changes ...Option) error {
+	ends, err := endsOf(given)
 	if err != nil {
 		return err
 	}
@@ -72,13 +102,20 @@
 	if address == "" {
 		address = given.Listen
 	}
+	if given.Order == "" {
+		// Without an order a seat is named by where it stands, as its store names it.
+		given.Seat = ipOf(address)
+	}
 	s := &Server{options: given, order: options.List(given.Order), lease: time.Duration(given.Lease), address: address, ends: ends, log: frame.Log,
-		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{})}
+		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{}), offers: map[string]*offered{}}
+	for _, change := range changes {
+		change(s)
+	}
 	s.fleet = session.NewFleet(given.SourcesMost, s.lease)
-	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost)})
-	s.claims = NewClaims(ClaimsOptions{Lease: s.lease, Window: time.Duration(given.KeyWindow), Most: int(given.ClaimsMost), Seats: len(s.order)})
+	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost), Leaseless: s.stableIsEnough()})
+	s.claims = NewClaims(ClaimsOptions{Lease: s.lease, Window: time.Duration(given.KeyWindow), Most: int(given.ClaimsMost), Seats: len(s.seats())})
 	s.setup, _ = setup.Compile(s.state, 0)
-	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born}
+	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born, Area: given.Area}
 	s.store = schema.NewDRPCStoreClient(ends.To(ctx, given.Store))
 
 	listener, err := net.Listen("tcp", given.Listen)
@@ -99,9 +136,7 @@
 	go s.catchUp(ctx)
 	go s.steer(ctx)
 	go s.fillClaims(ctx)
-	for _, seed := range options.List(given.Seeds) {
-		go s.pullFrom(ctx, seed)
-	}
+	go s.pullFromAll(ctx)
 	outward, err := s.serveOperators(given.OperatorListen)
 	if err != nil {
 		return err
@@ -165,6 +200,11 @@
 func (s *Server) take(back *schema.StableBack) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if len(back.Cores) > 0 && !sameCores(s.agreed, back.Cores) {
+		s.log.V(1).Info("the seats are others", "seats", len(back.Cores))
+		s.agreed = back.Cores
+		s.announce()
+	}
 	if back.Stable <= s.table.stable {
 		return
 	}
@@ -207,11 +247,52 @@
 	}
 }
 
-// pullFrom keeps this registry level with the one at a seed.
-func (s *Server) pullFrom(ctx context.Context, seed string) {
-	if seed == s.address {
-		return
+// pullFromAll keeps this registry level with all others, wherever they are at the time.
+func (s *Server) pullFromAll(ctx context.Context) {
+	pulling := map[string]context.CancelFunc{}
+	for {
+		s.lock.Lock()
+		addresses, moved := s.peers(), s.moved
+		s.lock.Unlock()
+		for address, stop := range pulling {
+			if !addresses[address] {
+				stop()
+				delete(pulling, address)
+			}
+		}
+		for address := range addresses {
+			if pulling[address] == nil {
+				bounded, cancel := context.WithCancel(ctx)
+				pulling[address] = cancel
+				go s.pullFrom(bounded, address)
+			}
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// peers is where the other registries are, or may be; the caller holds the lock.
+func (s *Server) peers() map[string]bool {
+	addresses := map[string]bool{}
+	for _, core := range s.coreList() {
+		addresses[core.Address] = true
 	}
+	// Who the seats are is known for good once the stores have told it.
+	if s.agreed == nil {
+		for _, seed := range options.List(s.options.Seeds) {
+			addresses[seed] = true
+		}
+	}
+	delete(addresses, s.address)
+	return addresses
+}
+
+// pullFrom keeps this registry level with the one at an address.
+func (s *Server) pullFrom(ctx context.Context, seed string) {
 	for ctx.Err() == nil {
 		s.lock.Lock()
 		pull := &schema.Pull{Node: "registry/" + s.options.Seat, Vector: s.table.Vector(), WaitNanos: int64(s.lease / pollParts), Core: s.cores[s.options.Seat],
@@ -230,7 +311,7 @@
 			changed = s.table.Merge(s.now(), source) || changed
 		}
 		for _, core := range pulled.Cores {
-			s.learnCore(core)
+			changed = s.learnCore(core) || changed
 		}
 		if changed {
 			s.announce()
@@ -239,28 +320,76 @@
 	}
 }
 
+// sameCores tells whether two lists name the same seats at the same places.
+func sameCores(a, b []*schema.Core) bool {
+	return slices.EqualFunc(a, b, func(a, b *schema.Core) bool { return a.Seat == b.Seat && a.Address == b.Address })
+}
+
 // learnCore notes where a core machine is now; of two tellings the later start wins.
-func (s *Server) learnCore(core *schema.Core) {
+func (s *Server) learnCore(core *schema.Core) bool {
 	if core == nil || core.Seat == "" {
-		return
+		return false
 	}
 	listed := false
-	for _, seat := range s.order {
-		listed = listed || seat == core.Seat
+	for _, seat := range s.seats() {
+		listed = listed || seat.Seat == core.Seat
 	}
 	if held := s.cores[core.Seat]; listed && (held == nil || core.Incarnation > held.Incarnation) {
 		s.cores[core.Seat] = core
+		return true
 	}
+	return false
 }
 
-func (s *Server) coreList() []*schema.Core {
-	var cores []*schema.Core
-	for _, seat := range s.order {
-		if core := s.cores[seat]; core != nil {
-			cores = append(cores, core)
+// ipOf gives the IP of IP:port.
+func ipOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// beside gives where this registry's counterpart on another core machine is: the same port of
+// that machine's IP.
+func (s *Server) beside(address string) string {
+	_, port, _ := net.SplitHostPort(s.address)
+	return net.JoinHostPort(ipOf(address), port)
+}
+
+// seats lists the core's seats in the order in which duties fall, each with where its registry
+// is reached if that is known; the caller holds the lock. Without an order they are those that
+// the stores agreed on, by name; until the store beside tells, the seeds are taken for them.
+func (s *Server) seats() []*schema.Core {
+	var listed []*schema.Core
+	for _, name := range s.order {
+		listed = append(listed, &schema.Core{Seat: name})
+	}
+	if s.order == nil {
+		for _, core := range s.agreed {
+			listed = append(listed, &schema.Core{Seat: core.Seat, Address: s.beside(core.Address)})
+		}
+		for _, seed := range options.List(s.options.Seeds) {
+			if len(s.agreed) == 0 {
+				listed = append(listed, &schema.Core{Seat: ipOf(seed), Address: seed})
+			}
+		}
+		slices.SortFunc(listed, func(a, b *schema.Core) int { return strings.Compare(a.Seat, b.Seat) })
+	}
+	for i, seat := range listed {
+		if told := s.cores[seat.Seat]; told != nil {
+			listed[i] = told
 		}
 	}
-	return cores
+	return listed
+}
+
+// stableIsEnough tells whether a change is acknowledged once it is stable.
+func (s *Server) stableIsEnough() bool { return s.options.AcknowledgeAfter == afterStable }
+
+// coreList is the seats whose registry can be reached somewhere.
+func (s *Server) coreList() []*schema.Core {
+	return slices.DeleteFunc(s.seats(), func(core *schema.Core) bool { return core.Address == "" })
 }
 
 // isProxy tells whether the peer is the proxy it says it is.
@@ -289,7 +418,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	reply := s.table.Renew(s.now(), renew)
-	reply.Cores, reply.Seats = s.coreList(), uint32(len(s.order))
+	reply.Cores, reply.Seats = s.coreList(), uint32(len(s.seats()))
 	return reply, nil
 }
 
@@ -300,7 +429,9 @@
 			return nil, err
 		}
 		s.lock.Lock()
-		s.learnCore(pull.Core)
+		if s.learnCore(pull.Core) {
+			s.announce()
+		}
 		s.table.Differs(pull.Node, "lease", time.Duration(pull.LeaseNanos).String(), s.lease.String(), pull.LeaseNanos != 0)
 		s.table.Differs(pull.Node, "order", pull.Order, s.options.Order, pull.Order != "")
 		s.lock.Unlock()
@@ -390,7 +521,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	now := s.now()
-	back := &schema.ClaimsBack{Seat: s.options.Seat, Seats: uint32(len(s.order))}
+	back := &schema.ClaimsBack{Seat: s.options.Seat, Seats: uint32(len(s.seats()))}
 	for _, claim := range asked.Claims {
 		// Only the proxy itself may claim, and only for callers that it may speak for.
 		if peer.Role != "proxy" || peer.Name != claim.Proxy || !peer.Speaks(claim.Caller) || len(claim.Key) != keyBytes || len(claim.Body) != keyBytes {
@@ -454,15 +585,8 @@
 // others calls every other registry at once and gives the answers that came.
 func others[T any](ctx context.Context, s *Server, bound time.Duration, call func(context.Context, schema.DRPCRegistryClient) (T, error)) []T {
 	s.lock.Lock()
-	addresses := map[string]bool{}
-	for _, core := range s.cores {
-		addresses[core.Address] = true
-	}
+	addresses := s.peers()
 	s.lock.Unlock()
-	for _, seed := range options.List(s.options.Seeds) {
-		addresses[seed] = true
-	}
-	delete(addresses, s.address)
 	bounded, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	answers := make(chan *T, len(addresses))
@@ -488,7 +612,12 @@
 // acknowledge waits until no proxy can any longer use rules older than setup. It returns
 // who still may when the wait ends.
 func (s *Server) acknowledge(ctx context.Context, sequence uint64) []string {
-	fence := NewAcknowledgement(len(s.order))
+	if s.stableIsEnough() {
+		return nil
+	}
+	s.lock.Lock()
+	fence := NewAcknowledgement(len(s.seats()))
+	s.lock.Unlock()
 	for {
 		laggards := map[string]bool{}
 		s.lock.Lock()
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -85,6 +85,9 @@
 		ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, CloseOnShutdown: true,
 		Handler: func(call *fasthttp.RequestCtx) {
 			path := string(call.Path())
+			if s.speech != nil && s.speech.Handle(call, s) {
+				return
+			}
 			if id, asks := strings.CutPrefix(path, "/v1/changes/"); asks && call.IsGet() {
 				s.pageOutcome(call, id)
 				return
--- /dev/null
+++ b/internal/registry/speech.go
@@ -0,0 +1,112 @@
+package registry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/schema"
+)
+
+// OperatorSpeech is a way in which operators speak to the registry. The product's own pages are
+// one; another is put before them by WithOperatorSpeech.
+type OperatorSpeech interface {
+	// Handle answers a call of this speech and tells whether it was one.
+	Handle(call *fasthttp.RequestCtx, desk Desk) bool
+}
+
+// Desk is what a speech may ask of the registry.
+type Desk interface {
+	// Offer hands in a change and gives what became of it, or nil if that is not known when ctx
+	// ends; it is worked on further. The same items, handed in again meanwhile, join it.
+	Offer(ctx context.Context, change *schema.Change) *schema.Outcome
+	// State gives all items, tombstones included, no older than any yes given before the call;
+	// false if that cannot be told before ctx ends.
+	State(ctx context.Context) ([]*schema.Item, bool)
+}
+
+// offered is a change on its way.
+type offered struct {
+	done    chan struct{}
+	outcome *schema.Outcome // once done is closed; nil for not known
+}
+
+// sumOf tells changes apart by what they ask for.
+func sumOf(change *schema.Change) string {
+	sum := sha256.New()
+	for _, item := range change.Items {
+		fmt.Fprintf(sum, "%q %q %d %t %q\n", item.Kind, item.Name, item.Given, item.Deleted, item.Body)
+	}
+	for _, one := range change.Expected {
+		fmt.Fprintf(sum, "%q %q %d\n", one.Kind, one.Name, one.Sequence)
+	}
+	fmt.Fprint(sum, change.ByGiven)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// Offer hands in a change; its id, unless it has one, is made here.
+func (s *Server) Offer(ctx context.Context, change *schema.Change) *schema.Outcome {
+	sum := sumOf(change)
+	s.lock.Lock()
+	one := s.offers[sum]
+	if one == nil {
+		one = &offered{done: make(chan struct{})}
+		s.offers[sum] = one
+		s.offerSerial++
+		if change.Id == "" {
+			change.Id = fmt.Sprintf("%s-%x-%d", s.options.Seat, s.born, s.offerSerial)
+		}
+		go s.carryOffer(sum, one, change)
+	}
+	s.lock.Unlock()
+	select {
+	case <-one.done:
+		return one.outcome
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// carryOffer keeps at a change after whoever handed it in has stopped waiting.
+func (s *Server) carryOffer(sum string, one *offered, change *schema.Change) {
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.AnswerMost))
+	defer cancel()
+	submitted := s.offer(bounded, change)
+	if outcome := submitted.GetOutcome(); outcome != nil {
+		if outcome.Ruling != schema.Ruling_RULING_ACCEPTED || s.acknowledge(bounded, outcome.Version.GetSequence()) == nil {
+			one.outcome = outcome
+		}
+	}
+	s.lock.Lock()
+	delete(s.offers, sum)
+	s.lock.Unlock()
+	close(one.done)
+}
+
+// State gives all items as of a moment after the call began.
+func (s *Server) State(ctx context.Context) ([]*schema.Item, bool) {
+	for ctx.Err() == nil {
+		back, err := s.store.Stand(ctx, &schema.Nothing{})
+		if err != nil || back.Undecided {
+			s.pause(ctx, retryParts)
+			continue
+		}
+		for ctx.Err() == nil {
+			s.lock.Lock()
+			stable, items, moved := s.table.stable, s.state, s.moved
+			s.lock.Unlock()
+			if stable >= back.Stable {
+				return items.Items(), true
+			}
+			select {
+			case <-moved:
+			case <-ctx.Done():
+			}
+		}
+	}
+	return nil, false
+}
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -28,14 +28,14 @@
 
 // hasDuty tells whether no registry before this one in the order can have the release duty.
 func (s *Server) hasDuty(ctx context.Context) bool {
-	for _, seat := range s.order {
-		if seat == s.options.Seat {
+	s.lock.Lock()
+	seats := s.seats()
+	s.lock.Unlock()
+	for _, core := range seats {
+		if core.Seat == s.options.Seat {
 			break
 		}
-		s.lock.Lock()
-		core := s.cores[seat]
-		s.lock.Unlock()
-		if core == nil {
+		if core.Address == "" {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, s.lease/trialParts)
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -24,6 +24,7 @@
 	Lease       time.Duration
 	SourcesMost int
 	CountsMost  int
+	Leaseless   bool // nothing rests on leases: there are none to wait for after a start
 }
 
 type leaseKey struct {
@@ -101,7 +102,9 @@
 
 // Grants tells whether leases are given. A registry that has just started may have given
 // leases and set fences it forgot, so it waits until those leases have run out.
-func (t *Table) Grants(now time.Duration) bool { return t.current && now >= t.options.Lease }
+func (t *Table) Grants(now time.Duration) bool {
+	return t.current && (t.options.Leaseless || now >= t.options.Lease)
+}
 
 // sweep drops what has run out and raises the bar for lagging proxies.
 func (t *Table) sweep(now time.Duration) {
