--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -31,6 +31,7 @@
 	BufferFull     Kind = "BUFFER_FULL"
 	Leaving        Kind = "WORKER_LEAVING"
 	WrongInstance  Kind = "WRONG_INSTANCE"
+	ProxyYoung     Kind = "PROXY_YOUNG" // has just started, and may lack workers that are there
 	VersionBarred  Kind = "VERSION_NOT_ALLOWED"
 	StalePlan      Kind = "STALE_PLAN"
 	HorizonPast    Kind = "HORIZON_PAST"
@@ -70,6 +71,7 @@
 	Leaving:        http.StatusServiceUnavailable,
 	WrongInstance:  http.StatusServiceUnavailable,
 	VersionBarred:  http.StatusServiceUnavailable,
+	ProxyYoung:     http.StatusServiceUnavailable,
 	StalePlan:      http.StatusServiceUnavailable,
 	LinkUnopened:   http.StatusServiceUnavailable,
 	WorkerUnopened: http.StatusServiceUnavailable,
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -190,6 +190,14 @@
 	return true
 }
 
+// Has tells whether an id was kept.
+func (s *Seen) Has(id string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	_, found := s.ids[id]
+	return found
+}
+
 func notRun(kind defect.Kind, setup uint64) *schema.Carried {
 	return &schema.Carried{Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(kind), Setup: setup}
 }
--- a/internal/dispatch/speech.go
+++ b/internal/dispatch/speech.go
@@ -50,7 +50,7 @@
 
 // Dress hands a worker the token it registered with, who calls, and what for.
 func (OwnSpeech) Dress(request *fasthttp.Request, carry *schema.Carry, worker Registered, _ time.Duration) {
-	request.SetHost(worker.Address)
+	request.Header.SetHost(worker.Address)
 	request.Header.Set(HeaderToken, worker.Token)
 	request.Header.Set(HeaderCaller, carry.Caller)
 	request.Header.Set(HeaderRequest, carry.Request)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -48,6 +48,7 @@
 	tokenMost = 128
 	slotsMost = 1 << 16
 	beatMost  = time.Minute
+	endedKept = 1024
 )
 
 // Check lists all that is wrong with a description.
@@ -92,11 +93,14 @@
 
 // Workers are the workers beside this proxy, each registration under an instance of its own.
 type Workers struct {
-	lock     sync.Mutex
-	options  WorkersOptions
-	byPlace  map[string]*localWorker // by address: an address is one worker's at a time
-	serial   uint64
-	onChange func()
+	lock       sync.Mutex
+	options    WorkersOptions
+	byPlace    map[string]*localWorker // by address: an address is one worker's at a time
+	byInstance map[string]*localWorker
+	ended      *Seen // ids of workers that said they are gone: they never come back
+	serial     uint64
+	parting    bool // this proxy itself is ending
+	onChange   func()
 }
 
 // WorkersOptions bound what is kept of workers.
@@ -110,11 +114,17 @@
 	BodyMost    int
 	Now         func() time.Duration
 	Dial        func(address string) (net.Conn, error)
+	// Untethered: no connection is held to each worker to learn of its end, where workers
+	// close or count such connections.
+	Untethered bool
+	// Young is how long a proxy that has just started may lack workers that are there and known
+	// by ids of their own.
+	Young time.Duration
 }
 
 // NewWorkers makes an empty list; onChange is called whenever what others should know changes.
 func NewWorkers(options WorkersOptions, onChange func()) *Workers {
-	return &Workers{options: options, byPlace: map[string]*localWorker{}, onChange: onChange}
+	return &Workers{options: options, byPlace: map[string]*localWorker{}, byInstance: map[string]*localWorker{}, ended: NewSeen(endedKept), onChange: onChange}
 }
 
 // Describe takes a worker's description and tells the instance it stands under.
@@ -122,7 +132,16 @@
 	now := w.options.Now()
 	w.lock.Lock()
 	held := w.byPlace[said.Address]
-	same := held != nil && held.said.Token == said.Token && held.said.Service == said.Service && held.said.Version == said.Version
+	if said.ID != "" {
+		// A worker's own id finds it wherever it stands.
+		if named := w.byInstance[said.ID]; named != nil && (said.Gone || said.Serial < named.said.Serial || named.address == said.Address) {
+			held = named
+		}
+		if said.Gone {
+			w.ended.First(said.ID)
+		}
+	}
+	same := held != nil && held.said.token() == said.token() && (said.Gone || (held.said.Service == said.Service && held.said.Version == said.Version))
 	switch {
 	case said.Gone:
 		// Only the worker itself may say that it is gone; a stranger at its address may not.
@@ -134,10 +153,17 @@
 			w.onChange()
 		}
 		return "", nil
+	// What comes late is taken note of, and changes nothing.
+	case said.ID != "" && w.ended.Has(said.ID):
+		w.lock.Unlock()
+		return said.ID, nil
+	case same && said.Serial < held.said.Serial:
+		w.lock.Unlock()
+		return held.instance, nil
 	case same:
 		// A worker that said it is leaving does not come back under the same token.
 		said.Leaving = said.Leaving || held.said.Leaving
-		changed := said.Leaving != held.said.Leaving || said.Area != held.said.Area
+		changed := said.Leaving != held.said.Leaving || said.Area != held.said.Area || said.Slots != held.said.Slots
 		held.said, held.heardAt = said, now
 		w.lock.Unlock()
 		if changed {
@@ -145,32 +171,53 @@
 		}
 		return held.instance, nil
 	}
-	// Another worker now stands at this address: the old registration ends before anything else.
+	// Another worker now stands at this address, or this one at another: the old registration
+	// ends before anything else.
+	dropped := held != nil
 	if held != nil {
 		w.drop(held)
 	}
+	if named := w.byInstance[said.ID]; said.ID != "" && named != nil {
+		w.drop(named)
+		dropped = true
+	}
 	full := len(w.byPlace) >= w.options.Most
 	w.lock.Unlock()
-	if held != nil {
+	if dropped {
 		w.onChange()
 	}
 	if full {
 		return "", defect.New(defect.BufferFull, "too many workers at this proxy")
 	}
-	tether, err := w.options.Dial(said.Address)
-	if err != nil {
-		return "", defect.Wrap(err, defect.WorkerUnopened, said.Address)
+	var tether net.Conn
+	if !w.options.Untethered {
+		var err error
+		if tether, err = w.options.Dial(said.Address); err != nil {
+			return "", defect.Wrap(err, defect.WorkerUnopened, said.Address)
+		}
 	}
 	w.lock.Lock()
 	w.serial++
 	fresh := &localWorker{instance: fmt.Sprintf("%s/%s/%x.%d", w.options.Proxy, said.Address, w.options.Incarnation, w.serial),
 		address: said.Address, said: said, heardAt: now, tether: tether, client: w.clientFor(said.Address)}
-	if raced := w.byPlace[said.Address]; raced != nil {
-		w.drop(raced)
+	if said.ID != "" {
+		fresh.instance = said.ID
+		// It may have said meanwhile that it is gone.
+		if w.ended.Has(said.ID) {
+			w.lock.Unlock()
+			return said.ID, nil
+		}
+	}
+	for _, raced := range []*localWorker{w.byPlace[said.Address], w.byInstance[fresh.instance]} {
+		if raced != nil {
+			w.drop(raced)
+		}
 	}
-	w.byPlace[said.Address] = fresh
+	w.byPlace[said.Address], w.byInstance[fresh.instance] = fresh, fresh
 	w.lock.Unlock()
-	go w.watch(fresh)
+	if tether != nil {
+		go w.watch(fresh)
+	}
 	w.onChange()
 	return fresh.instance, nil
 }
@@ -208,7 +255,12 @@
 	if w.byPlace[held.address] == held {
 		delete(w.byPlace, held.address)
 	}
-	held.tether.Close()
+	if w.byInstance[held.instance] == held {
+		delete(w.byInstance, held.instance)
+	}
+	if held.tether != nil {
+		held.tether.Close()
+	}
 	held.client.CloseIdleConnections()
 }
 
@@ -229,6 +281,11 @@
 	}
 }
 
+// warm is how long a worker is still slow after its start.
+func (w *Workers) warm(held *localWorker) time.Duration {
+	return max(0, time.Duration(held.said.WarmMS)*time.Millisecond-(w.options.Now()-held.heardAt))
+}
+
 // List is what others should know of the workers here.
 func (w *Workers) List() []*schema.Worker {
 	w.lock.Lock()
@@ -240,7 +297,8 @@
 			area = w.options.Area
 		}
 		listed = append(listed, &schema.Worker{Instance: held.instance, Service: held.said.Service, Version: held.said.Version,
-			Area: area, Load: held.said.Load, Leaving: held.said.Leaving})
+			Area: area, Load: held.said.Load, Leaving: held.said.Leaving || w.parting,
+			Slots: held.said.Slots, WarmNanos: int64(w.warm(held))})
 	}
 	sort.Slice(listed, func(i, j int) bool { return listed[i].Instance < listed[j].Instance })
 	return listed
@@ -250,19 +308,16 @@
 func (w *Workers) find(carry *schema.Carry) (*localWorker, string, defect.Kind) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	for _, held := range w.byPlace {
-		if held.instance != carry.Instance {
-			continue
-		}
-		if held.said.Service != carry.Service || held.said.Version != carry.Version {
-			return nil, "", defect.WrongInstance
-		}
-		if held.said.Leaving {
-			return nil, "", defect.Leaving
-		}
-		return held, held.said.Token, ""
+	held := w.byInstance[carry.Instance]
+	switch {
+	case held == nil && w.options.Now() < w.options.Young:
+		return nil, "", defect.ProxyYoung
+	case held == nil, held.said.Service != carry.Service, held.said.Version != carry.Version:
+		return nil, "", defect.WrongInstance
+	case held.said.Leaving:
+		return nil, "", defect.Leaving
 	}
-	return nil, "", defect.WrongInstance
+	return held, held.said.token(), ""
 }
 
 // disown drops a registration whose address turned out to be somebody else's.
@@ -273,12 +328,11 @@
 	w.onChange()
 }
 
-// LeaveAll marks every worker here as leaving, as when the proxy itself is told to end.
+// LeaveAll tells the mesh that every worker here is leaving, as when the proxy itself is told
+// to end. What comes all the same is served: only the workers' own word turns it away.
 func (w *Workers) LeaveAll() {
 	w.lock.Lock()
-	for _, held := range w.byPlace {
-		held.said.Leaving = true
-	}
+	w.parting = true
 	w.lock.Unlock()
 	w.onChange()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -248,7 +248,7 @@
 	s.speaks = link.Local("proxy", given.Name, speaks)
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
-		Dial: s.speeches.dial}, s.workersChanged)
+		Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
 	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now,
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			// What is not refused for an old setup need not wait for the new one.
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -19,6 +19,7 @@
 	defect.NoWorker:      renewal,
 	defect.Leaving:       renewal,
 	defect.WrongInstance: renewal,
+	defect.ProxyYoung:    renewal,
 	defect.StalePlan:     renewal,
 	defect.VersionBarred: renewal,
 	defect.NoMajority:    renewal,
--- a/internal/proxy/refuse_test.go
+++ b/internal/proxy/refuse_test.go
@@ -16,7 +16,7 @@
 	given := &schema.ProxyOptions{Lease: int64(8 * time.Second), Ejection: int64(5 * time.Second), HorizonMost: int64(10 * time.Second), Drain: int64(7 * time.Second)}
 	s := &Server{options: given, speeches: speechesOf(nil)}
 	want := map[defect.Kind]string{
-		defect.NoLease: "1", defect.NoWorker: "1", defect.Leaving: "1", defect.WrongInstance: "1", defect.StalePlan: "1", defect.VersionBarred: "1",
+		defect.NoLease: "1", defect.NoWorker: "1", defect.Leaving: "1", defect.WrongInstance: "1", defect.ProxyYoung: "1", defect.StalePlan: "1", defect.VersionBarred: "1",
 		defect.NoMajority: "1", defect.KeyUnclaimed: "1", defect.KeyUnsettled: "2", defect.HorizonPast: "2", defect.BufferFull: "2", defect.Repeated: "2",
 		defect.LinkLost: "5", defect.LinkUnopened: "5", defect.WorkerLost: "5", defect.WorkerUnopened: "5", defect.BadAnswer: "5", defect.Draining: "7",
 		// What stays refused, however often it is asked for.
