Admit changes by the versions that operators give their items

Operators of the users' platform number each item themselves and may send an older change after a newer one, to any registry, at once with another. A sequence that the writer expects can't rule there: the higher given version of each name holds, set or dropped, and the rest of the change is accepted without effect.

A tombstone without its given version would let an older order bring an item back, so these are left out of the purge and go, oldest first, only beyond a bound of their own (dropped-most). Keeping them all was ruled out: the state would grow for ever. Whoever writes without a given version leaves the one that stands.

Before: only expected sequences were looked at. After: TestAdmitByGiven.

--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -241,40 +241,54 @@
 const Purged = "purged"
 
 type purged struct {
-	To uint64 `json:"to"`
+	To    uint64 `json:"to"`
+	Given uint64 `json:"given,omitempty"`
 }
 
-// Purge makes the item under which tombstones up to a sequence go.
-func Purge(to uint64) *schema.Item {
-	return &schema.Item{Kind: Purged, Name: "tombstones", Body: []byte(fmt.Sprintf(`{"to":%d}`, to))}
+// Purge makes the item under which tombstones up to a sequence go. Those that bear a version of an
+// operator's stay longer, up to a sequence of their own: an older order may still come.
+func Purge(to, given uint64) *schema.Item {
+	return &schema.Item{Kind: Purged, Name: "tombstones", Body: []byte(fmt.Sprintf(`{"to":%d,"given":%d}`, to, given))}
 }
 
 // PurgedTo is up to which sequence tombstones are gone. Who has an older state than that may
 // hold what was removed, and no difference would say so: it needs the whole state.
 func (s State) PurgedTo() uint64 {
 	if item := s[Key(Purged, "tombstones")]; item != nil {
-		return purgedIn(item)
+		return purgedIn(item).To
 	}
 	return 0
 }
 
-func purgedIn(item *schema.Item) uint64 {
+// PurgedGiven is the same of the tombstones that bear a version of an operator's.
+func (s State) PurgedGiven() uint64 {
+	if item := s[Key(Purged, "tombstones")]; item != nil {
+		return purgedIn(item).Given
+	}
+	return 0
+}
+
+func purgedIn(item *schema.Item) purged {
 	held := purged{}
 	if strict(item.Body, &held) != nil {
-		return 0
+		return purged{}
 	}
-	return held.To
+	return held
 }
 
-// Tombstones counts the removed items that the state still knows of.
-func (s State) Tombstones() int {
-	count := 0
+// Tombstones counts the removed items that the state still knows of, but for those that bear a
+// version of an operator's; of these it gives the sequences, in order.
+func (s State) Tombstones() (count int, given []uint64) {
 	for _, item := range s {
-		if item.Deleted {
+		switch {
+		case item.Deleted && item.Given == 0:
 			count++
+		case item.Deleted:
+			given = append(given, item.Version.GetSequence())
 		}
 	}
-	return count
+	slices.Sort(given)
+	return count, given
 }
 
 // After is what a copy lacks that has the state of a sequence: the newer items, or the whole.
@@ -311,7 +325,10 @@
 	for _, item := range items {
 		if item.Kind == Purged {
 			to := purgedIn(item)
-			maps.DeleteFunc(merged, func(_ string, one *schema.Item) bool { return one.Deleted && one.Version.GetSequence() <= to })
+			maps.DeleteFunc(merged, func(_ string, one *schema.Item) bool {
+				sequence := one.Version.GetSequence()
+				return one.Deleted && (sequence <= to.Given || one.Given == 0 && sequence <= to.To)
+			})
 		}
 	}
 	return merged
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -55,7 +55,7 @@
 	}
 	name := node.name[len("store-"):]
 	node.seat = store.NewSeat(store.Options{Name: name, Order: []string{"a", "b", "c"}, Address: name, Silence: silence, Stall: stall,
-		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64}, node.incarnation, records)
+		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64, DroppedMost: 64}, node.incarnation, records)
 	w.every(&node.machine, tick, func() { w.act(node, node.seat.Tick(node.clock.at(w.now))) })
 }
 
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -368,7 +368,8 @@
 		h.purgedTo = to
 		h.Purges++
 	}
-	h.Tombstones = max(h.Tombstones, state.Tombstones())
+	stones, _ := state.Tombstones()
+	h.Tombstones = max(h.Tombstones, stones)
 	if held, found := h.orders[sequence]; !found {
 		h.orders[sequence] = print
 	} else if held != print {
--- a/internal/store/accept_test.go
+++ b/internal/store/accept_test.go
@@ -45,3 +45,50 @@
 		}
 	}
 }
+
+// Which items of a change by given versions are taken, against one state.
+func TestAdmitByGiven(t *testing.T) {
+	at := func(sequence uint64) *schema.Version { return &schema.Version{Epoch: 1, Sequence: sequence} }
+	item := func(name string, given uint64, body string) *schema.Item {
+		return &schema.Item{Kind: "segment", Name: name, Given: given, Body: []byte(body), Deleted: body == ""}
+	}
+	held := func(sequence uint64, item *schema.Item) *schema.Item { item.Version = at(sequence); return item }
+	const body = `{"salt":"new"}`
+	state := setup.State{}.With([]*schema.Item{
+		held(1, item("stands", 7, `{"salt":""}`)), held(2, item("dropped", 7, "")), held(3, item("ours", 0, `{"salt":""}`))})
+	route := func(name string, given uint64) *schema.Item {
+		return &schema.Item{Kind: "route", Name: name, Given: given, Body: []byte(`{"service":"gone","prefix":"/","horizon":"1s"}`)}
+	}
+	for name, one := range map[string]struct {
+		items []*schema.Item
+		want  schema.Ruling
+		taken map[string]uint64 // given version by name
+	}{
+		"higher":                         {[]*schema.Item{item("stands", 8, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 8}},
+		"equal":                          {[]*schema.Item{item("stands", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
+		"lower, a drop":                  {[]*schema.Item{item("stands", 6, "")}, schema.Ruling_RULING_ACCEPTED, nil},
+		"older than a drop":              {[]*schema.Item{item("dropped", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
+		"newer than a drop":              {[]*schema.Item{item("dropped", 9, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"dropped": 9}},
+		"a drop of what never was":       {[]*schema.Item{item("never", 3, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"never": 3}},
+		"over what no operator gave":     {[]*schema.Item{item("ours", 1, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"ours": 1}},
+		"some newer":                     {[]*schema.Item{item("stands", 6, body), item("more", 2, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"more": 2}},
+		"one name twice":                 {[]*schema.Item{item("stands", 9, body), item("stands", 8, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 9}},
+		"one newer that is invalid":      {[]*schema.Item{item("stands", 9, body), route("r", 9)}, schema.Ruling_RULING_INVALID, nil},
+		"one newer beside a broken kind": {[]*schema.Item{item("stands", 9, body), {Kind: "thing", Name: "x", Given: 9}}, schema.Ruling_RULING_INVALID, nil},
+	} {
+		entry, _ := Accept(state, nil, &schema.Change{Items: one.items, ByGiven: true}, at(10))
+		if entry.Outcome.Ruling != one.want || len(entry.Items) != len(one.taken) {
+			t.Errorf("%s: %v with %d items (%v)", name, entry.Outcome.Ruling, len(entry.Items), entry.Outcome.Faults)
+		}
+		for _, taken := range entry.Items {
+			if taken.Given != one.taken[taken.Name] {
+				t.Errorf("%s: %s is taken under %d", name, taken.Name, taken.Given)
+			}
+		}
+	}
+	// Whoever writes without a given version leaves the one that stands.
+	entry, _ := Accept(state, nil, &schema.Change{Items: []*schema.Item{item("stands", 0, body)}, Expected: []*schema.Expected{{Kind: "segment", Name: "stands", Sequence: 1}}}, at(10))
+	if len(entry.Items) != 1 || entry.Items[0].Given != 7 {
+		t.Errorf("written without a version: %v", entry)
+	}
+}
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -113,7 +113,7 @@
 		wake: make(chan struct{}, 1), broken: make(chan error, 1)}
 	s.seat = NewSeat(Options{Name: given.Seat, Order: order, Address: address, Silence: time.Duration(given.Silence),
 		Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost), OutcomesMost: int(given.OutcomesMost),
-		BufferMost: int(given.Buffer)}, incarnation, records)
+		BufferMost: int(given.Buffer), DroppedMost: int(given.DroppedMost)}, incarnation, records)
 	for _, name := range order {
 		if name != given.Seat {
 			s.outboxes[name] = make(chan *schema.SeatLetter, given.Buffer)
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -44,6 +44,7 @@
 	EntriesMost  int
 	OutcomesMost int
 	BufferMost   int
+	DroppedMost  int // tombstones that bear an operator's version and are kept
 }
 
 // Ratios to the bounds in Options.
@@ -1020,7 +1021,8 @@
 const purgeParts = 4
 
 // purge lets tombstones go that every seat has on disk. Whoever is further behind is told the
-// whole state, so nothing that was removed comes back.
+// whole state, so nothing that was removed comes back. Those that bear an operator's version go
+// only once there are too many: without them an older order would be taken for a new one.
 func (s *Seat) purge() {
 	few := uint64(max(1, s.options.EntriesMost/purgeParts))
 	if s.phase != active || s.stable < s.purgeAt {
@@ -1035,10 +1037,17 @@
 		}
 		to = min(to, known.acked)
 	}
-	if uint64(s.stableState.Tombstones()) < few || to <= s.stableState.PurgedTo() {
+	count, dropped := s.stableState.Tombstones()
+	given := s.stableState.PurgedGiven()
+	if len(dropped) > s.options.DroppedMost {
+		// The oldest go, a part of the bound more than they must, so that it is not done each time.
+		given = max(given, dropped[min(len(dropped)-s.options.DroppedMost+s.options.DroppedMost/purgeParts, len(dropped))-1])
+	}
+	given = min(given, to)
+	if (uint64(count) < few || to <= s.stableState.PurgedTo()) && given <= s.stableState.PurgedGiven() {
 		return
 	}
-	item := setup.Purge(to)
+	item := setup.Purge(to, given)
 	change := &schema.Change{Id: fmt.Sprintf("purge-%d-%d", s.epoch, s.seq+1), Items: []*schema.Item{item}}
 	if held := s.state[setup.Key(item.Kind, item.Name)]; held != nil {
 		change.Expected = []*schema.Expected{{Kind: item.Kind, Name: item.Name, Sequence: held.Version.Sequence}}
@@ -1095,44 +1104,82 @@
 	s.barriers = left
 }
 
+// faultsMost bounds the reasons that are kept with a refusal: an operator mends them in turn.
+const faultsMost = 32
+
 // Accept decides a change against a state: taken whole, or refused whole with every reason.
 // It compiles after an earlier setup, nil for none, and gives the one that it made of a change it took.
 func Accept(state setup.State, before *setup.Setup, change *schema.Change, version *schema.Version) (*schema.Entry, *setup.Setup) {
 	entry := &schema.Entry{Version: version, ChangeId: change.Id, Outcome: &schema.Outcome{ChangeId: change.Id, Version: version}}
-	expected := map[string]uint64{}
-	for _, one := range change.Expected {
-		expected[setup.Key(one.Kind, one.Name)] = one.Sequence
-	}
-	for _, item := range change.Items {
-		key := setup.Key(item.Kind, item.Name)
-		current := uint64(0)
-		if held := state[key]; held != nil && !held.Deleted {
-			current = held.Version.Sequence
-		}
-		if expected[key] != current {
-			entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
-			entry.Outcome.Current = append(entry.Outcome.Current, &schema.Expected{Kind: item.Kind, Name: item.Name, Sequence: current})
-		}
-	}
-	if entry.Outcome.Ruling == schema.Ruling_RULING_CONFLICT {
+	written := change.Items
+	if change.ByGiven {
+		written = newest(state, change.Items)
+	} else if entry.Outcome.Current = unexpected(state, change); len(entry.Outcome.Current) > 0 {
+		entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
 		return entry, before
 	}
 	// A duty that has passed on may not write what its successor has written under a later epoch.
-	for _, item := range change.Items {
+	for _, item := range written {
 		if held := state[setup.Key(item.Kind, item.Name)]; item.Kind == "progress" && !item.Deleted && held != nil && !held.Deleted && setup.DutyOf(item) < setup.DutyOf(held) {
 			entry.Outcome.Ruling = schema.Ruling_RULING_STALE
 			return entry, before
 		}
 	}
 	var items []*schema.Item
-	for _, item := range change.Items {
-		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version, Change: change.Id})
+	for _, item := range written {
+		// Whoever writes an item without a version of an operator's leaves the one that it had: it
+		// must not go down, or an older order could take the item back.
+		given := max(item.Given, state[setup.Key(item.Kind, item.Name)].GetGiven())
+		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version, Change: change.Id, Given: given})
+	}
+	// What brings nothing new leaves the state as it was, which was valid.
+	if len(items) == 0 {
+		entry.Outcome.Ruling = schema.Ruling_RULING_ACCEPTED
+		return entry, before
 	}
 	compiled, faults := setup.CompileAfter(before, state.With(items), version.Sequence)
 	if len(faults) > 0 {
-		entry.Outcome.Ruling, entry.Outcome.Faults = schema.Ruling_RULING_INVALID, faults
+		entry.Outcome.Ruling, entry.Outcome.Faults = schema.Ruling_RULING_INVALID, faults[:min(len(faults), faultsMost)]
 		return entry, before
 	}
 	entry.Items, entry.Outcome.Ruling = items, schema.Ruling_RULING_ACCEPTED
 	return entry, compiled
 }
+
+// unexpected lists the items of a change that do not stand as the writer expected.
+func unexpected(state setup.State, change *schema.Change) (current []*schema.Expected) {
+	expected := map[string]uint64{}
+	for _, one := range change.Expected {
+		expected[setup.Key(one.Kind, one.Name)] = one.Sequence
+	}
+	for _, item := range change.Items {
+		key := setup.Key(item.Kind, item.Name)
+		sequence := uint64(0)
+		if held := state[key]; held != nil && !held.Deleted {
+			sequence = held.Version.Sequence
+		}
+		if expected[key] != sequence {
+			current = append(current, &schema.Expected{Kind: item.Kind, Name: item.Name, Sequence: sequence})
+		}
+	}
+	return current
+}
+
+// newest lists the items whose given version is higher than the held one's, tombstones included;
+// of two under one name the higher, of equals the first.
+func newest(state setup.State, given []*schema.Item) (written []*schema.Item) {
+	place := map[string]int{}
+	for _, item := range given {
+		key := setup.Key(item.Kind, item.Name)
+		if held := state[key]; held != nil && held.Given >= item.Given {
+			continue
+		}
+		if at, twice := place[key]; !twice {
+			place[key] = len(written)
+			written = append(written, item)
+		} else if written[at].Given < item.Given {
+			written[at] = item
+		}
+	}
+	return written
+}
