--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -167,7 +167,7 @@
 	// Of a split, any service with weight may serve: where the one that was decided has nobody,
 	// those that have somebody share its calls by their weights.
 	if len(pool) == 0 && len(route.Split) > 0 {
-		if other := otherOf(view, route, request.Caller, context, facts, now); other != "" {
+		if other := otherOf(view, route, made.Service, request.Caller, context, facts, now); other != "" {
 			made.Split.Evaluated, made.Split.Version, made.Split.Reason = made.Service, other, ReasonSplitEmpty
 			made.Service = other
 			verdict, pool = decide(view, other, context, facts, now)
@@ -200,9 +200,10 @@
 	return verdict
 }
 
-// otherOf picks, for a split whose service has nobody, one that has: by the same bucket over the
-// weights of those, so that a key stays with its service for as long as that is so.
-func otherOf(view *View, route *setup.Route, caller string, context flag.Context, facts Facts, now time.Duration) string {
+// otherOf picks, for a split whose service has nobody, one that has, by weight. A key stays with
+// its service for as long as that is so; its bucket is another than the split's, for all keys of
+// the service that has nobody are alike in that one.
+func otherOf(view *View, route *setup.Route, decided, caller string, context flag.Context, facts Facts, now time.Duration) string {
 	var able []setup.Share
 	whole := 0.0
 	for _, share := range route.Split {
@@ -215,7 +216,7 @@
 			whole += share.Weight
 		}
 	}
-	bucket, sum := flag.Bucket(route.SplitFlag(), route.Name, nil, context, flag.DefaultKind, ""), 0.0
+	bucket, sum := flag.Bucket(route.SplitFlag(), route.Name+"."+decided, nil, context, flag.DefaultKind, ""), 0.0
 	for _, share := range able {
 		if sum += share.Weight; bucket < sum/whole {
 			return share.Service
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -243,3 +243,116 @@
 		t.Errorf("keys went to %v only", used)
 	}
 }
+
+// The key of the context is the header that the route names, or else the request's identity.
+func TestIdentityIsTheKey(t *testing.T) {
+	view := compiledOf(t, map[string]string{"service/shop": `{"versions":["1","2"],"fallback":"1"}`,
+		"route/own":         `{"service":"shop","prefix":"/own/"}`,
+		"route/named":       `{"service":"shop","prefix":"/named/","key":"X-User"}`,
+		"flag/release.shop": `{"on":true,"salt":"","variations":["1","2"],"offVariation":0,"fallthrough":{"variation":0},"targets":[{"variation":1,"values":["ann"]}]}`},
+		Directory{"shop": {"1": workers("old"), "2": workers("new")}})
+	for _, one := range []struct{ path, identity, header, version string }{
+		{"/own/x", "ann", "", "2"}, {"/own/x", "bob", "ann", "1"}, {"/own/x", "", "ann", "1"}, {"/named/x", "bob", "ann", "2"}, {"/named/x", "ann", "", "1"},
+	} {
+		request := asking("GET", one.path, map[string]string{"X-User": one.header})
+		request.Identity = one.identity
+		made, err := Make(view, request, options, facts{}, 0, rand.Float64)
+		if err != nil || made.Verdict.Version != one.version {
+			t.Errorf("%+v: %+v, %v", one, made, err)
+		}
+	}
+}
+
+func compiledOf(t *testing.T, bodies map[string]string, directory Directory) *View {
+	t.Helper()
+	var items []*schema.Item
+	for key, body := range bodies {
+		kind, name, _ := strings.Cut(key, "/")
+		items = append(items, &schema.Item{Kind: kind, Name: name, Body: []byte(body), Version: &schema.Version{Epoch: 1, Sequence: 1}})
+	}
+	made, faults := setup.Compile(setup.State{}.With(items), 9)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return &View{Setup: made, Directory: directory}
+}
+
+// A split decides the service by weight and key, then the service's own flag decides its
+// version. Only where the decided service has nobody do the others with weight take its calls.
+func TestSplit(t *testing.T) {
+	bodies := map[string]string{"service/a": `{"versions":["1"],"fallback":"1"}`, "service/b": `{"versions":["1"],"fallback":"1"}`, "service/c": `{"versions":["1"],"fallback":"1","callers":["saves"]}`, "service/d": `{"versions":["1"],"fallback":"1"}`,
+		"route/r": `{"prefix":"/","split":[{"service":"a","weight":60},{"service":"b","weight":30},{"service":"c","weight":10},{"service":"d","weight":0}]}`}
+	at := func(names ...string) Directory {
+		directory := Directory{}
+		for _, name := range names {
+			directory[name] = map[string][]Candidate{"1": workers("at-" + name)}
+		}
+		return directory
+	}
+	for name, one := range map[string]struct {
+		directory Directory
+		lost      map[string]bool
+		caller    string
+		shares    map[string]int // of 1000 keys, about
+		empty     int            // of which by exception
+	}{
+		"all there":               {at("a", "b", "c", "d"), nil, "saves", map[string]int{"a": 600, "b": 300, "c": 100}, 0},
+		"one empty":               {at("b", "c", "d"), nil, "saves", map[string]int{"b": 750, "c": 250}, 600},
+		"only what has no weight": {at("d"), nil, "saves", map[string]int{"": 1000}, 0},
+		"one not reached":         {at("a", "b", "c"), map[string]bool{"at-a": true}, "saves", map[string]int{"a": 600, "b": 300, "c": 100}, 0},
+		"empty for those who may": {at("b", "d"), nil, "client", map[string]int{"b": 900, "denied": 100}, 600},
+	} {
+		view := compiledOf(t, bodies, one.directory)
+		got, exceptions := map[string]int{}, 0
+		for i := range 1000 {
+			request := asking("GET", "/x", nil)
+			request.Identity, request.Caller = fmt.Sprint("key-", i), one.caller
+			made, err := Make(view, request, options, facts{lost: one.lost}, 0, rand.Float64)
+			switch {
+			case defect.KindOf(err) == defect.NotAllowed && err != nil:
+				got["denied"]++
+				continue
+			case err != nil:
+				t.Fatal(name, err)
+			case len(made.Candidates) == 0:
+				got[""]++
+				continue
+			}
+			got[made.Service]++
+			if made.Split.Flag != "route.r" || made.Split.Version != made.Service || made.Candidates[0].Instance != "at-"+made.Service || made.Verdict.Flag != "release."+made.Service {
+				t.Errorf("%s: %+v", name, made)
+			}
+			if made.Split.Reason == ReasonSplitEmpty {
+				exceptions++
+				if made.Split.Evaluated == made.Service || made.Split.Evaluated == "" {
+					t.Errorf("%s: what the flag said is not kept: %+v", name, made.Split)
+				}
+			}
+			if again, _ := Make(view, request, options, facts{lost: one.lost}, 0, rand.Float64); again.Service != made.Service {
+				t.Errorf("%s: a key moved from %s to %s", name, made.Service, again.Service)
+			}
+		}
+		for service, want := range one.shares {
+			if diff := got[service] - want; diff < -60 || diff > 60 {
+				t.Errorf("%s: %v", name, got)
+			}
+		}
+		if len(got) != len(one.shares) || exceptions < one.empty-60 || exceptions > one.empty+60 {
+			t.Errorf("%s: %v, %d exceptions", name, got, exceptions)
+		}
+	}
+	// Without a key it is the first with weight, and an error.
+	made, err := Make(compiledOf(t, bodies, at("a")), asking("GET", "/x", nil), options, facts{}, 0, rand.Float64)
+	if err != nil || made.Service != "a" || made.Split.Reason != flag.ReasonError || made.Split.Error != flag.KeyMissing {
+		t.Errorf("no key: %+v, %v", made, err)
+	}
+}
+
+// A service of which no version is known yet gets no call, and the refusal can be counted.
+func TestNoVersionYet(t *testing.T) {
+	view := compiledOf(t, map[string]string{"service/a": `{}`, "route/r": `{"service":"a","prefix":"/"}`}, Directory{"a": {"v1": workers("w")}})
+	made, err := Make(view, asking("GET", "/x", nil), options, facts{}, 0, rand.Float64)
+	if err == nil || defect.KindOf(err) != defect.NoWorker || made == nil || made.Verdict.Reason != ReasonNoVersion || made.Service != "a" {
+		t.Errorf("%+v, %v", made, err)
+	}
+}
