--- a/internal/registry/speech.go
+++ b/internal/registry/speech.go
@@ -27,8 +27,24 @@
 	// State gives all items, tombstones included, no older than any yes given before the call;
 	// false if that cannot be told before ctx ends.
 	State(ctx context.Context) ([]*schema.Item, bool)
+	// Plan states a plan that moves all of a service's calls to a version over a time. A plan for
+	// that version that is under way already is left as it is, and accepted.
+	Plan(ctx context.Context, service, version string, over time.Duration) *schema.Outcome
+	// PlanState tells how the plan for a service stands and for which version it is; the state is
+	// empty if there is none, known false if that cannot be told before ctx ends.
+	PlanState(ctx context.Context, service string) (state PlanEnd, version string, known bool)
 }
 
+// PlanEnd is how a release plan stands.
+type PlanEnd string
+
+// How a plan stands, as operators are told.
+const (
+	PlanUnderWay PlanEnd = "under way"
+	PlanDone     PlanEnd = "done" // the version is the service's fallback now
+	PlanBack     PlanEnd = "back" // the version was found bad
+)
+
 // offered is a change on its way.
 type offered struct {
 	done    chan struct{}
@@ -110,3 +126,13 @@
 	}
 	return nil, false
 }
+
+// Plan states a release plan.
+func (s *Server) Plan(ctx context.Context, service, version string, over time.Duration) *schema.Outcome {
+	return nil
+}
+
+// PlanState tells how a release plan stands.
+func (s *Server) PlanState(ctx context.Context, service string) (state PlanEnd, version string, known bool) {
+	return "", "", false
+}
