Keep what operators on the platform said beside items; place their orders

An item carries what was said of it in another speech's words apart from its body, so that the body stays closed and proxies are not sent what only a read-back needs. Orders go through the release duty's own step.

--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -443,6 +443,7 @@
 		pulled := &schema.Pulled{Sources: s.table.Feed(s.now(), pull.Vector), Setup: s.table.stable, Cores: s.coreList()}
 		if pull.Core == nil && s.table.stable > pull.Setup {
 			pulled.Items, pulled.Whole = s.state.After(pull.Setup)
+			pulled.Items = unsaid(pulled.Items)
 		}
 		moved := s.moved
 		s.lock.Unlock()
@@ -459,6 +460,17 @@
 	}
 }
 
+// unsaid leaves out of items what only operators ask for.
+func unsaid(items []*schema.Item) []*schema.Item {
+	bare := make([]*schema.Item, len(items))
+	for i, item := range items {
+		if bare[i] = item; len(item.Said) > 0 {
+			bare[i] = &schema.Item{Kind: item.Kind, Name: item.Name, Version: item.Version, Body: item.Body, Deleted: item.Deleted, Given: item.Given}
+		}
+	}
+	return bare
+}
+
 // Tell takes a proxy's workers and counts.
 func (s *Server) Tell(ctx context.Context, report *schema.Report) (*schema.Told, error) {
 	if err := s.isProxy(ctx, report.Proxy); err != nil {
--- a/internal/registry/speech.go
+++ b/internal/registry/speech.go
@@ -9,6 +9,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
 
@@ -127,12 +129,47 @@
 	return nil, false
 }
 
-// Plan states a release plan.
+// Plan states a release plan as one change.
 func (s *Server) Plan(ctx context.Context, service, version string, over time.Duration) *schema.Outcome {
+	for ctx.Err() == nil {
+		if _, known := s.State(ctx); !known {
+			return nil
+		}
+		compiled, state := s.compiledState()
+		step, err := release.Place(compiled, state, release.Order{Service: service, Version: version, Over: over})
+		switch {
+		case err != nil && defect.KindOf(err) == defect.BadSetup:
+			return &schema.Outcome{Ruling: schema.Ruling_RULING_INVALID, Faults: []*schema.Fault{{Path: "release." + service, Reason: err.Error()}}}
+		case err != nil:
+			return nil
+		case step == nil:
+			return &schema.Outcome{Ruling: schema.Ruling_RULING_ACCEPTED}
+		}
+		s.lock.Lock()
+		s.offerSerial++
+		change := step.Change(s.options.Seat, s.born, s.offerSerial, state)
+		s.lock.Unlock()
+		// A step of another hand came between: look again.
+		if outcome := s.Offer(ctx, change); outcome.GetRuling() != schema.Ruling_RULING_CONFLICT {
+			return outcome
+		}
+	}
 	return nil
 }
 
 // PlanState tells how a release plan stands.
 func (s *Server) PlanState(ctx context.Context, service string) (state PlanEnd, version string, known bool) {
-	return "", "", false
+	if _, known := s.State(ctx); !known {
+		return "", "", false
+	}
+	version, stands := release.StateOf(s.compiled(), service)
+	switch stands {
+	case "":
+		return "", "", true
+	case release.Done:
+		return PlanDone, version, true
+	case release.Back:
+		return PlanBack, version, true
+	}
+	return PlanUnderWay, version, true
 }
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -1130,7 +1130,7 @@
 		// Whoever writes an item without a version of an operator's leaves the one that it had: it
 		// must not go down, or an older order could take the item back.
 		given := max(item.Given, state[setup.Key(item.Kind, item.Name)].GetGiven())
-		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version, Change: change.Id, Given: given})
+		items = append(items, &schema.Item{Kind: item.Kind, Name: item.Name, Body: item.Body, Deleted: item.Deleted, Version: version, Change: change.Id, Given: given, Said: item.Said})
 	}
 	// What brings nothing new leaves the state as it was, which was valid.
 	if len(items) == 0 {
