Let rehearsal hold hollow members against a real core

The size to design for, 820 workers, does not fit on one machine as real processes, so nothing said what the control plane costs there. `rehearsal hollow` brings up real registries and stores and holds the proxies in its own process: real sessions, pictures and reports by the proxy's own code, beating stand-in workers, no callers. It tells for each role processor time, bytes and calls a second, memory and disk; histograms of a change's way and of how old members' pictures are; and draws them. More than fits is refused before anything starts.

Hollow members as processes of their own were ruled out: a few hundred would be the most, and each would cost its runtime. Relays before the core, as in fleets, would be what is measured.

--- /dev/null
+++ b/cmd/rehearsal/hollow.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"meadowhinge/internal/options"
+	"meadowhinge/internal/rehearsal"
+	"meadowhinge/schema"
+)
+
+// parse reads settings of a run; done tells that there is nothing more to do, by an exit code.
+func parse(program string, args []string, target proto.Message, check func() options.Faults, folder, binaries *string) (code int, done bool) {
+	err := options.Parse(program, args, target, os.Stdout)
+	if err == nil {
+		if faults := check(); len(faults) > 0 {
+			err = faults
+		}
+	}
+	if err != nil {
+		return options.Exit(program, err, os.Stderr), true
+	}
+	if *folder == "" {
+		made, err := os.MkdirTemp("", "rehearsal-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, program+":", err)
+			return 1, true
+		}
+		*folder = made
+	}
+	if *binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, program+":", err)
+			return 1, true
+		}
+		*binaries = filepath.Dir(self)
+	}
+	return 0, false
+}
+
+// hollow runs hollow members against a real core.
+func hollow(args []string) int {
+	const program = "rehearsal hollow"
+	given := &schema.HollowOptions{}
+	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckHollow(given) }, &given.Folder, &given.Binaries); done {
+		return code
+	}
+	report, err := rehearsal.RunHollow(given, os.Stderr)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v (logs in %s)\n", program, err, given.Folder)
+		return 1
+	}
+	report.Print(os.Stdout)
+	file := filepath.Join(given.Folder, "report.json")
+	if err := errors.Join(report.Write(file), report.Draw(given.Folder, given.Plots)); err != nil {
+		fmt.Fprintln(os.Stderr, program+":", err)
+		return 1
+	}
+	fmt.Println("report in", file)
+	return 0
+}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -21,10 +21,16 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
+var words = map[string]func(args []string) int{"hollow": hollow}
+
 func run(args []string) int {
 	if len(args) > 1 && args[0] == rehearsal.StandInStore {
 		return rehearsal.RunStandInStore(args[1], args[2:])
 	}
+	// Runs that measure rather than judge have words of their own.
+	if len(args) > 0 && words[args[0]] != nil {
+		return words[args[0]](args[1:])
+	}
 	set := flag.NewFlagSet("rehearsal", flag.ContinueOnError)
 	name := set.String("deployment", "small", "which fleet: small, wroblewski or kithul")
 	length := set.Duration("length", 20*time.Second, "how long the load lasts")
--- /dev/null
+++ b/internal/rehearsal/hollow_core.go
@@ -0,0 +1,192 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/link"
+	"meadowhinge/internal/options"
+	"meadowhinge/schema"
+)
+
+// open is the mode without keys and leases; see HollowOptions.mode.
+const open = "open"
+
+// seedsMost is how many seeds a process may be told of.
+const seedsMost = 3
+
+// newHollowCore lays out real registries and stores for hollow members. No relay stands
+// before them, for it would be what is measured.
+func newHollowCore(given *schema.HollowOptions) (*Fleet, error) {
+	authority, err := NewAuthority(filepath.Join(given.Folder, "certificates"))
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Deployment: &Deployment{Name: "hollow", Cores: int(given.Seats), Areas: int(given.Zones)}, folder: given.Folder, binaries: given.Binaries,
+		lease: time.Duration(given.Lease), authority: authority, Cuts: NewCuts()}
+	if err := f.claimNet(); err != nil {
+		return nil, err
+	}
+	seats := f.seats()
+	if given.Mode == open {
+		for i := range seats {
+			seats[i] = f.core(i)
+		}
+	}
+	for i, seat := range seats {
+		shared := map[string]string{"seat": seat}
+		if given.Mode == open {
+			shared["links"] = "plain"
+		}
+		// More seats than a process can be told of know each other by an order.
+		if given.Mode != open || len(seats) > seedsMost {
+			shared["order"] = strings.Join(seats, ",")
+		}
+		forStore := map[string]string{"listen": fmt.Sprintf("%s:%d", f.core(i), portStore), "seeds": f.coreSeeds(portStore, i)}
+		if given.Mode == open && len(seats) <= seedsMost {
+			forStore["founding"], forStore["seeds"] = "true", f.coreSeeds(portStore, -1)
+		}
+		forRegistry := map[string]string{"listen": fmt.Sprintf("%s:%d", f.core(i), portRegistry), "seeds": f.coreSeeds(portRegistry, i),
+			"store": fmt.Sprintf("%s:%d", f.core(i), portStore), "operator-listen": f.Operator(i), "lease": f.lease.String(),
+			"key-window": (f.lease * keyWindowLeases).String(), "sources-most": fmt.Sprint(max(sourcesLeast, 2*given.Members))}
+		if given.Mode == open {
+			forRegistry["acknowledge-after"] = "stable"
+		}
+		for key, value := range shared {
+			forStore[key], forRegistry[key] = value, value
+		}
+		store, err := f.process("store", seat, nil, fmt.Sprintf("%s:%d", f.core(i), portStoProbe), forStore)
+		if err != nil {
+			return nil, err
+		}
+		registry, err := f.process("registry", seat, nil, fmt.Sprintf("%s:%d", f.core(i), portRegProbe), forRegistry)
+		if err != nil {
+			return nil, err
+		}
+		f.Stores, f.Registries = append(f.Stores, store), append(f.Registries, registry)
+	}
+	return f, nil
+}
+
+// Settings that a large fleet needs beside the presets.
+const (
+	keyWindowLeases = 8
+	sourcesLeast    = 256
+)
+
+// coreSeeds lists the core machines, but for one, as far as a process may be told.
+func (f *Fleet) coreSeeds(port, besides int) string {
+	var parts []string
+	for i := range f.Deployment.Cores {
+		if i != besides && len(parts) < seedsMost {
+			parts = append(parts, fmt.Sprintf("%s:%d", f.core(i), port))
+		}
+	}
+	if len(parts) == 0 {
+		parts = []string{fmt.Sprintf("%s:%d", f.core(0), port)}
+	}
+	return strings.Join(parts, ",")
+}
+
+// claimNet finds a free second octet by holding an address of it.
+func (f *Fleet) claimNet() error {
+	for f.net = 16 + os.Getpid()%200; f.net <= 250; f.net++ {
+		if holding, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:7000", f.net)); err == nil {
+			f.relays = append(f.relays, &Relay{listener: holding})
+			return nil
+		}
+	}
+	return defect.New(defect.Internal, "no free loopback addresses")
+}
+
+// hollowSettings are a hollow member's settings, checked as the program's own are.
+func (f *Fleet) hollowSettings(given *schema.HollowOptions, i int) (*schema.ProxyOptions, error) {
+	address := fmt.Sprintf("127.%d.%d.%d", f.net, 2+i/edgesPerNet, 1+i%edgesPerNet)
+	settings := map[string]string{"name": address, "area": f.area(i), "listen": fmt.Sprintf("%s:%d", address, portHop), "seeds": f.coreSeeds(portRegistry, -1),
+		"callers": fmt.Sprintf("%s=%s:%d", clientKind, address, portCallers), "workers-listen": fmt.Sprintf("%s:%d", address, portWorkers),
+		"probe-listen": fmt.Sprintf("%s:%d", address, portProbe), "lease": f.lease.String(), "members-most": fmt.Sprint(max(sourcesLeast, 2*given.Members))}
+	if given.Mode == open {
+		settings["links"], settings["doubt"] = "plain", "serve"
+	} else {
+		certificate, err := f.authority.Issue("proxy", address, []string{clientKind})
+		if err != nil {
+			return nil, err
+		}
+		settings["certificate"], settings["authority"], settings["data"] = certificate, f.authority.File(), filepath.Join(f.folder, "members")
+	}
+	var args []string
+	for name, value := range settings {
+		args = append(args, "-"+name+"="+value)
+	}
+	made := &schema.ProxyOptions{}
+	return made, options.Parse("proxy", args, made, io.Discard)
+}
+
+// edgesPerNet is how many members' addresses differ in the last octet alone.
+const edgesPerNet = 200
+
+// probed is what a process of the core says of itself, and what the kernel says of it.
+type probed struct {
+	role     string
+	name     string
+	cpu      float64 // seconds so far
+	memoryKB int
+	heapKB   int
+	diskKB   int
+	written  uint64 // bytes to disk so far
+	traffic  link.Traffic
+}
+
+// probe looks at one process.
+func (p *Process) look() probed {
+	role, name, _ := strings.Cut(p.Name, "/")
+	seen, sample := probed{role: role, name: name}, Sample{}
+	p.measure(&sample)
+	seen.memoryKB, seen.diskKB = sample.MemoryKB, sample.DiskKB
+	p.lock.Lock()
+	pid := 0
+	if p.cmd != nil && p.cmd.Process != nil {
+		pid = p.cmd.Process.Pid
+	}
+	p.lock.Unlock()
+	seen.cpu, seen.written = cpuOf(pid), writtenBy(pid)
+	var process daemon.Process
+	p.page("/process", &process)
+	seen.heapKB = int(process.HeapBytes >> 10)
+	p.page("/traffic", &seen.traffic)
+	return seen
+}
+
+// page reads one of a process's own pages.
+func (p *Process) page(path string, into any) {
+	response, err := probes.Get("http://" + p.probe + path)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(into)
+}
+
+// writtenBy is what a process has had written to disk, in bytes.
+func writtenBy(pid int) uint64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, is := strings.CutPrefix(line, "write_bytes:"); is {
+			var bytes uint64
+			_, _ = fmt.Sscan(value, &bytes)
+			return bytes
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/rehearsal/hollow_members.go
@@ -0,0 +1,327 @@
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"meadowhinge/internal/daemon"
+	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/flag"
+	"meadowhinge/internal/link"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/proxy"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// hollowMember is a place in the fleet, and the hollow proxy that holds it now.
+type hollowMember struct {
+	index    int
+	settings *schema.ProxyOptions
+	workers  []*dispatch.Description
+	reach    []reached
+
+	lock    sync.Mutex
+	proxy   *proxy.Hollow
+	joined  time.Time
+	backed  bool                     // has a setup since it joined
+	applied []applied                // setups it took into use, in order
+	told    map[uint64]time.Duration // when it made its own last news, by counter
+	life    uint64                   // the incarnation of which told is
+	before  link.Traffic             // of the lives before this one
+}
+
+// applied is a setup that came into use at a member.
+type applied struct {
+	setup uint64
+	at    time.Duration
+}
+
+// reached is a route that a member's calls use.
+type reached struct {
+	route, service, flag string
+	versions             []string
+}
+
+// toldKept is of how many of a member's last news it is known when they were made.
+const toldKept = 4096
+
+// hollowFleet is all hollow members and what is measured at them.
+type hollowFleet struct {
+	given   *schema.HollowOptions
+	core    *Fleet
+	members []*hollowMember
+	frame   *daemon.Frame
+	now     func() time.Duration
+	dice    *rand.Rand
+
+	lock      sync.Mutex // of the histograms
+	staleness *hdrhistogram.Histogram
+	backs     *hdrhistogram.Histogram
+	restarts  int
+	measuring atomic.Bool
+}
+
+// Bounds of the histograms, in microseconds.
+const (
+	spanLeast  = 1
+	spanMost   = int64(10 * time.Minute / time.Microsecond)
+	spanDigits = 3
+)
+
+func newSpans() *hdrhistogram.Histogram { return hdrhistogram.New(spanLeast, spanMost, spanDigits) }
+
+// record notes a time in a histogram.
+func record(into *hdrhistogram.Histogram, took time.Duration) {
+	_ = into.RecordValue(min(max(spanLeast, int64(took/time.Microsecond)), spanMost))
+}
+
+// newHollowFleet lays out the members; none has joined yet.
+func newHollowFleet(given *schema.HollowOptions, core *Fleet, now func() time.Duration) (*hollowFleet, error) {
+	f := &hollowFleet{given: given, core: core, now: now, dice: rand.New(rand.NewPCG(uint64(given.Seed), 2)),
+		frame: &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}}, staleness: newSpans(), backs: newSpans()}
+	for i := range int(given.Members) {
+		settings, err := core.hollowSettings(given, i)
+		if err != nil {
+			return nil, err
+		}
+		member := &hollowMember{index: i, settings: settings, told: map[uint64]time.Duration{}}
+		for j := range int(given.Reach) {
+			member.reach = append(member.reach, reachedBy(given, i, j))
+		}
+		f.members = append(f.members, member)
+	}
+	workers := int(given.Workers)
+	if workers == 0 {
+		workers = len(f.members)
+	}
+	for i := range workers {
+		member := f.members[i%len(f.members)]
+		version := versionOld
+		if i/int(given.Services)%2 == 1 {
+			version = versionNew
+		}
+		member.workers = append(member.workers, &dispatch.Description{Address: fmt.Sprintf("127.%d.250.2:%d", core.net, 1+i), Service: serviceName(i % int(given.Services)),
+			Version: version, Area: member.settings.Area, Token: fmt.Sprintf("token-%d", i), BeatMS: time.Duration(given.Beat).Milliseconds()})
+	}
+	return f, nil
+}
+
+// serviceName and routeName name what a hollow setup holds.
+func serviceName(i int) string { return fmt.Sprintf("service-%d", i) }
+func routeName(i int) string   { return fmt.Sprintf("route-%d", i) }
+
+// reachedBy spreads what members' calls use over the routes.
+func reachedBy(given *schema.HollowOptions, member, j int) reached {
+	route := (member*int(given.Reach) + j) % int(given.Routes)
+	service := serviceName(route % int(given.Services))
+	one := reached{route: routeName(route), service: service, flag: setup.FlagOf(service), versions: []string{versionOld}}
+	if route%int(given.Services) < int(given.Releases) {
+		one.versions = append(one.versions, versionNew)
+	}
+	return one
+}
+
+// join lets a member join the mesh.
+func (f *hollowFleet) join(m *hollowMember) error {
+	m.lock.Lock()
+	m.joined, m.backed, m.told = time.Now(), false, map[uint64]time.Duration{}
+	m.lock.Unlock()
+	joined, err := proxy.JoinHollow(f.frame, m.settings, func(seen proxy.Seen) { f.seen(m, seen) })
+	if err != nil {
+		return err
+	}
+	m.lock.Lock()
+	m.proxy = joined
+	m.lock.Unlock()
+	return f.beat(m)
+}
+
+// seen notes what came into a member's picture.
+func (f *hollowFleet) seen(m *hollowMember, seen proxy.Seen) {
+	now := f.now()
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	for _, source := range seen.Sources {
+		if source.Name == m.settings.Name {
+			m.life = source.Stamp.GetIncarnation()
+			m.told[source.Stamp.GetCounter()] = now
+			delete(m.told, source.Stamp.GetCounter()-toldKept)
+		}
+	}
+	if seen.Setup == 0 {
+		return
+	}
+	m.applied = append(m.applied, applied{seen.Setup, now})
+	if !m.backed {
+		m.backed = true
+		if f.measuring.Load() {
+			f.lock.Lock()
+			record(f.backs, time.Since(m.joined))
+			f.lock.Unlock()
+		}
+	}
+}
+
+// beat lets a member's workers describe themselves.
+func (f *hollowFleet) beat(m *hollowMember) error {
+	for _, worker := range m.workers {
+		said := *worker
+		said.Load = rand.Float64()
+		if err := m.held().Beat(said); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// held is the proxy that holds a member's place now.
+func (m *hollowMember) held() *proxy.Hollow {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.proxy
+}
+
+// beatSteps is in how many turns of one beat the members' workers are heard.
+const beatSteps = 50
+
+// keepBeating lets all workers beat until stop closes, and counts what calls would.
+func (f *hollowFleet) keepBeating(stop <-chan struct{}) {
+	ticker := time.NewTicker(time.Duration(f.given.Beat) / beatSteps)
+	defer ticker.Stop()
+	for step := 0; ; step++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		for i := step % beatSteps; i < len(f.members); i += beatSteps {
+			m := f.members[i]
+			_ = f.beat(m)
+			held := m.held()
+			for _, one := range m.reach {
+				for _, version := range one.versions {
+					held.Count(&dispatch.Ended{Plan: &plan.Plan{Route: &setup.Route{Name: one.route}, Service: one.service,
+						Verdict: plan.Verdict{Flag: one.flag, Version: version, Reason: flag.ReasonFallthrough, Setup: held.Setup()}},
+						Carried: &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200}}, time.Millisecond)
+				}
+			}
+		}
+	}
+}
+
+// keepRestarting kills members and brings them back until stop closes.
+func (f *hollowFleet) keepRestarting(stop <-chan struct{}) {
+	if f.given.Restarts == 0 {
+		return
+	}
+	ticker := time.NewTicker(time.Duration(float64(time.Minute) / f.given.Restarts))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		m := f.members[f.dice.IntN(len(f.members))]
+		held := m.held()
+		held.End()
+		m.lock.Lock()
+		m.before = sumTraffic(m.before, held.Traffic())
+		m.lock.Unlock()
+		if f.join(m) == nil {
+			f.restarts++
+		}
+	}
+}
+
+// staleEvery is how often it is looked at how old members' pictures are, and at how many.
+const (
+	staleEvery = time.Second
+	staleAt    = 8
+)
+
+// keepLooking notes, of some members at a time, how old what they know of each other one is.
+func (f *hollowFleet) keepLooking(stop <-chan struct{}) {
+	ticker := time.NewTicker(staleEvery)
+	defer ticker.Stop()
+	dice := rand.New(rand.NewPCG(uint64(f.given.Seed), 3))
+	named := map[string]*hollowMember{}
+	for _, m := range f.members {
+		named[m.settings.Name] = m
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		for range staleAt {
+			vector := f.members[dice.IntN(len(f.members))].held().Vector()
+			now := f.now()
+			for name, stamp := range vector {
+				source := named[name]
+				if source == nil {
+					continue
+				}
+				source.lock.Lock()
+				made, known := source.told[stamp.GetCounter()]
+				known = known && source.life == stamp.GetIncarnation()
+				source.lock.Unlock()
+				if known {
+					f.lock.Lock()
+					record(f.staleness, now-made)
+					f.lock.Unlock()
+				}
+			}
+		}
+	}
+}
+
+// awaitJoined waits until every member has the setup and knows every worker.
+func (f *hollowFleet) awaitJoined(setup uint64, workers int, patience time.Duration) error {
+	deadline := time.Now().Add(patience)
+	for _, m := range f.members {
+		for {
+			status := m.held().Status()
+			if status.Setup >= setup && status.Known >= workers {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s has setup %d of %d and knows %d workers of %d", m.settings.Name, status.Setup, setup, status.Known, workers)
+			}
+			time.Sleep(joinCheck)
+		}
+	}
+	return nil
+}
+
+const joinCheck = 20 * time.Millisecond
+
+// traffic sums what went over all members' links.
+func (f *hollowFleet) traffic() link.Traffic {
+	var sum link.Traffic
+	for _, m := range f.members {
+		sum = sumTraffic(sum, sumTraffic(m.before, m.held().Traffic()))
+	}
+	return sum
+}
+
+func sumTraffic(a, b link.Traffic) link.Traffic {
+	return link.Traffic{In: a.In + b.In, Out: a.Out + b.Out, Opened: a.Opened + b.Opened}
+}
+
+// end ends every member.
+func (f *hollowFleet) end() {
+	for _, m := range f.members {
+		if held := m.held(); held != nil {
+			held.End()
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/hollow_test.go
@@ -0,0 +1,96 @@
+package rehearsal
+
+import (
+	"io"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"meadowhinge/internal/options"
+	"meadowhinge/schema"
+)
+
+// hollowGiven are settings as the command line makes them.
+func hollowGiven(t *testing.T, args ...string) *schema.HollowOptions {
+	t.Helper()
+	given := &schema.HollowOptions{}
+	if err := options.Parse("rehearsal hollow", args, given, io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	return given
+}
+
+// Settings that cannot be run are refused before anything starts, each by its name.
+func TestHollowSettings(t *testing.T) {
+	for _, one := range []struct {
+		args   []string
+		faults []string
+	}{
+		{nil, nil},
+		{[]string{"-members=820", "-services=150", "-routes=150", "-zones=6", "-seats=5"}, nil},
+		{[]string{"-releases=5", "-reach=9", "-workers=3"}, []string{"releases", "reach", "workers"}},
+		{[]string{"-members=5000", "-workers=20000", "-routes=20000"}, []string{"members", "members"}},
+	} {
+		faults := checkHollow(hollowGiven(t, one.args...), 16<<30, 20000)
+		if len(faults) != len(one.faults) {
+			t.Errorf("%v: %v", one.args, faults)
+			continue
+		}
+		for i, fault := range faults {
+			if name, _, _ := strings.Cut(fault, ":"); name != one.faults[i] {
+				t.Errorf("%v: %v", one.args, faults)
+			}
+		}
+	}
+	err := options.Parse("rehearsal hollow", []string{"-members=0", "-seats=6", "-length=1ms", "-mode=lax"}, &schema.HollowOptions{}, io.Discard)
+	for _, name := range []string{"members: ", "seats: ", "length: ", "mode: "} {
+		if err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s is not named in %v", name, err)
+		}
+	}
+}
+
+// buildCore makes the programs of the core.
+func buildCore(t *testing.T) string {
+	t.Helper()
+	binaries := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", binaries+"/", "meadowhinge/cmd/registry", "meadowhinge/cmd/store").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binaries
+}
+
+// Hollow members live as proxies do: they know every worker, take every change into use, come
+// back after a restart, and what they cost is counted.
+func TestHollowMembers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("brings up processes")
+	}
+	given := hollowGiven(t, "-members=12", "-workers=24", "-services=4", "-routes=40", "-changes=60", "-restarts=20", "-releases=2", "-length=8s", "-settle=1s",
+		"-lease=2s", "-mode=strict", "-beat=500ms", "-folder="+t.TempDir(), "-binaries="+buildCore(t))
+	report, err := RunHollow(given, t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	report.Print(t.Output())
+	if report.Unapplied > 0 || report.Acknowledge.Count == 0 || report.Rulings["accepted"] == 0 {
+		t.Errorf("changes %v: %d acknowledged, %d not in use everywhere", report.Rulings, report.Acknowledge.Count, report.Unapplied)
+	}
+	if report.Restarts == 0 || report.Back.Count == 0 {
+		t.Errorf("%d restarts, %d back", report.Restarts, report.Back.Count)
+	}
+	if least := 4 + 40 + 2*2; report.Items < least {
+		t.Errorf("%d items of %d", report.Items, least)
+	}
+	if rows := len(report.Roles); rows != 3 {
+		t.Fatalf("%d roles", rows)
+	}
+	for _, row := range report.Roles {
+		if row.In == 0 || row.Out == 0 || row.Calls == 0 || row.Memory == 0 {
+			t.Errorf("not counted: %+v", row)
+		}
+	}
+	if err := report.Draw(t.TempDir(), "svg"); err != nil {
+		t.Error(err)
+	}
+}
