--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -393,6 +393,7 @@
 	defer cancel()
 	var ending schema.Ending
 	var status int32
+	sentAt := c.Now()
 	c.Soundness.Begin(candidate.Instance)
 	if len(c.View().Setup.Guards[ended.Plan.Service]) > 0 {
 		tried := c.Trials.Begin(ended.Plan.Service, ended.Plan.Verdict.Version, c.Now())
@@ -421,7 +422,7 @@
 		c.Soundness.Disown(candidate.Instance)
 	}
 	ending, status = carried.Ending, carried.Status
-	failed := carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500
-	c.Soundness.End(candidate.Instance, c.Now(), failed)
+	endedAt := c.Now()
+	c.Soundness.Ended(candidate.Instance, endedAt, endedAt-sentAt, carried)
 	return carried
 }
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -1,32 +1,52 @@
 package dispatch
 
 import (
+	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/puzpuzpuz/xsync/v4"
 
+	"meadowhinge/internal/defect"
 	"meadowhinge/internal/plan"
+	"meadowhinge/schema"
 )
 
-// worker is what this process has seen of a worker.
+// workerFacts is what this process has seen of a worker.
 type workerFacts struct {
 	inFlight atomic.Int64
 	failures atomic.Int64 // in a row
 	until    atomic.Int64 // ejected until
+	full     atomic.Int64 // without room until
 	disowned atomic.Bool  // its proxy knows it no more, or it is leaving: it never comes back
-	full     atomic.Int64 // it has no room until
-	toldAt   atomic.Int64 // when its load was told last, 0 for never
-	running  atomic.Int64
-	waiting  atomic.Int64
-	slots    atomic.Int64
-	pace     atomic.Int64 // moving mean of what it takes for a call, in nanoseconds; 0 for not known
+
+	lock sync.Mutex
+	// Calls and failures of late; both fade, so that what failed long ago counts for nothing.
+	calls, failed float64
+	fadedAt       time.Duration
+	// Its load as its proxy told it last, less what this process has there.
+	toldAt time.Duration
+	told   bool
+	slots  int
+	others float64       // at that time
+	usual  float64       // moving mean of others
+	pace   time.Duration // as told, or else as seen from here; 0 for not known
 }
 
+// Ratios of what is known of workers.
+const (
+	fadeParts  = 2.0  // what was seen of failures fades to a third in this part of an ejection
+	fullParts  = 64   // the part of an ejection for which a worker without room is tried last, if not told
+	usualParts = 16.0 // the part of news that goes into the usual load
+	paceParts  = 16   // the part of a time seen from here that goes into the pace
+)
+
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
 type Soundness struct {
 	facts    *xsync.Map[string, *workerFacts]
 	lost     *xsync.Map[string, time.Duration] // proxies that were not reached, and until when that counts
+	losing   atomic.Int64                      // how many these are, about
 	most     int64
 	ejection time.Duration
 }
@@ -37,34 +57,62 @@
 }
 
 func (s *Soundness) of(instance string) *workerFacts {
+	if facts, found := s.facts.Load(instance); found {
+		return facts
+	}
 	facts, _ := s.facts.LoadOrCompute(instance, func() (*workerFacts, bool) { return &workerFacts{}, false })
 	return facts
 }
 
-// InFlight is how many calls this process has at a worker now.
-func (s *Soundness) InFlight(instance string) int {
-	if facts, found := s.facts.Load(instance); found {
-		return int(facts.inFlight.Load())
+// See gives what this process knows of a worker.
+func (s *Soundness) See(worker *plan.Candidate, now time.Duration) plan.Seen {
+	seen := plan.Seen{Slots: worker.Slots, Pace: worker.Pace}
+	unreached := s.losing.Load() > 0 && s.proxyLost(worker.Proxy, now)
+	facts, found := s.facts.Load(worker.Instance)
+	if !found {
+		seen.Others = float64(worker.Running + worker.Waiting)
+		seen.Unreached, seen.Ejected = unreached, unreached
+		return seen
+	}
+	seen.InFlight = int(facts.inFlight.Load())
+	seen.Full = int64(now) < facts.full.Load()
+	seen.Unreached = unreached || facts.disowned.Load()
+	seen.Ejected = seen.Unreached || int64(now) < facts.until.Load()
+	facts.lock.Lock()
+	defer facts.lock.Unlock()
+	faded := s.faded(facts, now)
+	seen.Calls, seen.Failures = facts.calls*faded, facts.failed*faded
+	if facts.pace > 0 {
+		seen.Pace = facts.pace
 	}
-	return 0
+	// Of what the directory and the last answer told, the later counts; and the older it is, the
+	// more it gives way to what is usual, for the calls it counted are over by then.
+	last, at, usual := float64(worker.Running+worker.Waiting-seen.InFlight), worker.Told, facts.usual
+	if facts.told && facts.toldAt >= at {
+		last, at, seen.Slots = facts.others, facts.toldAt, facts.slots
+	}
+	last = max(0, last)
+	if !facts.told {
+		usual = last
+	}
+	age := float64(now-at) / float64(max(seen.Pace, time.Millisecond))
+	seen.Others = usual + (last-usual)/(1+max(0, age))
+	return seen
 }
 
-// Ejected tells whether a worker failed too often of late, or its proxy was not reached.
-func (s *Soundness) Ejected(worker plan.Candidate, now time.Duration) bool {
-	if s.Unreached(worker, now) {
-		return true
+// faded is the part that is left of what was seen when failures were noted last.
+func (s *Soundness) faded(facts *workerFacts, now time.Duration) float64 {
+	age := now - facts.fadedAt
+	if age <= 0 || facts.calls == 0 {
+		return 1
 	}
-	facts, found := s.facts.Load(worker.Instance)
-	return found && int64(now) < facts.until.Load()
+	return math.Exp(-fadeParts * float64(age) / float64(s.ejection))
 }
 
-// Unreached tells whether a worker's proxy gave no answer of late, or disowned the worker.
-func (s *Soundness) Unreached(worker plan.Candidate, now time.Duration) bool {
-	if until, lost := s.lost.Load(worker.Proxy); lost && now < until {
-		return true
-	}
-	facts, found := s.facts.Load(worker.Instance)
-	return found && facts.disowned.Load()
+// proxyLost tells whether a proxy gave no answer of late.
+func (s *Soundness) proxyLost(proxy string, now time.Duration) bool {
+	until, lost := s.lost.Load(proxy)
+	return lost && now < until
 }
 
 // Disown notes that a worker's own proxy refused for it. An instance is never used again, so
@@ -73,10 +121,21 @@
 
 // Lost notes that a proxy gave no answer. One miss is enough: unlike a worker's error
 // it says the same of every worker behind it, and each further try would hang as long.
-func (s *Soundness) Lost(proxy string, now time.Duration) { s.lost.Store(proxy, now+s.ejection) }
+func (s *Soundness) Lost(proxy string, now time.Duration) {
+	if _, known := s.lost.LoadAndStore(proxy, now+s.ejection); !known {
+		s.losing.Add(1)
+	}
+}
 
 // Reached notes that a proxy answered.
-func (s *Soundness) Reached(proxy string) { s.lost.Delete(proxy) }
+func (s *Soundness) Reached(proxy string) {
+	if s.losing.Load() == 0 {
+		return
+	}
+	if _, known := s.lost.LoadAndDelete(proxy); known {
+		s.losing.Add(-1)
+	}
+}
 
 // Begin notes a call sent to a worker.
 func (s *Soundness) Begin(instance string) { s.of(instance).inFlight.Add(1) }
@@ -85,8 +144,17 @@
 func (s *Soundness) End(instance string, now time.Duration, failed bool) {
 	facts := s.of(instance)
 	facts.inFlight.Add(-1)
+	facts.lock.Lock()
+	faded := s.faded(facts, now)
+	facts.calls, facts.failed, facts.fadedAt = facts.calls*faded+1, facts.failed*faded, now
+	if failed {
+		facts.failed++
+	}
+	facts.lock.Unlock()
 	if !failed {
-		facts.failures.Store(0)
+		if facts.failures.Load() != 0 {
+			facts.failures.Store(0)
+		}
 		return
 	}
 	if facts.failures.Add(1) >= s.most {
@@ -95,40 +163,54 @@
 	}
 }
 
-// paceParts is the part of a new time that goes into a worker's moving mean.
-const paceParts = 16
-
-// Served notes how long a worker took for a call that it answered.
-func (s *Soundness) Served(instance string, took time.Duration) {
-	facts := s.of(instance)
-	if before := facts.pace.Load(); before > 0 {
-		facts.pace.Store(before + (int64(took)-before)/paceParts)
+// Ended takes what came back of a call sent to a worker, took being how long that was: how it
+// ended, the load that the worker's proxy told with it, and whether there was room.
+func (s *Soundness) Ended(instance string, now, took time.Duration, carried *schema.Carried) {
+	if facts := s.of(instance); turnedAway(carried) {
+		// It says nothing of how sound the worker is, only that it is tried last until there is room.
+		facts.inFlight.Add(-1)
+		back := time.Duration(carried.BackNanos)
+		if back <= 0 {
+			back = s.ejection / fullParts
+		}
+		facts.full.Store(int64(now + min(back, s.ejection)))
 	} else {
-		facts.pace.Store(int64(took))
+		s.End(instance, now, carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500)
 	}
+	s.of(instance).heard(now, took, carried)
 }
 
-// Told notes a worker's load, as the proxy beside it told it with an answer or a refusal.
-func (s *Soundness) Told(instance string, now time.Duration, running, waiting, slots int) {
-	facts := s.of(instance)
-	facts.running.Store(int64(running))
-	facts.waiting.Store(int64(waiting))
-	facts.slots.Store(int64(slots))
-	facts.toldAt.Store(int64(max(now, 1)))
+// turnedAway tells whether a call was refused for want of room or time, by who knows the worker best.
+func turnedAway(carried *schema.Carried) bool {
+	kind := defect.Kind(carried.Defect)
+	return carried.Ending == schema.Ending_ENDING_NOT_RUN && (kind == defect.BufferFull || kind == defect.HorizonPast)
 }
 
-// Full notes that a worker has no room: it is tried last until back has passed, the time in
-// which its proxy expects room, 0 for not known.
-func (s *Soundness) Full(instance string, now, back time.Duration) {
-	if back <= 0 {
-		back = s.ejection / fullParts
+// heard takes the load that was told with an answer or a refusal.
+func (f *workerFacts) heard(now, took time.Duration, carried *schema.Carried) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	switch {
+	case carried.PaceNanos > 0:
+		f.pace = time.Duration(carried.PaceNanos)
+	case carried.Ending != schema.Ending_ENDING_ANSWERED:
+	case f.pace == 0:
+		f.pace = took
+	default:
+		f.pace += (took - f.pace) / paceParts
 	}
-	s.of(instance).full.Store(int64(now + min(back, s.ejection)))
+	if carried.Slots == 0 {
+		return
+	}
+	f.slots = int(carried.Slots)
+	f.others = max(0, float64(int64(carried.Running)+int64(carried.Waiting)-f.inFlight.Load()))
+	if !f.told {
+		f.usual = f.others
+	}
+	f.usual += (f.others - f.usual) / usualParts
+	f.toldAt, f.told = now, true
 }
 
-// fullParts is the part of an ejection for which a worker without room is tried last.
-const fullParts = 64
-
 // Keep forgets workers that are no longer listed, so that memory does not grow with replacements.
 func (s *Soundness) Keep(listed map[string]bool) {
 	s.facts.Range(func(instance string, facts *workerFacts) bool {
--- /dev/null
+++ b/internal/plan/place.go
@@ -0,0 +1,280 @@
+package plan
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+)
+
+// Candidate is a worker that may get a call.
+type Candidate struct {
+	Instance string
+	Proxy    string
+	Address  string // of the worker's proxy
+	Area     string
+	Load     float64
+	Since    time.Duration // when it was first known, on this process's clock
+	Slots    int           // requests that it works on at once, 0 for not told
+	Running  int           // requests that it worked on when it was last told of
+	Waiting  int           // and that waited, at it or at its proxy
+	Pace     time.Duration // moving mean of what it takes for a request, 0 for not told
+	Told     time.Duration // when that was told, on this process's clock
+	Warm     time.Duration // until when it is slow after its start, on this process's clock
+}
+
+// Directory lists workers by service and version.
+type Directory map[string]map[string][]Candidate
+
+// Seen is what a process knows of a worker beyond the directory.
+type Seen struct {
+	InFlight  int           // calls that it has there now
+	Others    float64       // calls of others there, by its best guess
+	Slots     int           // requests that the worker works on at once, 0 for not known
+	Pace      time.Duration // what the worker takes for a request once it has it, 0 for not known
+	Calls     float64       // of late, through this process
+	Failures  float64       // of these
+	Full      bool          // it was refused for want of room a moment ago
+	Ejected   bool          // it failed too often in a row, or its proxy could not be reached
+	Unreached bool          // its proxy gave no answer of late
+}
+
+// Facts are what a process knows of workers beyond the directory.
+type Facts interface {
+	See(worker *Candidate, now time.Duration) Seen
+	// Held tells whether a version other than the fallback must not be used now.
+	Held(service, version string, now time.Duration) bool
+}
+
+// Ratios of placing.
+const (
+	ejectedMost = 2   // at most 1/ejectedMost of a pool may be ejected
+	warmFloor   = 0.1 // share a worker starts with, where it does not tell how long it is slow
+	warmTimes   = 2.0 // how much longer a worker takes that is slow after its start
+	crowding    = 0.3 // how much longer it takes with its last slot than with its first
+
+	// Another zone is as good as the own one but for the bytes between. It is used in so far as the
+	// wait in the own one eats up what the aim leaves beside the work: from the first part on more
+	// and more, from the second always. In between, zones settle where one is as short as they are.
+	spillFrom  = 0.15
+	spillUpTo  = 0.75
+	spillGain  = 0.8 // and only to where a call takes less than this part of the time
+	spillBlind = 3.0 // where slots are not known: only from this many times the load
+
+	// A worker is passed by in so far as it fails more than the others do: from the first part of
+	// its calls on more and more, from the second always.
+	failFrom   = 0.15
+	failUpTo   = 0.5
+	failBefore = 4.0 // calls that it is taken to have served well before any was seen
+
+	candidatesMost = 8 // a plan has no more; who is through with them makes another
+	nearLooked     = 6 // of a larger pool only so many are looked at
+	farLooked      = 4
+)
+
+// rated is a worker of a pool that was looked at.
+type rated struct {
+	at   int
+	time float64 // that one more call is expected to take, in nanoseconds, or in calls where nothing is known
+	wait float64 // of that, before the worker begins on it
+	near bool
+	seen Seen
+}
+
+// placing is one choice among a pool.
+type placing struct {
+	pool    []Candidate
+	options *Options
+	facts   Facts
+	now     time.Duration
+	dice    Dice
+	looked  []rated
+	near    []rated
+	far     []rated
+	full    []rated // without room
+	passed  []rated // that fail
+}
+
+// place picks workers for a call, in the order in which to try them: of the own zone first unless
+// that would make the call late, the likely quickest in front; then those without room, then
+// those that fail.
+func place(pool []Candidate, aim time.Duration, options *Options, facts Facts, now time.Duration, dice Dice) []Candidate {
+	if len(pool) == 0 {
+		return nil
+	}
+	var space [5 * (nearLooked + farLooked)]rated
+	const room = nearLooked + farLooked
+	p := placing{pool: pool, options: options, facts: facts, now: now, dice: dice, looked: space[:0:room],
+		near: space[room : room : 2*room], far: space[2*room : 2*room : 3*room], full: space[3*room : 3*room : 4*room], passed: space[4*room : 4*room]}
+	if len(pool) <= room {
+		p.look(0, len(pool), len(pool))
+	} else {
+		p.look(min(int(dice()*float64(len(pool))), len(pool)-1), nearLooked, farLooked)
+		// Where nobody of those is any good, all are looked at.
+		if len(p.near)+len(p.far) == 0 && len(p.looked) < len(pool) {
+			p.look(0, len(pool), len(pool))
+		}
+	}
+	if len(p.near) > 0 && len(p.far) > 0 && p.spills(aim) {
+		p.near, p.far = p.far, p.near
+	}
+	chosen := make([]Candidate, 0, min(len(p.looked), candidatesMost))
+	for _, group := range [...][]rated{p.near, p.far, p.full, p.passed} {
+		for len(group) > 0 && len(chosen) < candidatesMost {
+			best := p.draw(group)
+			chosen = append(chosen, pool[group[best].at])
+			group[best] = group[len(group)-1]
+			group = group[:len(group)-1]
+		}
+	}
+	return chosen
+}
+
+// look rates workers from a place in the pool on, at most so many near and far ones, and sorts
+// them into groups.
+func (p *placing) look(start, nearMost, farMost int) {
+	p.looked, p.near, p.far, p.full, p.passed = p.looked[:0], p.near[:0], p.far[:0], p.full[:0], p.passed[:0]
+	near, far := 0, 0
+	for i := range p.pool {
+		at := start + i
+		if at >= len(p.pool) {
+			at -= len(p.pool)
+		}
+		counted, most := &far, farMost
+		if p.pool[at].Area == p.options.Area {
+			counted, most = &near, nearMost
+		}
+		if *counted < most {
+			*counted++
+			p.looked = append(p.looked, rated{at: at, near: counted == &near, seen: p.facts.See(&p.pool[at], p.now)})
+		}
+		if near == nearMost && far == farMost {
+			break
+		}
+	}
+	p.rate()
+	calls, failures := 0.0, 0.0
+	for i := range p.looked {
+		calls, failures = calls+p.looked[i].seen.Calls, failures+p.looked[i].seen.Failures
+	}
+	for i := range p.looked {
+		one := &p.looked[i]
+		switch seen := &one.seen; {
+		// Beyond the ratio nobody more is passed by: when all fail alike, none is the outlier.
+		case len(p.passed) < len(p.looked)/ejectedMost && (seen.Ejected || p.fails(seen, calls-seen.Calls, failures-seen.Failures)):
+			p.passed = append(p.passed, *one)
+		case seen.Full:
+			p.full = append(p.full, *one)
+		case one.near:
+			p.near = append(p.near, *one)
+		default:
+			p.far = append(p.far, *one)
+		}
+	}
+}
+
+// fails tells whether a worker is passed by this time, for failing more than the others do. As
+// what was seen of it fades, it gets its calls back by and by.
+func (p *placing) fails(seen *Seen, calls, failures float64) bool {
+	if seen.Failures == 0 {
+		return false
+	}
+	part := seen.Failures/(seen.Calls+failBefore) - failures/(calls+failBefore)
+	return part > failFrom && p.dice() < (part-failFrom)/(failUpTo-failFrom)
+}
+
+// rate says of each worker looked at how long one more call would take there.
+func (p *placing) rate() {
+	sum, known := 0.0, 0.0
+	for i := range p.looked {
+		if seen := &p.looked[i].seen; seen.Pace > 0 && seen.Slots > 0 {
+			sum, known = sum+float64(seen.Pace), known+1
+		}
+	}
+	usual := 1.0
+	if known > 0 {
+		usual = sum / known
+	}
+	for i := range p.looked {
+		one, worker := &p.looked[i], &p.pool[p.looked[i].at]
+		calls := float64(one.seen.InFlight) + one.seen.Others + 1
+		if one.seen.Slots == 0 {
+			warm := 1.0
+			if age := p.now - worker.Since; p.options.Warmup > 0 && age < p.options.Warmup {
+				warm = max(warmFloor, float64(age)/float64(p.options.Warmup))
+			}
+			one.time = usual * calls * (1 + worker.Load) / warm
+			continue
+		}
+		pace := float64(one.seen.Pace)
+		if pace == 0 {
+			pace = usual
+			if p.now < worker.Warm {
+				pace *= warmTimes
+			}
+		}
+		busy := calls / float64(one.seen.Slots)
+		one.wait = pace * max(0, busy-1)
+		one.time = pace*(1+crowding*min(1, busy*busy)) + one.wait
+	}
+}
+
+// spills tells whether another zone is tried first this time. The more the wait here would make
+// calls late, the more of them go: by chance, so that proxies don't change over all at once.
+func (p *placing) spills(aim time.Duration) bool {
+	best, blind := &p.near[0], false
+	for i := range p.near {
+		blind = blind || p.near[i].seen.Slots == 0
+		if p.near[i].time < best.time {
+			best = &p.near[i]
+		}
+	}
+	away := &p.far[p.draw(p.far)]
+	if blind {
+		return best.time > spillBlind*away.time
+	}
+	if best.wait == 0 || away.time > spillGain*best.time {
+		return false
+	}
+	work := best.time - best.wait
+	spare := max(float64(aim)-work, work)
+	part := best.wait / spare
+	return part > spillFrom && p.dice() < (part-spillFrom)/(spillUpTo-spillFrom)
+}
+
+// draw picks the better of two of a group, drawn at random.
+func (p *placing) draw(group []rated) int {
+	if len(group) == 1 {
+		return 0
+	}
+	first := min(int(p.dice()*float64(len(group))), len(group)-1)
+	second := min(int(p.dice()*float64(len(group)-1)), len(group)-2)
+	if second >= first {
+		second++
+	}
+	if group[second].time < group[first].time {
+		return second
+	}
+	return first
+}
+
+// rendezvous orders a pool by a key, so that a repeat reaches the worker that had it first. Who
+// is not reached comes last: each key would else pay for the same loss anew from the budget.
+func rendezvous(pool []Candidate, key string, unreached func(*Candidate) bool) []Candidate {
+	ordered := append([]Candidate(nil), pool...)
+	weight := func(one Candidate) uint64 {
+		hash := fnv.New64a()
+		hash.Write([]byte(key + "\x00" + one.Instance))
+		// A final mix, because FNV alone lets the last bytes decide too little.
+		sum := hash.Sum64()
+		sum ^= sum >> 33
+		sum *= 0xff51afd7ed558ccd
+		return sum ^ sum>>33
+	}
+	sort.Slice(ordered, func(i, j int) bool {
+		if a, b := unreached(&ordered[i]), unreached(&ordered[j]); a != b {
+			return b
+		}
+		return weight(ordered[i]) > weight(ordered[j])
+	})
+	return ordered
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -4,8 +4,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -32,23 +30,6 @@
 // CallerKind is the context kind that tells which service calls, and from where.
 const CallerKind = "caller"
 
-// Candidate is a worker that may get a call.
-type Candidate struct {
-	Instance string
-	Proxy    string
-	Address  string // of the worker's proxy
-	Area     string
-	Load     float64
-	Since    time.Duration // when it was first known, on this process's clock
-	Slots    int           // requests that it works on at once, 0 for not told
-	Running  int           // requests that it worked on when it was last told of
-	Waiting  int           // and that waited, at it or at its proxy
-	Warm     time.Duration // until when it is slow after its start, on this process's clock
-}
-
-// Directory lists workers by service and version.
-type Directory map[string]map[string][]Candidate
-
 // View is one immutable picture of the world; a plan is made from one view only.
 type View struct {
 	Setup     *setup.Setup
@@ -91,19 +72,6 @@
 	Candidates []Candidate   // in the order in which to try them
 }
 
-// Facts are what a process knows of workers beyond the directory.
-type Facts interface {
-	// InFlight is how many calls this process has at a worker now.
-	InFlight(instance string) int
-	// Ejected tells whether the worker failed too often to be tried first, or its proxy
-	// could not be reached.
-	Ejected(worker Candidate, now time.Duration) bool
-	// Unreached tells whether the worker's proxy gave no answer of late.
-	Unreached(worker Candidate, now time.Duration) bool
-	// Held tells whether a version other than the fallback must not be used now.
-	Held(service, version string, now time.Duration) bool
-}
-
 // keyMost is the longest idempotency key, in bytes.
 const keyMost = 256
 
@@ -114,13 +82,6 @@
 	Warmup      time.Duration // a new worker's share rises over this time
 }
 
-// Ratios of the planner.
-const (
-	ejectedMost = 2   // at most 1/ejectedMost of a pool may be ejected
-	spillOver   = 3.0 // another zone is used when the own zone is this many times as loaded
-	warmFloor   = 0.1 // share a worker starts with
-)
-
 // Dice gives numbers in [0,1).
 type Dice func() float64
 
@@ -178,9 +139,9 @@
 		return made, defect.New(defect.NoWorker, made.Service+" has no version yet")
 	}
 	if request.Idempotency != "" && made.Class == setup.Once {
-		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one Candidate) bool { return facts.Unreached(one, now) })
+		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one *Candidate) bool { return facts.See(one, now).Unreached })
 	} else {
-		made.Candidates = place(pool, options, facts, now, dice)
+		made.Candidates = place(pool, made.Aim, &options, facts, now, dice)
 	}
 	return made, nil
 }
@@ -258,8 +219,8 @@
 
 // reached tells whether any worker of a pool stands at a proxy that answers.
 func reached(pool []Candidate, facts Facts, now time.Duration) bool {
-	for _, one := range pool {
-		if !facts.Unreached(one, now) {
+	for i := range pool {
+		if !facts.See(&pool[i], now).Unreached {
 			return true
 		}
 	}
@@ -323,73 +284,3 @@
 	}
 	return verdict
 }
-
-// rendezvous orders a pool by a key, so that a repeat reaches the worker that had it first. Who
-// is not reached comes last: each key would else pay for the same loss anew from the budget.
-func rendezvous(pool []Candidate, key string, unreached func(Candidate) bool) []Candidate {
-	ordered := append([]Candidate(nil), pool...)
-	weight := func(one Candidate) uint64 {
-		hash := fnv.New64a()
-		hash.Write([]byte(key + "\x00" + one.Instance))
-		// A final mix, because FNV alone lets the last bytes decide too little.
-		sum := hash.Sum64()
-		sum ^= sum >> 33
-		sum *= 0xff51afd7ed558ccd
-		return sum ^ sum>>33
-	}
-	sort.Slice(ordered, func(i, j int) bool {
-		if a, b := unreached(ordered[i]), unreached(ordered[j]); a != b {
-			return b
-		}
-		return weight(ordered[i]) > weight(ordered[j])
-	})
-	return ordered
-}
-
-// cost says how unwelcome another call would be at a worker.
-func cost(one Candidate, options Options, facts Facts, now time.Duration) float64 {
-	warm := 1.0
-	if age := now - one.Since; options.Warmup > 0 && age < options.Warmup {
-		warm = max(warmFloor, float64(age)/float64(options.Warmup))
-	}
-	return (float64(facts.InFlight(one.Instance)) + 1) * (1 + one.Load) / warm
-}
-
-// place orders a pool: own zone first unless it is overloaded, the better of two drawn at
-// random in front, ejected workers last.
-func place(pool []Candidate, options Options, facts Facts, now time.Duration, dice Dice) []Candidate {
-	var sound, ejected []Candidate
-	for _, one := range pool {
-		// Beyond the ratio nobody more is ejected: when all fail alike, none is the outlier.
-		if facts.Ejected(one, now) && len(ejected) < len(pool)/ejectedMost {
-			ejected = append(ejected, one)
-		} else {
-			sound = append(sound, one)
-		}
-	}
-	var near, far []Candidate
-	for _, one := range sound {
-		if one.Area == options.Area {
-			near = append(near, one)
-		} else {
-			far = append(far, one)
-		}
-	}
-	drawTwo(near, options, facts, now, dice)
-	drawTwo(far, options, facts, now, dice)
-	if len(near) > 0 && len(far) > 0 && cost(near[0], options, facts, now) > spillOver*cost(far[0], options, facts, now) {
-		near, far = far, near
-	}
-	return append(append(near, far...), ejected...)
-}
-
-// drawTwo shuffles and puts the cheaper of the first two in front.
-func drawTwo(group []Candidate, options Options, facts Facts, now time.Duration, dice Dice) {
-	for i := len(group) - 1; i > 0; i-- {
-		j := int(dice() * float64(i+1))
-		group[i], group[j] = group[j], group[i]
-	}
-	if len(group) > 1 && cost(group[1], options, facts, now) < cost(group[0], options, facts, now) {
-		group[0], group[1] = group[1], group[0]
-	}
-}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -20,10 +20,11 @@
 	lost     map[string]bool
 }
 
-func (f facts) InFlight(instance string) int                  { return f.inFlight[instance] }
-func (f facts) Ejected(one Candidate, _ time.Duration) bool   { return f.ejected[one.Instance] }
-func (f facts) Unreached(one Candidate, _ time.Duration) bool { return f.lost[one.Instance] }
-func (f facts) Held(string, string, time.Duration) bool       { return f.held }
+func (f facts) See(one *Candidate, _ time.Duration) Seen {
+	lost := f.lost[one.Instance]
+	return Seen{InFlight: f.inFlight[one.Instance], Ejected: lost || f.ejected[one.Instance], Unreached: lost, Slots: one.Slots, Pace: one.Pace, Others: float64(one.Running + one.Waiting)}
+}
+func (f facts) Held(string, string, time.Duration) bool { return f.held }
 
 func viewOf(t *testing.T, directory Directory, more string) *View {
 	t.Helper()
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -114,7 +114,8 @@
 		list = append(list, held.source)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	after.view = &plan.View{Setup: after.setup, Directory: registry.DirectoryOf(list, func(instance string) time.Duration { return after.since[instance] })}
+	after.view = &plan.View{Setup: after.setup, Directory: registry.DirectoryOf(list,
+		func(instance string) time.Duration { return after.since[instance] }, func(source string) time.Duration { return after.sources[source].at })}
 	return after
 }
 
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -469,11 +469,9 @@
 // noFacts is for plans that are explained, not carried out.
 type noFacts struct{}
 
-func (noFacts) InFlight(string) int                        { return 0 }
-func (noFacts) Ejected(plan.Candidate, time.Duration) bool { return false }
-
-func (noFacts) Unreached(plan.Candidate, time.Duration) bool { return false }
-
+func (noFacts) See(worker *plan.Candidate, _ time.Duration) plan.Seen {
+	return plan.Seen{Slots: worker.Slots, Pace: worker.Pace, Others: float64(worker.Running + worker.Waiting)}
+}
 func (noFacts) Held(string, string, time.Duration) bool { return false }
 
 func (s *Server) pageExplain(call *fasthttp.RequestCtx) {
@@ -484,7 +482,7 @@
 	}
 	compiled := s.compiled()
 	s.lock.Lock()
-	view := &plan.View{Setup: compiled, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil)}
+	view := &plan.View{Setup: compiled, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil, nil)}
 	s.lock.Unlock()
 	headers := map[string]string{}
 	for name, value := range question.Headers {
@@ -510,8 +508,9 @@
 	daemon.Answer(call, fasthttp.StatusOK, explained)
 }
 
-// DirectoryOf folds sources into a directory; since tells when each worker was first known.
-func DirectoryOf(sources []*schema.Source, since func(instance string) time.Duration) plan.Directory {
+// DirectoryOf folds sources into a directory; since tells when each worker was first known, and
+// told when a source was heard.
+func DirectoryOf(sources []*schema.Source, since, told func(name string) time.Duration) plan.Directory {
 	directory := plan.Directory{}
 	for _, source := range sources {
 		for _, worker := range source.Workers {
@@ -523,10 +522,15 @@
 				byVersion = map[string][]plan.Candidate{}
 				directory[worker.Service] = byVersion
 			}
-			candidate := plan.Candidate{Instance: worker.Instance, Proxy: source.Name, Address: source.Address, Area: worker.Area, Load: worker.Load}
+			candidate := plan.Candidate{Instance: worker.Instance, Proxy: source.Name, Address: source.Address, Area: worker.Area, Load: worker.Load,
+				Slots: int(worker.Slots), Running: int(worker.Running), Waiting: int(worker.Waiting), Pace: time.Duration(worker.PaceNanos)}
 			if since != nil {
 				candidate.Since = since(worker.Instance)
 			}
+			if told != nil {
+				candidate.Told = told(source.Name)
+				candidate.Warm = candidate.Told + time.Duration(worker.WarmNanos)
+			}
 			byVersion[worker.Version] = append(byVersion[worker.Version], candidate)
 		}
 	}
