Let a store tell how long ago it last knew its setup to be the newest

What was promised is synced at a majority, so a seat knows that it lacks nothing promised before the moment since which each of a majority has told how far it is, once all of that is stable here. It costs no message: seats tell how far they are with each ping.

--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -448,18 +448,27 @@
 		moved := s.moved
 		s.lock.Unlock()
 		if stable > ask.After {
-			return Difference(state, stable, ask.After), nil
+			return s.vouched(Difference(state, stable, ask.After)), nil
 		}
 		select {
 		case <-moved:
 		case <-horizon.C:
-			return &schema.StableBack{Stable: stable}, nil
+			return s.vouched(&schema.StableBack{Stable: stable}), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// vouched adds how fresh the stable state is.
+func (s *Server) vouched(back *schema.StableBack) *schema.StableBack {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	age, known := s.seat.Fresh(time.Since(s.started))
+	back.AgeNanos, back.Vouched = int64(age), known
+	return back
+}
+
 // Difference lists the items of a state newer than a sequence, or all when it is 0.
 func Difference(state setup.State, stable, after uint64) *schema.StableBack {
 	back := &schema.StableBack{Stable: stable}
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -141,6 +141,7 @@
 	waiters   map[string][]waiter // by change id, at the holder
 	barriers  []barrier
 	sentOn    map[string]sentOn
+	fresh     freshness
 	failed    bool // the disk refused a write: this seat must never act again
 
 	actions []Action
@@ -686,6 +687,9 @@
 
 func (s *Seat) onPing(from string, known *peer, ping *schema.Ping) {
 	known.ping = ping
+	if !ping.Unfit {
+		s.fresh.told(from, s.now, ping.Sequence, s.stable)
+	}
 	s.highest = max(s.highest, ping.Promised)
 	if ping.StableEpoch == s.epoch {
 		s.advance(ping.Stable)
