--- a/cmd/rehearsal/hollow.go
+++ b/cmd/rehearsal/hollow.go
@@ -64,3 +64,25 @@
 	fmt.Println("report in", file)
 	return 0
 }
+
+// slopes runs a series of hollow fleets and fits what each driver costs.
+func slopes(args []string) int {
+	const program = "rehearsal slopes"
+	given := &schema.SlopesOptions{}
+	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckSlopes(given) }, &given.Folder, &given.Binaries); done {
+		return code
+	}
+	report, err := rehearsal.RunSlopes(given, os.Stderr)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v (runs in %s)\n", program, err, given.Folder)
+		return 1
+	}
+	report.Print(os.Stdout)
+	file := filepath.Join(given.Folder, "slopes.json")
+	if err := errors.Join(report.Write(file), report.Draw(given.Folder, given.Plots)); err != nil {
+		fmt.Fprintln(os.Stderr, program+":", err)
+		return 1
+	}
+	fmt.Println("slopes in", file)
+	return 0
+}
