Place calls by the time they are expected to take; cross zones only as far as the wait asks

Cause: a worker's cost was calls in flight from here times its load, so proxies that each see a part of the load filled slow workers, and a zone changed over to another all at once at three times its load. Now a call's time is told from the worker's pace, its slots and what is there: by the last answer, less what this proxy has there, giving way to what is usual as it ages. Another zone is tried by chance, in so far as the own wait eats up what the aim leaves. Failing is held against the others' failing, and fades, so calls come back by and by. Ruled out: the least of all in place of the better of two (no better, and it herds), more weight on nearly full workers (later), and spilling from longer waits on (later, and as many across).

--- /dev/null
+++ b/internal/dispatch/placement_test.go
@@ -0,0 +1,419 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/plan"
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// A service under load, on a virtual clock: proxies in three zones place its calls, each by what
+// it has seen itself and by a directory that is old. Workers differ in speed.
+
+type queuedCall struct {
+	from    int // proxy
+	began   time.Duration
+	work    time.Duration
+	sent    time.Duration
+	to      int
+	tried   int
+	crossed int
+	handed  time.Duration
+	order   []int
+}
+
+type simWorker struct {
+	zone    int
+	speed   float64
+	slots   int
+	running int
+	queue   []*queuedCall
+	pace    time.Duration
+	coldTo  time.Duration
+}
+
+type simEvent struct {
+	at  time.Duration
+	run func()
+	seq int
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any     { old := *e; last := old[len(old)-1]; *e = old[:len(old)-1]; return last }
+
+type simOptions struct {
+	zones  []int     // workers of each zone
+	shares []float64 // of the traffic of each zone
+	speeds []float64
+	use    float64 // of what all workers can do
+	place  func(w *simWorld, from int) []int
+	length time.Duration
+	seed   uint64
+	cold   int     // so many workers start anew in the middle
+	swing  float64 // of the traffic, as a part of it
+	silent bool    // workers tell no load with their answers
+}
+
+type simWorld struct {
+	simOptions
+	now     time.Duration
+	events  simEvents
+	seq     int
+	dice    *rand.Rand
+	workers []*simWorker
+	facts   []*Soundness
+	views   []*plan.View
+	view    *plan.View
+	aim     time.Duration
+
+	calls, late, crossed, refused, lost int
+	zoneCrossed                         [3][]int // by second
+	byWorker                            []int
+}
+
+const (
+	simProxies = 15
+	simSlots   = 18
+	simWork    = 160 * time.Millisecond
+	simAim     = 500 * time.Millisecond
+	simWarmup  = 5 * time.Second
+)
+
+func (w *simWorld) after(span time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.events, simEvent{w.now + span, run, w.seq})
+}
+
+func zoneOf(proxy int) int { return proxy % 3 }
+
+func simulate(options simOptions) *simWorld {
+	w := &simWorld{simOptions: options, dice: rand.New(rand.NewPCG(options.seed, 1)), aim: simAim}
+	for zone, count := range options.zones {
+		for range count {
+			w.workers = append(w.workers, &simWorker{zone: zone, slots: simSlots, speed: options.speeds[len(w.workers)%len(options.speeds)]})
+		}
+	}
+	w.byWorker = make([]int, len(w.workers))
+	capacity := 0.0
+	for _, one := range w.workers {
+		capacity += float64(one.slots) * one.speed / simWork.Seconds()
+	}
+	compiled, _ := setup.Compile(setup.State{}.With([]*schema.Item{
+		{Kind: "service", Name: "s", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"versions":["1"],"fallback":"1"}`)},
+		{Kind: "route", Name: "r", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"service":"s","prefix":"/","aim":"500ms","horizon":"1200ms"}`)}}), 1)
+	for range simProxies {
+		w.facts = append(w.facts, NewSoundness(5, 5*time.Second))
+		w.views = append(w.views, &plan.View{Setup: compiled, Directory: plan.Directory{"s": {"1": make([]plan.Candidate, len(w.workers))}}})
+	}
+	var beat func(i int)
+	beat = func(i int) {
+		one := w.workers[i]
+		told := plan.Candidate{Instance: fmt.Sprint("w", i), Proxy: fmt.Sprint("p", i), Area: fmt.Sprint("z", one.zone), Slots: one.slots, Running: one.running,
+			Waiting: len(one.queue), Pace: one.pace, Told: w.now, Warm: one.coldTo}
+		w.after(100*time.Millisecond, func() {
+			for _, view := range w.views {
+				view.Directory["s"]["1"][i] = told
+			}
+		})
+		w.after(1500*time.Millisecond, func() { beat(i) })
+	}
+	for i := range w.workers {
+		w.now = 0
+		told := plan.Candidate{Instance: fmt.Sprint("w", i), Proxy: fmt.Sprint("p", i), Area: fmt.Sprint("z", w.workers[i].zone), Slots: simSlots}
+		for _, view := range w.views {
+			view.Directory["s"]["1"][i] = told
+		}
+		w.after(time.Duration(w.dice.Int64N(int64(1500*time.Millisecond))), func() { beat(i) })
+	}
+	for zone := range 3 {
+		rate := options.use * capacity * options.shares[zone]
+		var arrive func()
+		arrive = func() {
+			// Traffic swings, each zone by itself.
+			swung := rate * (1 + options.swing*math.Sin(2*math.Pi*(w.now.Seconds()/11+float64(zone)/3)))
+			w.after(time.Duration(w.dice.ExpFloat64()/swung*1e9), arrive)
+			w.take(zone + 3*w.dice.IntN(simProxies/3))
+		}
+		w.after(0, arrive)
+	}
+	if options.cold > 0 {
+		w.after(options.length/2, func() {
+			for i := range options.cold {
+				w.workers[i].coldTo = w.now + 3*time.Second
+			}
+		})
+	}
+	for len(w.events) > 0 && w.now < options.length {
+		next := heap.Pop(&w.events).(simEvent)
+		w.now = next.at
+		next.run()
+	}
+	return w
+}
+
+// take begins a call at a proxy.
+func (w *simWorld) take(from int) {
+	const spread = 0.8
+	work := math.Exp(w.dice.NormFloat64()*spread-spread*spread/2) * float64(simWork)
+	call := &queuedCall{from: from, began: w.now, work: time.Duration(min(work, 6*float64(simWork)))}
+	w.send(call)
+}
+
+// send tries the next worker.
+func (w *simWorld) send(call *queuedCall) {
+	if call.tried >= 4 || w.now-call.began > w.aim {
+		w.end(call, false)
+		return
+	}
+	if call.order == nil {
+		call.order = w.place(w, call.from)
+	}
+	if call.tried >= len(call.order) {
+		w.end(call, false)
+		return
+	}
+	call.to = call.order[call.tried]
+	call.tried++
+	call.sent = w.now
+	w.facts[call.from].Begin(fmt.Sprint("w", call.to))
+	hop := 300 * time.Microsecond
+	if w.workers[call.to].zone != zoneOf(call.from) {
+		hop += 700 * time.Microsecond
+	}
+	w.after(hop, func() { w.arrive(call, hop) })
+}
+
+// arrive queues a call at a worker, or refuses it where its answer would be late.
+func (w *simWorld) arrive(call *queuedCall, hop time.Duration) {
+	one := w.workers[call.to]
+	if wait := float64(len(one.queue)+1) * float64(one.pace) / float64(one.slots); one.running >= one.slots && wait > float64(w.aim) {
+		w.refused++
+		carried := &schema.Carried{Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.BufferFull), BackNanos: int64(50 * time.Millisecond)}
+		w.tell(one, carried)
+		w.after(hop, func() {
+			w.facts[call.from].Ended(fmt.Sprint("w", call.to), w.now, w.now-call.sent, carried)
+			w.send(call)
+		})
+		return
+	}
+	one.queue = append(one.queue, call)
+	w.begin(one, hop)
+}
+
+func (w *simWorld) tell(one *simWorker, carried *schema.Carried) {
+	if w.silent {
+		return
+	}
+	carried.Running, carried.Waiting, carried.Slots, carried.PaceNanos = uint32(one.running), uint32(len(one.queue)), uint32(one.slots), int64(one.pace)
+}
+
+// begin lets a worker work on what waits.
+func (w *simWorld) begin(one *simWorker, hop time.Duration) {
+	for one.running < one.slots && len(one.queue) > 0 {
+		call := one.queue[0]
+		one.queue = one.queue[1:]
+		one.running++
+		took := time.Duration(float64(call.work) / one.speed)
+		if w.now < one.coldTo {
+			took *= 2
+		}
+		w.after(took, func() {
+			one.running--
+			if one.pace == 0 {
+				one.pace = took
+			}
+			one.pace += (took - one.pace) / 32
+			w.begin(one, hop)
+			carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200}
+			w.tell(one, carried)
+			w.after(hop, func() {
+				w.facts[call.from].Ended(fmt.Sprint("w", call.to), w.now, w.now-call.sent, carried)
+				w.end(call, true)
+			})
+		})
+	}
+}
+
+func (w *simWorld) end(call *queuedCall, served bool) {
+	if w.now < simWarmup {
+		return
+	}
+	zone, crossed := zoneOf(call.from), 0
+	if w.workers[call.to].zone != zone {
+		crossed = 1
+	}
+	second := int(w.now / time.Second)
+	for len(w.zoneCrossed[zone]) <= second {
+		w.zoneCrossed[zone] = append(w.zoneCrossed[zone], 0)
+	}
+	w.zoneCrossed[zone][second] += crossed
+	w.calls++
+	w.crossed += crossed
+	w.byWorker[call.to]++
+	if !served {
+		w.lost++
+	}
+	if !served || w.now-call.began > w.aim {
+		w.late++
+	}
+}
+
+func (w *simWorld) shareLate() float64    { return float64(w.late) / float64(w.calls) }
+func (w *simWorld) shareCrossed() float64 { return float64(w.crossed) / float64(w.calls) }
+
+// cost is what a call loses by being late, and by its bytes between zones.
+func (w *simWorld) cost() float64 { return 0.7*w.shareLate() + 0.2*w.shareCrossed() }
+
+// The ways of placing that are compared.
+var simPlacers = map[string]func(w *simWorld, from int) []int{
+	"planned": func(w *simWorld, from int) []int {
+		options := plan.Options{Area: fmt.Sprint("z", zoneOf(from)), HorizonMost: time.Minute}
+		made, err := plan.Make(w.views[from], &plan.Request{Caller: "c", Method: "GET", Path: "/", Header: func(string) (string, bool) { return "", false }, Identity: "i"}, options,
+			Facts{w.facts[from], nil}, w.now, w.dice.Float64)
+		if err != nil {
+			panic(err)
+		}
+		var order []int
+		for _, one := range made.Candidates {
+			at := 0
+			fmt.Sscanf(one.Instance, "w%d", &at)
+			order = append(order, at)
+		}
+		return order
+	},
+	"random": func(w *simWorld, _ int) []int { return w.dice.Perm(len(w.workers)) },
+	"own zone": func(w *simWorld, from int) []int {
+		return slices.DeleteFunc(w.dice.Perm(len(w.workers)), func(at int) bool { return w.workers[at].zone != zoneOf(from) })
+	},
+	"least in flight": func(w *simWorld, from int) []int {
+		order := w.dice.Perm(len(w.workers))
+		slices.SortStableFunc(order, func(a, b int) int {
+			seen := func(at int) int {
+				return w.facts[from].See(&plan.Candidate{Instance: fmt.Sprint("w", at)}, w.now).InFlight
+			}
+			return seen(a) - seen(b)
+		})
+		return order
+	},
+}
+
+// Placing beats the simple ways by what calls lose together, late or between zones; and it is
+// late less often than whoever looks at nothing or stays in the own zone.
+func TestPlacement(t *testing.T) {
+	layouts := []simOptions{
+		{zones: []int{2, 2, 1}, speeds: []float64{1.4, 1.0, 1.4, 1.0, 0.6}},
+		{zones: []int{1, 1, 1}, speeds: []float64{0.7, 0.7, 1.6}},
+		{zones: []int{4, 4, 4}, speeds: []float64{0.6, 1.0, 1.0, 1.5}},
+		{zones: []int{2, 2, 1}, speeds: []float64{0.6, 1.0, 1.4}, silent: true},
+		{zones: []int{2, 2, 1}, speeds: []float64{0.6, 1.0, 1.4}, cold: 2},
+	}
+	for _, layout := range layouts {
+		for _, use := range []float64{0.5, 0.7, 0.95} {
+			played := map[string]*simWorld{}
+			text := fmt.Sprintf("%v %v used %.2f, silent %v, cold %d:", layout.zones, layout.speeds, use, layout.silent, layout.cold)
+			for _, name := range []string{"planned", "random", "own zone", "least in flight"} {
+				options := layout
+				options.use, options.place, options.length, options.shares, options.swing = use, simPlacers[name], 20*time.Second, []float64{.31, .36, .33}, 0.15
+				played[name] = simulate(options)
+				text += fmt.Sprintf("  %s %.3f late %.3f across", name, played[name].shareLate(), played[name].shareCrossed())
+			}
+			t.Log(text)
+			planned := played["planned"]
+			for name, other := range played {
+				if name != "planned" && planned.cost() >= other.cost() {
+					t.Errorf("%s loses less: %s", name, text)
+				}
+			}
+			if planned.shareLate() > played["own zone"].shareLate() || planned.shareLate() > 1.2*played["random"].shareLate() {
+				t.Errorf("late more often: %s", text)
+			}
+			if planned.shareCrossed() > 0.5*played["least in flight"].shareCrossed() {
+				t.Errorf("crosses too much: %s", text)
+			}
+		}
+	}
+}
+
+// Where zones hold their own, next to nothing crosses; where one cannot, what it lacks crosses
+// evenly over time, not by turns.
+func TestSpillIsSmooth(t *testing.T) {
+	even := simulate(simOptions{zones: []int{4, 4, 4}, speeds: []float64{1}, shares: []float64{1. / 3, 1. / 3, 1. / 3}, use: 0.6, place: simPlacers["planned"], length: 20 * time.Second})
+	if even.shareCrossed() > 0.01 {
+		t.Errorf("%.3f cross though every zone holds its own", even.shareCrossed())
+	}
+	short := simulate(simOptions{zones: []int{2, 2, 1}, speeds: []float64{1}, shares: []float64{.31, .36, .33}, use: 0.8, place: simPlacers["planned"], length: 30 * time.Second})
+	seconds := short.zoneCrossed[2][6:29]
+	sum, squares := 0.0, 0.0
+	for _, count := range seconds {
+		sum, squares = sum+float64(count), squares+float64(count*count)
+	}
+	mean := sum / float64(len(seconds))
+	spread := math.Sqrt(squares/float64(len(seconds))-mean*mean) / mean
+	t.Logf("a second %.1f cross from the short zone, spread %.2f; late %.3f", mean, spread, short.shareLate())
+	if mean < 20 || spread > 0.5 || slices.Min(seconds) == 0 {
+		t.Errorf("crossings by second: %v", seconds)
+	}
+	if others := short.crossed; others > 2*int(sum) {
+		t.Errorf("%d crossed in all, %v from the zone that is short", others, sum)
+	}
+}
+
+// A worker that fails is passed by, by the others' measure, and gets its calls back by and by.
+func TestFailingWorkersArePassedBy(t *testing.T) {
+	compiled, _ := setup.Compile(setup.State{}.With([]*schema.Item{
+		{Kind: "service", Name: "s", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"versions":["1"],"fallback":"1"}`)},
+		{Kind: "route", Name: "r", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"service":"s","prefix":"/"}`)}}), 1)
+	dice := rand.New(rand.NewPCG(1, 2))
+	for name, one := range map[string]struct {
+		failing          [3]float64 // part of each worker's calls
+		fromPart, toPart float64    // of calls that worker 0 may get while it fails
+	}{
+		"none":               {[3]float64{}, 0.25, 0.42},
+		"a few":              {[3]float64{0.02, 0, 0}, 0.25, 0.42},
+		"half of one's":      {[3]float64{0.5, 0, 0}, 0, 0.2},
+		"all of one's":       {[3]float64{1, 0, 0}, 0, 0.1},
+		"all alike":          {[3]float64{0.3, 0.3, 0.3}, 0.25, 0.42},
+		"two of three, half": {[3]float64{0.5, 0.5, 0}, 0, 0.4},
+	} {
+		facts := NewSoundness(5, 5*time.Second)
+		view := &plan.View{Setup: compiled, Directory: plan.Directory{"s": {"1": {{Instance: "w0", Proxy: "p0"}, {Instance: "w1", Proxy: "p1"}, {Instance: "w2", Proxy: "p2"}}}}}
+		now := time.Duration(0)
+		play := func(calls int, failing [3]float64) (got [3]float64) {
+			for range calls {
+				now += 10 * time.Millisecond
+				made, err := plan.Make(view, &plan.Request{Method: "GET", Path: "/", Header: func(string) (string, bool) { return "", false }}, plan.Options{HorizonMost: time.Minute}, Facts{facts, nil}, now, dice.Float64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				at := int(made.Candidates[0].Instance[1] - '0')
+				got[at] += 1 / float64(calls)
+				facts.Begin(made.Candidates[0].Instance)
+				facts.End(made.Candidates[0].Instance, now, dice.Float64() < failing[at])
+			}
+			return got
+		}
+		play(200, one.failing)
+		if got := play(1000, one.failing); got[0] < one.fromPart || got[0] > one.toPart {
+			t.Errorf("%s: the parts are %.2f", name, got)
+		}
+		play(1500, [3]float64{})
+		if got := play(500, [3]float64{}); got[0] < 0.25 {
+			t.Errorf("%s: sound again, the parts are %.2f", name, got)
+		}
+	}
+}
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -22,7 +22,8 @@
 	disowned atomic.Bool  // its proxy knows it no more, or it is leaving: it never comes back
 
 	lock sync.Mutex
-	// Calls and failures of late; both fade, so that what failed long ago counts for nothing.
+	// Calls and failures of late. Both fade, to a third in the time of an ejection: so who was
+	// ejected gets calls back by and by, not all at once.
 	calls, failed float64
 	fadedAt       time.Duration
 	// Its load as its proxy told it last, less what this process has there.
@@ -36,7 +37,6 @@
 
 // Ratios of what is known of workers.
 const (
-	fadeParts  = 2.0  // what was seen of failures fades to a third in this part of an ejection
 	fullParts  = 64   // the part of an ejection for which a worker without room is tried last, if not told
 	usualParts = 16.0 // the part of news that goes into the usual load
 	paceParts  = 16   // the part of a time seen from here that goes into the pace
@@ -85,18 +85,25 @@
 	if facts.pace > 0 {
 		seen.Pace = facts.pace
 	}
-	// Of what the directory and the last answer told, the later counts; and the older it is, the
-	// more it gives way to what is usual, for the calls it counted are over by then.
-	last, at, usual := float64(worker.Running+worker.Waiting-seen.InFlight), worker.Told, facts.usual
-	if facts.told && facts.toldAt >= at {
-		last, at, seen.Slots = facts.others, facts.toldAt, facts.slots
-	}
-	last = max(0, last)
 	if !facts.told {
-		usual = last
+		if facts.calls > 0 {
+			// Its answers tell no load, and what the directory says is older than most calls last: by it
+			// all would go to the same worker at once. Only what this process has there is sure.
+			seen.Slots, seen.Others = 0, 0
+		} else {
+			seen.Others = float64(worker.Running + worker.Waiting)
+		}
+		return seen
+	}
+	// Of what the last answer and the directory told, the later counts; and the older it is, the
+	// more it gives way to what is usual, for the calls it counted are over by then.
+	seen.Slots = facts.slots
+	last, at := facts.others, facts.toldAt
+	if worker.Told > at {
+		last, at = max(0, float64(worker.Running+worker.Waiting-seen.InFlight)), worker.Told
 	}
 	age := float64(now-at) / float64(max(seen.Pace, time.Millisecond))
-	seen.Others = usual + (last-usual)/(1+max(0, age))
+	seen.Others = facts.usual + (last-facts.usual)/(1+max(0, age))
 	return seen
 }
 
@@ -106,7 +113,7 @@
 	if age <= 0 || facts.calls == 0 {
 		return 1
 	}
-	return math.Exp(-fadeParts * float64(age) / float64(s.ejection))
+	return math.Exp(-float64(age) / float64(s.ejection))
 }
 
 // proxyLost tells whether a proxy gave no answer of late.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -50,21 +50,23 @@
 	ejectedMost = 2   // at most 1/ejectedMost of a pool may be ejected
 	warmFloor   = 0.1 // share a worker starts with, where it does not tell how long it is slow
 	warmTimes   = 2.0 // how much longer a worker takes that is slow after its start
-	crowding    = 0.3 // how much longer it takes with its last slot than with its first
+	crowding    = 0.1 // how much longer it takes with its last slot than with its first
 
 	// Another zone is as good as the own one but for the bytes between. It is used in so far as the
 	// wait in the own one eats up what the aim leaves beside the work: from the first part on more
 	// and more, from the second always. In between, zones settle where one is as short as they are.
 	spillFrom  = 0.15
-	spillUpTo  = 0.75
+	spillUpTo  = 0.4
 	spillGain  = 0.8 // and only to where a call takes less than this part of the time
 	spillBlind = 3.0 // where slots are not known: only from this many times the load
+	spillSoon  = 2   // and only where calls take longer than this part of the aim
 
 	// A worker is passed by in so far as it fails more than the others do: from the first part of
 	// its calls on more and more, from the second always.
 	failFrom   = 0.15
 	failUpTo   = 0.5
-	failBefore = 4.0 // calls that it is taken to have served well before any was seen
+	failAlike  = 0.25 // where the others fail in this part of their calls, a row of failures says nothing
+	failBefore = 4.0  // calls that it is taken to have served well before any was seen
 
 	candidatesMost = 8 // a plan has no more; who is through with them makes another
 	nearLooked     = 6 // of a larger pool only so many are looked at
@@ -160,7 +162,7 @@
 		one := &p.looked[i]
 		switch seen := &one.seen; {
 		// Beyond the ratio nobody more is passed by: when all fail alike, none is the outlier.
-		case len(p.passed) < len(p.looked)/ejectedMost && (seen.Ejected || p.fails(seen, calls-seen.Calls, failures-seen.Failures)):
+		case len(p.passed) < len(p.looked)/ejectedMost && p.fails(seen, calls-seen.Calls, failures-seen.Failures):
 			p.passed = append(p.passed, *one)
 		case seen.Full:
 			p.full = append(p.full, *one)
@@ -175,11 +177,15 @@
 // fails tells whether a worker is passed by this time, for failing more than the others do. As
 // what was seen of it fades, it gets its calls back by and by.
 func (p *placing) fails(seen *Seen, calls, failures float64) bool {
-	if seen.Failures == 0 {
+	others := failures / (calls + failBefore)
+	switch {
+	case seen.Unreached, seen.Ejected && others < failAlike:
+		return true
+	case seen.Failures == 0:
 		return false
 	}
-	part := seen.Failures/(seen.Calls+failBefore) - failures/(calls+failBefore)
-	return part > failFrom && p.dice() < (part-failFrom)/(failUpTo-failFrom)
+	more := seen.Failures/(seen.Calls+failBefore) - others
+	return more > failFrom && p.dice() < (more-failFrom)/(failUpTo-failFrom)
 }
 
 // rate says of each worker looked at how long one more call would take there.
@@ -230,7 +236,9 @@
 	}
 	away := &p.far[p.draw(p.far)]
 	if blind {
-		return best.time > spillBlind*away.time
+		// Where it is known at least how long calls take, and that is soon enough, they stay.
+		soon := aim > 0 && best.seen.Pace > 0 && best.seen.Pace < aim/spillSoon
+		return !soon && best.time > spillBlind*away.time
 	}
 	if best.wait == 0 || away.time > spillGain*best.time {
 		return false
