Hold the connections to a worker ourselves, and let requests wait for it in an order

Cause: the library's client sends again what it takes for unsent, takes whatever comes for the answer to what was asked, and gives up connections without a word; and what a worker could not work on at once waited at the worker, where nothing ruled in which order or whether in vain. Ruled out: newest connection first, by which those not needed for a while run out and are opened again with each rush; a queue at the caller's side, which sees only its own part. Before: HostClient, any number at a worker. After: connections of our own, the one idle the longest first, looked at before use; an answer to another request is passed over, more bytes end the connection, nothing sent is proof of not run. A buffer before each worker hands over its slots and a little more, by rank and arrival, and refuses at once what would come too late, with when there is room; what waits is refused when the worker leaves. Each answer tells the load.

--- /dev/null
+++ b/internal/dispatch/buffer.go
@@ -0,0 +1,272 @@
+package dispatch
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"meadowhinge/internal/defect"
+)
+
+// Buffer is what waits for one worker at the proxy beside it. That proxy is the only way to the
+// worker, so it knows exactly how much the worker has at hand: it gives it no more than it can
+// work on, lets the rest wait in an order, and refuses at once what would be answered too late.
+// What it refuses was never handed over.
+type Buffer struct {
+	lock    sync.Mutex
+	most    int // handed over at once, whatever the worker says
+	slots   int // that the worker works on at once, 0 for not told
+	narrow  int // handed over at once since the worker turned something away, 0 for no such bound
+	eased   int // answers since then
+	running int
+	waiting []*Waiter // by rank, then by arrival
+	shut    defect.Kind
+	all     pace
+	routes  map[string]*pace
+}
+
+// Ask is a request that wants to be handed over.
+type Ask struct {
+	Route   string
+	Rank    uint32        // 0 goes first
+	Aim     time.Duration // until when an answer is worth most, 0 for no such time
+	Horizon time.Duration // until when it is worth anything
+}
+
+// Turn is what a request is told: to go, or why not and when to come back.
+type Turn struct {
+	Kind defect.Kind // empty: it is its turn
+	Back time.Duration
+}
+
+// Waiter is a request that waits for its turn.
+type Waiter struct {
+	Turn chan Turn // has room, so that nobody waits to tell it
+	ask  Ask
+	came time.Duration
+}
+
+// pace is how long requests take, of late.
+type pace struct {
+	mean  time.Duration
+	known bool
+}
+
+// Ratios of the buffer.
+const (
+	overlapParts = 16 // besides one, this part of the slots is handed over ahead, to hide the way there
+	meanParts    = 8  // each answer moves the mean by this part
+	workTimes    = 2  // a request is counted on to take this many times the mean: half of them take longer than that
+	heldParts    = 4  // of the time to its aim, after which a request that waits is not sent elsewhere any more
+	easeTimes    = 2  // answers, as a multiple of what is handed over, after which one more is tried
+	unknownTimes = 2  // requests that may wait for each that runs, while it is not known how long they take
+	routesMost   = 1024
+)
+
+// NewBuffer hands over at most so many at once.
+func NewBuffer(most, slots int) *Buffer {
+	return &Buffer{most: most, slots: slots, routes: map[string]*pace{}}
+}
+
+// limit is how many are handed over at once.
+func (b *Buffer) limit() int {
+	limit := b.most
+	if b.slots > 0 {
+		limit = min(limit, b.slots+1+b.slots/overlapParts)
+	}
+	if b.narrow > 0 {
+		limit = min(limit, b.narrow)
+	}
+	return max(1, limit)
+}
+
+// work is how long a request of a route takes.
+func (b *Buffer) work(route string) time.Duration {
+	if known := b.routes[route]; known != nil {
+		return known.mean
+	}
+	return b.all.mean
+}
+
+// waitAt is how long the request at a place in the order has to wait.
+func (b *Buffer) waitAt(place int) time.Duration {
+	return time.Duration(place+1) * b.all.mean / time.Duration(b.limit())
+}
+
+// until is by when a request should be answered.
+func (a *Ask) until() time.Duration {
+	if a.Aim != 0 {
+		return min(a.Aim, a.Horizon)
+	}
+	return a.Horizon
+}
+
+// over is how much too late a request would be answered that had to wait so long.
+func (b *Buffer) over(now time.Duration, ask *Ask, wait time.Duration) time.Duration {
+	return now + wait + workTimes*b.work(ask.Route) - ask.until()
+}
+
+// Arrive gives a request its turn, lets it wait, or refuses it.
+func (b *Buffer) Arrive(now time.Duration, ask Ask) (Turn, *Waiter) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	switch {
+	case b.shut != "":
+		return Turn{Kind: b.shut}, nil
+	case now >= ask.Horizon:
+		return Turn{Kind: defect.HorizonPast}, nil
+	case b.running < b.limit() && len(b.waiting) == 0:
+		b.running++
+		return Turn{}, nil
+	}
+	place := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].ask.Rank > ask.Rank })
+	if !b.all.known {
+		if b.slots == 0 || place >= unknownTimes*b.limit() {
+			return Turn{Kind: defect.BufferFull}, nil
+		}
+	} else if over := b.over(now, &ask, b.waitAt(place)); over > 0 || b.slots == 0 {
+		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitAt(0))}, nil
+	}
+	fresh := &Waiter{Turn: make(chan Turn, 1), ask: ask, came: now}
+	b.waiting = append(b.waiting, nil)
+	copy(b.waiting[place+1:], b.waiting[place:])
+	b.waiting[place] = fresh
+	b.displace(now, place+1)
+	return Turn{}, fresh
+}
+
+// displace refuses those from a place on that now would come too late, for as long as they can
+// well go elsewhere: who has waited long is better served late than not at all.
+func (b *Buffer) displace(now time.Duration, from int) {
+	kept := b.waiting[:from]
+	for _, one := range b.waiting[from:] {
+		over := b.over(now, &one.ask, b.waitAt(len(kept)))
+		if over > 0 && now-one.came <= (one.ask.until()-one.came)/heldParts {
+			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitAt(0))}
+			continue
+		}
+		kept = append(kept, one)
+	}
+	clear(b.waiting[len(kept):])
+	b.waiting = kept
+}
+
+// Leave takes out a request that need not wait any more. False if it was told meanwhile: then
+// what it was told waits for it.
+func (b *Buffer) Leave(one *Waiter) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	for i, listed := range b.waiting {
+		if listed == one {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Await waits for a request's turn for as long as that is worth anything.
+func (b *Buffer) Await(ctx context.Context, one *Waiter, left time.Duration) Turn {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case turn := <-one.Turn:
+		return turn
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	if b.Leave(one) {
+		return Turn{Kind: defect.HorizonPast}
+	}
+	return <-one.Turn
+}
+
+// Result is what became of a request that had its turn.
+type Result int
+
+// The results that count.
+const (
+	Unrun    Result = iota // it was not handed over, or not to its end
+	Answered               // it ran to its end
+	Turned                 // the worker turned it away
+)
+
+// End notes that a request which had its turn is over, and gives the next ones theirs.
+func (b *Buffer) End(now time.Duration, route string, result Result, took time.Duration) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.running--
+	switch result {
+	case Answered:
+		b.learn(route, took)
+		// After it turned something away, the worker gets one more at a time until it is full again.
+		if b.eased++; b.narrow > 0 && b.eased >= easeTimes*b.narrow {
+			b.eased = 0
+			if b.narrow++; b.narrow > b.slots {
+				b.narrow = 0
+			}
+		}
+	case Turned:
+		b.narrow, b.eased = max(1, b.running), 0
+	}
+	b.next(now)
+}
+
+func (b *Buffer) learn(route string, took time.Duration) {
+	if len(b.routes) >= routesMost {
+		clear(b.routes)
+	}
+	own := b.routes[route]
+	if own == nil {
+		own = &pace{}
+		b.routes[route] = own
+	}
+	for _, one := range []*pace{&b.all, own} {
+		if !one.known {
+			one.mean, one.known = took, true
+		}
+		one.mean += (took - one.mean) / meanParts
+	}
+}
+
+// next gives turns as far as there is room.
+func (b *Buffer) next(now time.Duration) {
+	for len(b.waiting) > 0 && b.running < b.limit() {
+		first := b.waiting[0]
+		b.waiting[0] = nil
+		b.waiting = b.waiting[1:]
+		if now >= first.ask.Horizon {
+			first.Turn <- Turn{Kind: defect.HorizonPast}
+			continue
+		}
+		b.running++
+		first.Turn <- Turn{}
+	}
+}
+
+// Shut refuses all that waits and all that comes; what was handed over goes on to its end.
+func (b *Buffer) Shut(kind defect.Kind) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.shut = kind
+	for _, one := range b.waiting {
+		one.Turn <- Turn{Kind: kind}
+	}
+	b.waiting = nil
+}
+
+// Slots takes note of how many requests the worker works on at once.
+func (b *Buffer) Slots(now time.Duration, slots int) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.slots = slots
+	b.next(now)
+}
+
+// Load is how much the worker has at hand, how much waits for it, and how many it works on at once.
+func (b *Buffer) Load() (running, waiting, slots uint32) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return uint32(b.running), uint32(len(b.waiting)), uint32(b.slots)
+}
--- /dev/null
+++ b/internal/dispatch/conns.go
@@ -0,0 +1,306 @@
+package dispatch
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+)
+
+// conns are the connections to one worker, each for one request at a time. The library's own
+// client is not used: it sends again what it takes for unsent, gives up a connection without a
+// word, and takes any answer that comes for the one that was asked for.
+type conns struct {
+	address string
+	dial    func(address string) (net.Conn, error)
+	now     func() time.Duration
+
+	lock sync.Mutex
+	idle []*conn // the one idle the longest first
+	shut bool
+	// idleMost is after how long the worker closes a connection that nothing comes on: by its own
+	// word, or as it was found out; 0 for not known.
+	idleMost time.Duration
+}
+
+// Ratios to how long a worker keeps an idle connection.
+const (
+	idleParts  = 8 // one this part of the time from its end is not used any more
+	learnParts = 4 // what was found closed was closed this part earlier
+)
+
+// Bounds on what a worker sends beside the answer.
+const (
+	interimMost = 16 // interim answers before the final one
+	straysMost  = 4  // whole answers to other requests
+	piecesMost  = 1 << 16
+	headMost    = 16 << 10
+)
+
+// Buffers are borrowed for the time of an exchange, so that idle connections hold none.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headMost) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+)
+
+// conn is one connection to a worker.
+type conn struct {
+	net.Conn
+	sent   int // bytes of the request that left this process
+	idleAt time.Duration
+	raw    syscall.RawConn // nil for what is no socket
+	look   func(handle uintptr) bool
+	quiet  bool
+}
+
+// Write counts what left.
+func (c *conn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.sent += count
+	return count, err
+}
+
+func newConn(raw net.Conn) *conn {
+	made := &conn{Conn: raw}
+	if socket, is := raw.(syscall.Conn); is {
+		if inner, err := socket.SyscallConn(); err == nil {
+			made.raw = inner
+			var one [1]byte
+			made.look = func(handle uintptr) bool {
+				_, err := syscall.Read(int(handle), one[:])
+				made.quiet = errors.Is(err, syscall.EAGAIN)
+				return true
+			}
+		}
+	}
+	return made
+}
+
+// alive tells whether nothing came on an idle connection: neither its end, nor bytes, which
+// could only belong to a request that is over.
+func (c *conn) alive() bool {
+	if c.raw == nil {
+		return true
+	}
+	return c.raw.Read(c.look) == nil && c.quiet
+}
+
+// exchange is one request to a worker and what became of it.
+type exchange struct {
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	until    time.Time
+	most     int // bytes of a body
+	bodiless func(status int) bool
+	read     func(header *fasthttp.ResponseHeader) Said
+
+	said Said
+	body []byte
+}
+
+// hand sends a request and reads its answer. An error of the kind WORKER_UNOPENED proves that
+// the worker saw nothing of it; any other leaves that open.
+func (c *conns) hand(x *exchange) error {
+	for {
+		one, fresh := c.take(x.until), false
+		if one == nil {
+			raw, err := c.dial(c.address)
+			if err != nil {
+				return defect.Wrap(err, defect.WorkerUnopened, c.address)
+			}
+			one, fresh = newConn(raw), true
+			_ = one.SetDeadline(x.until)
+		}
+		clean, err := one.exchange(x)
+		if clean {
+			c.give(one, x.said.IdleMost)
+		} else {
+			one.Close()
+		}
+		switch {
+		case err == nil || one.sent > 0:
+			return err
+		// Nothing left this process, so another connection may be tried; a fresh one will do.
+		case fresh:
+			return defect.New(defect.WorkerUnopened, c.address)
+		}
+	}
+}
+
+// take gives the connection that was idle the longest: so all that are in use by turns stay
+// open, and those that are not needed run out.
+func (c *conns) take(until time.Time) *conn {
+	for {
+		c.lock.Lock()
+		if len(c.idle) == 0 {
+			c.lock.Unlock()
+			return nil
+		}
+		one, bound := c.idle[0], c.idleMost
+		c.idle = append(c.idle[:0], c.idle[1:]...)
+		c.lock.Unlock()
+		_ = one.SetDeadline(until)
+		idle := c.now() - one.idleAt
+		switch {
+		case bound > 0 && idle > bound-bound/idleParts:
+		case one.alive():
+			return one
+		default:
+			// Whoever closes without a word when is found out by it.
+			c.lock.Lock()
+			if c.idleMost == 0 || idle < c.idleMost {
+				c.idleMost = idle - idle/learnParts
+			}
+			c.lock.Unlock()
+		}
+		one.Close()
+	}
+}
+
+// give keeps a connection for the next request.
+func (c *conns) give(one *conn, told time.Duration) {
+	one.idleAt = c.now()
+	c.lock.Lock()
+	shut := c.shut
+	if told > 0 {
+		c.idleMost = told
+	}
+	if !shut {
+		c.idle = append(c.idle, one)
+	}
+	c.lock.Unlock()
+	if shut {
+		one.Close()
+	}
+}
+
+// close ends what is idle now, and what is in use as soon as it is not.
+func (c *conns) close() {
+	c.lock.Lock()
+	idle := c.idle
+	c.idle, c.shut = nil, true
+	c.lock.Unlock()
+	for _, one := range idle {
+		one.Close()
+	}
+}
+
+// exchange sends a request and reads up to its answer; clean tells that the connection is as
+// good as new.
+func (c *conn) exchange(x *exchange) (clean bool, err error) {
+	c.sent = 0
+	writer := writers.Get().(*bufio.Writer)
+	writer.Reset(c)
+	unsent := x.request.Write(writer)
+	if unsent == nil {
+		unsent = writer.Flush()
+	}
+	writer.Reset(nil)
+	writers.Put(writer)
+	if unsent != nil && c.sent == 0 {
+		return false, defect.Wrap(unsent, kindOf(unsent), "sending")
+	}
+	// A worker that does not take a request to its end may have answered it all the same.
+	reader := readers.Get().(*bufio.Reader)
+	reader.Reset(c.Conn)
+	defer func() {
+		reader.Reset(nil)
+		readers.Put(reader)
+	}()
+	for strays := 0; ; strays++ {
+		if err := x.head(reader); err != nil {
+			return false, err
+		}
+		x.said = x.read(&x.response.Header)
+		err := x.fill(reader)
+		// An answer to another request, which came late, is passed over as a whole.
+		if x.said.Stray && err == nil && strays < straysMost {
+			continue
+		}
+		if x.said.Stray {
+			return false, defect.New(defect.BadAnswer, "answers another request")
+		}
+		// That it did not run holds, however little comes after that word.
+		if err != nil && !x.said.NotRun && !x.said.Elsewhere {
+			return false, err
+		}
+		// Bytes after a whole answer belong to no request, so the connection goes with them.
+		return err == nil && unsent == nil && strays == 0 && !x.said.Closing && reader.Buffered() == 0, nil
+	}
+}
+
+// head reads the head of a final answer.
+func (x *exchange) head(reader *bufio.Reader) error {
+	for range interimMost {
+		if err := x.response.Header.Read(reader); err != nil {
+			return defect.Wrap(err, kindOf(err), "head of an answer")
+		}
+		status := x.response.StatusCode()
+		switch {
+		case status >= 200 && status <= 599:
+			return nil
+		case status < 100 || status > 199 || status == fasthttp.StatusSwitchingProtocols:
+			return defect.New(defect.BadAnswer, "no final status")
+		}
+	}
+	return defect.New(defect.BadAnswer, "no final answer")
+}
+
+// fill reads the body that belongs to a head.
+func (x *exchange) fill(reader *bufio.Reader) error {
+	x.body = nil
+	header := &x.response.Header
+	// A body that ends when its connection does cannot be told from one cut short.
+	const inChunks = -1
+	length := header.ContentLength()
+	switch {
+	case x.bodiless(header.StatusCode()):
+		return nil
+	case length == inChunks:
+		x.response.ResetBody()
+		if err := x.response.ReadBody(reader, x.most); err != nil {
+			return defect.Wrap(err, kindOf(err), "body in chunks")
+		}
+		if err := header.ReadTrailer(reader); err != nil {
+			return defect.Wrap(err, kindOf(err), "end of chunks")
+		}
+		x.body = append(x.body, x.response.Body()...)
+		return nil
+	case length < 0 || length > x.most:
+		return defect.New(defect.BadAnswer, "no length, or too much")
+	}
+	// Large ones take memory only as they come in: that they are said to be large proves nothing.
+	x.body = make([]byte, 0, min(length, piecesMost))
+	for len(x.body) < length {
+		if len(x.body) == cap(x.body) {
+			x.body = append(make([]byte, 0, min(length, 2*cap(x.body))), x.body...)
+		}
+		from, to := len(x.body), min(length, cap(x.body))
+		x.body = x.body[:to]
+		if _, err := io.ReadFull(reader, x.body[from:to]); err != nil {
+			return defect.Wrap(err, kindOf(err), "body")
+		}
+	}
+	return nil
+}
+
+// kindOf tells of what is left open whether time ran out, the connection ended, or what came
+// was no answer.
+func kindOf(err error) defect.Kind {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout):
+		return defect.HorizonPast
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) || errors.Is(err, net.ErrClosed) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+		return defect.WorkerLost
+	}
+	return defect.BadAnswer
+}
--- /dev/null
+++ b/internal/dispatch/conns_test.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/internal/plan"
+	"meadowhinge/schema"
+)
+
+// testSpeech is a speech with a word for everything that a worker may say.
+type testSpeech struct{ OwnSpeech }
+
+func (testSpeech) Dress(request *fasthttp.Request, carry *schema.Carry, _ Registered, _ time.Duration) {
+	request.Header.SetHost(carry.Host)
+	request.Header.Set("X-Id", carry.Request)
+}
+
+func (testSpeech) Read(header *fasthttp.ResponseHeader, carry *schema.Carry) Said {
+	id := string(header.Peek("X-Id"))
+	return Said{Stray: id != "" && id != carry.Request, NotRun: len(header.Peek("X-Unrun")) > 0, Elsewhere: header.StatusCode() == 421,
+		Closing: header.ConnectionClose()}
+}
+
+// socketStage is a proxy's worker side with a worker on a loopback socket.
+type socketStage struct {
+	runner  *Runner
+	workers *Workers
+	opened  atomic.Int32
+	address string
+}
+
+// newSocketStage lets serve answer on each connection, of which it is told the how manieth it is.
+func newSocketStage(t testing.TB, serve func(conn *net.TCPConn, reader *bufio.Reader, place int)) *socketStage {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &socketStage{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			place := int(s.opened.Add(1))
+			go func() {
+				defer conn.Close()
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn), place)
+			}()
+		}
+	}()
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	s.workers = NewWorkers(WorkersOptions{Proxy: "p", Silence: 3, Most: 4, ConnsMost: 64, BodyMost: 1 << 20, Now: now, Untethered: true,
+		Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }}, func() {})
+	view := &plan.View{Setup: compiled(t, 5)}
+	s.runner = NewRunner(Runner{Workers: s.workers, Speech: testSpeech{}, View: func() *plan.View { return view }, AwaitSetup: func(context.Context, uint64) {},
+		Outdated: func(uint64) bool { return false }, Leased: func() bool { return true }, Now: now}, 1<<16)
+	if _, err := s.workers.Describe(Description{ID: "w", Address: s.address, Service: "shop", Version: "1", BeatMS: 60000, Slots: 64}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = s.workers.Describe(Description{ID: "w", Address: s.address, Gone: true}) })
+	return s
+}
+
+func (s *socketStage) run(t testing.TB, id string, change func(*schema.Carry)) *schema.Carried {
+	asked := carry(id, "w")
+	asked.Host = "shop.example"
+	asked.LeftNanos = int64(10 * time.Second)
+	if change != nil {
+		change(asked)
+	}
+	return s.runner.Run(t.Context(), client, asked)
+}
+
+// idOf reads a request and gives its id, empty at the end.
+func idOf(reader *bufio.Reader) string {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("X-Id")
+}
+
+func answered(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Whatever a worker sends, two requests after each other end as they should, and each answer
+// is that of its own request.
+func TestOddWorkers(t *testing.T) {
+	whole, notRunEnding, lost := schema.Ending_ENDING_ANSWERED, schema.Ending_ENDING_NOT_RUN, schema.Ending_ENDING_UNKNOWN
+	say := func(text string) func(string) string { return func(string) string { return text } }
+	for name, one := range map[string]struct {
+		first  func(id string) string // the answer to the first request
+		ends   bool                   // the worker then closes
+		second func(id string) string // the answer to the second, on the same connection
+		change func(*schema.Carry)
+		want   [2]schema.Ending
+		kind   defect.Kind // of the first
+		opened int32
+	}{
+		"plain":             {want: [2]schema.Ending{whole, whole}, opened: 1},
+		"an empty body":     {first: func(id string) string { return answered(id, "") }, want: [2]schema.Ending{whole, whole}, opened: 1},
+		"in chunks":         {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"in chunks, a tail": {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n3\r\none\r\n0\r\nX-End: 1\r\n\r\n"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"interim answers": {first: func(id string) string {
+			return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answered(id, "one")
+		}, want: [2]schema.Ending{whole, whole}, opened: 1},
+		"no content":           {first: say("HTTP/1.1 204 No Content\r\n\r\n"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"not modified":         {first: say("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"the head alone":       {first: say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), change: func(c *schema.Carry) { c.Method = "HEAD" }, want: [2]schema.Ending{whole, whole}, opened: 1},
+		"gives it back":        {first: say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\none"), want: [2]schema.Ending{whole, whole}, opened: 2},
+		"closes while idle":    {ends: true, want: [2]schema.Ending{whole, whole}, opened: 2},
+		"says more":            {first: func(id string) string { return answered(id, "one") + "and more" }, want: [2]schema.Ending{whole, whole}, opened: 2},
+		"says a second answer": {first: func(id string) string { return answered(id, "one") + answered(id, "one") }, want: [2]schema.Ending{whole, whole}, opened: 2},
+		"says it late":         {second: func(id string) string { return answered("first", "one") + answered(id, id) }, want: [2]schema.Ending{whole, whole}, opened: 1},
+		"only says it late":    {second: func(string) string { return answered("first", "one") }, want: [2]schema.Ending{whole, lost}, opened: 1},
+		"refuses":              {first: say("HTTP/1.1 503 No\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n"), want: [2]schema.Ending{notRunEnding, whole}, kind: defect.BufferFull, opened: 1},
+		"refuses, and is cut":  {first: say("HTTP/1.1 503 No\r\nX-Unrun: 1\r\nContent-Length: 5\r\n\r\n"), ends: true, want: [2]schema.Ending{notRunEnding, whole}, kind: defect.BufferFull, opened: 2},
+		"is another":           {first: say("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"), want: [2]schema.Ending{notRunEnding, notRunEnding}, kind: defect.WrongInstance, opened: 1},
+		"an error of its own":  {first: say("HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"closes for an answer": {first: say(""), ends: true, want: [2]schema.Ending{lost, whole}, kind: defect.WorkerLost, opened: 2},
+		"cut in the head":      {first: say("HTTP/1.1 200 OK\r\nContent-Le"), ends: true, want: [2]schema.Ending{lost, whole}, opened: 2},
+		"cut in the body":      {first: say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, kind: defect.WorkerLost, opened: 2},
+		"cut in a chunk":       {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, opened: 2},
+		"cut before the tail":  {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n"), ends: true, want: [2]schema.Ending{lost, whole}, opened: 2},
+		"to the end":           {first: say("HTTP/1.1 200 OK\r\n\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"two lengths":          {first: say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\none"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"no answer":            {first: say("no answer at all\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"changes protocol":     {first: say("HTTP/1.1 101 Switching\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"too much":             {first: say("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"silent": {first: say("HTTP/1.1 200 OK\r\n"), change: func(c *schema.Carry) { c.LeftNanos = int64(20 * time.Millisecond) }, want: [2]schema.Ending{lost, whole},
+			kind: defect.HorizonPast, opened: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plain := func(id string) string { return answered(id, id) }
+			if one.first == nil {
+				one.first = plain
+			}
+			if one.second == nil {
+				one.second = plain
+			}
+			ended := make(chan bool, 1)
+			s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, place int) {
+				for {
+					id := idOf(reader)
+					text := one.second(id)
+					if id == "first" {
+						text = one.first(id)
+					}
+					if id == "" {
+						return
+					}
+					_, _ = conn.Write([]byte(text))
+					if place == 1 && one.ends {
+						conn.Close()
+						ended <- true
+						return
+					}
+					// No more than the one late answer is to be waited for.
+					if id == "second" && one.want[1] == lost {
+						return
+					}
+				}
+			})
+			first := s.run(t, "first", one.change)
+			if first.Ending != one.want[0] || (one.kind != "" && first.Defect != string(one.kind)) {
+				t.Errorf("the first ended %v with %s, want %v with %s", first.Ending, first.Defect, one.want[0], one.kind)
+			}
+			if one.ends {
+				<-ended
+			}
+			second := s.run(t, "second", nil)
+			if second.Ending != one.want[1] || (one.want[1] == whole && string(second.Body) != "second") {
+				t.Errorf("the second ended %v with %s and %q, want %v", second.Ending, second.Defect, second.Body, one.want[1])
+			}
+			if got := s.opened.Load(); got != one.opened {
+				t.Errorf("%d connections, want %d", got, one.opened)
+			}
+		})
+	}
+}
+
+// Bytes that come while nothing was asked make a connection useless.
+func TestUnaskedBytesEndAConnection(t *testing.T) {
+	s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, place int) {
+		for id := idOf(reader); id != ""; id = idOf(reader) {
+			_, _ = conn.Write([]byte(answered(id, id)))
+			if place == 1 {
+				_, _ = conn.Write([]byte(answered(id, id)))
+			}
+		}
+	})
+	s.run(t, "first", nil)
+	conns := s.workers.byInstance["w"].conns
+	if len(conns.idle) > 0 {
+		for conns.idle[0].alive() {
+			runtime.Gosched()
+		}
+		// What was read to find out is gone, so it must be found again by its mark.
+		conns.idle[0].Close()
+	}
+	if got := s.run(t, "second", nil); string(got.Body) != "second" || s.opened.Load() != 2 {
+		t.Errorf("ended %v with %q over %d connections", got.Ending, got.Body, s.opened.Load())
+	}
+}
+
+// A worker that resets when it is full may have run what it was sent; one that is no more has not.
+func TestResetAndDeadWorkers(t *testing.T) {
+	s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
+		idOf(reader)
+		_ = conn.SetLinger(0)
+	})
+	if got := s.run(t, "first", nil); got.Ending != schema.Ending_ENDING_UNKNOWN || got.Defect != string(defect.WorkerLost) {
+		t.Errorf("ended %v with %s", got.Ending, got.Defect)
+	}
+	s.workers.byInstance["w"].conns.address = "127.0.0.1:1"
+	if got := s.run(t, "second", nil); got.Ending != schema.Ending_ENDING_NOT_RUN {
+		t.Errorf("ended %v with %s", got.Ending, got.Defect)
+	}
+}
+
+// Requests and answers pass as they are, whatever their size.
+func TestBodiesPassUnchanged(t *testing.T) {
+	s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(request.Body)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Line: %s %s %s\r\nContent-Length: %d\r\n\r\n%s", request.Method, request.RequestURI, request.Host, len(body), body)
+		}
+	})
+	for _, size := range []int{0, 1, 4095, 65536, 65537, 1 << 20} {
+		body := strings.Repeat("x", size)
+		got := s.run(t, fmt.Sprint(size), func(c *schema.Carry) {
+			c.Method, c.Target, c.Body = "PUT", "/a//b/../%7e?x=%20y&&z", []byte(body)
+			c.Checksum = crc32.ChecksumIEEE(c.Body)
+		})
+		line := ""
+		for _, header := range got.Headers {
+			if header.Name == "X-Line" {
+				line = header.Value
+			}
+		}
+		if string(got.Body) != body || line != "PUT /a//b/../%7e?x=%20y&&z shop.example" {
+			t.Errorf("%d bytes came back as %d, of %q", size, len(got.Body), line)
+		}
+	}
+	if s.opened.Load() != 1 {
+		t.Errorf("%d connections", s.opened.Load())
+	}
+}
+
+// BenchmarkHop is the worker's side of a hop; most of it are the sockets.
+func BenchmarkHop(b *testing.B) {
+	s := newSocketStage(b, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
+		text, request := []byte(answered("", strings.Repeat("x", 400))), make([]byte, 4096)
+		for {
+			if _, err := reader.Read(request); err != nil {
+				return
+			}
+			_, _ = conn.Write(text)
+		}
+	})
+	b.ReportAllocs()
+	for i := range b.N {
+		if got := s.run(b, fmt.Sprint(i), nil); got.Ending != schema.Ending_ENDING_ANSWERED {
+			b.Fatal(got)
+		}
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"hash/crc32"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -42,6 +40,9 @@
 	// lease may still plan by it.
 	Outdated func(sequence uint64) bool
 	Leased   func() bool
+	// Doubting goes on by what is known here, however old: what is allowed here is not held up
+	// for a newer setup.
+	Doubting bool
 	Now      func() time.Duration
 	Speech   WorkerSpeech // nil for our own
 	seen     *Seen
@@ -65,6 +66,8 @@
 	arrived := r.Now()
 	carried := r.check(ctx, peer, carry, arrived)
 	carried.Request = carry.Request
+	// Whoever calls next does well to know how full the worker is.
+	carried.Running, carried.Waiting, carried.Slots = r.Workers.Load(carry.Instance)
 	return carried
 }
 
@@ -87,9 +90,9 @@
 	if !r.seen.First(carry.Request) {
 		return unknown(defect.Repeated)
 	}
-	bounded, cancel := context.WithTimeout(ctx, left()/waitParts)
-	r.AwaitSetup(bounded, carry.Setup)
-	cancel()
+	if !r.Doubting {
+		r.awaitSetup(ctx, carry, left())
+	}
 	// Without a lease this proxy cannot know whether the version is still allowed.
 	if !r.Leased() {
 		return notRun(defect.NoLease, 0)
@@ -98,9 +101,12 @@
 	if r.Outdated(carry.Setup) {
 		return notRun(defect.StalePlan, view.Setup.Sequence)
 	}
-	service := view.Setup.Services[carry.Service]
-	if service == nil || !service.Allows(carry.Version) || !service.AllowsCaller(carry.Caller) {
-		return notRun(defect.VersionBarred, view.Setup.Sequence)
+	if !allows(view, carry) {
+		// The setup that the plan was made from may be on its way here.
+		r.awaitSetup(ctx, carry, left())
+		if view = r.View(); !allows(view, carry) {
+			return notRun(defect.VersionBarred, view.Setup.Sequence)
+		}
 	}
 	if _, _, refusal := r.Workers.find(carry); refusal != "" {
 		return notRun(refusal, view.Setup.Sequence)
@@ -108,10 +114,25 @@
 	if carry.Once && carry.Idempotency != "" {
 		key := keyOf(carry.Caller, carry.Service, carry.Route, carry.Idempotency)
 		return clone(r.memory.Do(ctx, key, printOf(carry.Target, carry.Body), func(string) (*schema.Carried, string) {
-			return r.hand(ctx, carry, left), ""
+			return r.hand(ctx, carry, arrived, left), ""
 		}))
 	}
-	return r.hand(ctx, carry, left)
+	return r.hand(ctx, carry, arrived, left)
+}
+
+func allows(view *plan.View, carry *schema.Carry) bool {
+	service := view.Setup.Services[carry.Service]
+	return service != nil && service.Allows(carry.Version) && service.AllowsCaller(carry.Caller)
+}
+
+// awaitSetup waits a little for the setup that a plan was made from, if it is not here yet.
+func (r *Runner) awaitSetup(ctx context.Context, carry *schema.Carry, left time.Duration) {
+	if r.View().Setup.Sequence >= carry.Setup {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, left/waitParts)
+	defer cancel()
+	r.AwaitSetup(bounded, carry.Setup)
 }
 
 // clone lets an answer from memory carry the id of the request it now answers.
@@ -120,8 +141,43 @@
 		Body: carried.Body, Length: carried.Length, Checksum: carried.Checksum, Setup: carried.Setup}
 }
 
-// hand gives the request to the worker; from the first byte on, it may have run.
-func (r *Runner) hand(ctx context.Context, carry *schema.Carry, left func() time.Duration) *schema.Carried {
+// askOf is what a dispatch asks of the buffer before its worker.
+func askOf(carry *schema.Carry, arrived time.Duration) Ask {
+	ask := Ask{Route: carry.Route, Rank: carry.Rank, Horizon: arrived + time.Duration(carry.LeftNanos)}
+	if carry.AimNanos != 0 {
+		ask.Aim = arrived + time.Duration(carry.AimNanos)
+	}
+	return ask
+}
+
+// hand lets a request wait for its turn, and gives it to the worker.
+func (r *Runner) hand(ctx context.Context, carry *schema.Carry, arrived time.Duration, left func() time.Duration) *schema.Carried {
+	held, _, refusal := r.Workers.find(carry)
+	if refusal != "" {
+		return notRun(refusal, 0)
+	}
+	turn, waiter := held.buffer.Arrive(r.Now(), askOf(carry, arrived))
+	if waiter != nil {
+		turn = held.buffer.Await(ctx, waiter, left())
+	}
+	if turn.Kind != "" {
+		carried := notRun(turn.Kind, 0)
+		carried.BackNanos = int64(turn.Back)
+		return carried
+	}
+	began, result := r.Now(), Unrun
+	carried := r.give(ctx, held, carry, left, &result)
+	now := r.Now()
+	held.buffer.End(now, carry.Route, result, now-began)
+	return carried
+}
+
+// marginParts is the part of the time left that a worker is not given: its word that time ran
+// out for it then still comes, and the connection stays.
+const marginParts = 64
+
+// give gives a request to the worker; from the first byte on, it may have run.
+func (r *Runner) give(ctx context.Context, held *localWorker, carry *schema.Carry, left func() time.Duration, result *Result) *schema.Carried {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -134,90 +190,50 @@
 	request.SetBodyRaw(carry.Body)
 	leased, remaining := r.Leased(), left()
 	// The registration is looked up last of all, so that a worker that left meanwhile gets nothing.
-	held, token, refusal := r.Workers.find(carry)
+	now, token, refusal := r.Workers.find(carry)
 	switch {
 	case refusal != "":
 		return notRun(refusal, 0)
+	case now != held:
+		return notRun(defect.WrongInstance, 0)
 	case remaining <= 0 || ctx.Err() != nil:
 		return notRun(defect.HorizonPast, 0)
 	case !leased:
 		return notRun(defect.NoLease, 0)
 	}
-	r.Speech.Dress(request, carry, Registered{Instance: held.instance, Address: held.address, Token: token, Service: carry.Service, Version: carry.Version}, remaining)
-	response.StreamBody = true
-	response.SkipBody = carry.Method == fasthttp.MethodHead
-	err := held.client.DoTimeout(request, response, remaining)
-	if err != nil {
-		return outcomeOfError(err)
-	}
-	switch said := r.Speech.Read(&response.Header, carry); {
-	case said.Elsewhere:
+	r.Speech.Dress(request, carry, Registered{Instance: held.instance, Address: held.address, Token: token, Service: carry.Service, Version: carry.Version}, remaining-remaining/marginParts)
+	response.Header.DisableNormalizing()
+	response.Header.SetNoDefaultContentType(true)
+	x := exchange{request: request, response: response, until: time.Now().Add(remaining), most: r.Workers.options.BodyMost,
+		bodiless: func(status int) bool { return bodiless(carry.Method, status) },
+		read:     func(header *fasthttp.ResponseHeader) Said { return r.Speech.Read(header, carry) }}
+	err := held.conns.hand(&x)
+	switch kind := defect.KindOf(err); {
+	case err != nil && kind == defect.WorkerUnopened:
+		return notRun(kind, 0)
+	case err != nil:
+		return unknown(kind)
+	case x.said.Elsewhere:
 		r.Workers.disown(held)
 		return notRun(defect.WrongInstance, 0)
-	case said.NotRun:
-		_ = response.CloseBodyStream()
+	case x.said.NotRun:
+		*result = Turned
 		return notRun(defect.BufferFull, 0)
-	}
-	return answerOf(carry, response, r.Speech, r.Workers.options.BodyMost)
-}
-
-// outcomeOfError tells what an error from the client proves: only a connection that never
-// opened proves that the worker saw nothing.
-func outcomeOfError(err error) *schema.Carried {
-	if defect.KindOf(err) == defect.WorkerUnopened || err == fasthttp.ErrNoFreeConns || err == fasthttp.ErrDialTimeout {
-		return notRun(defect.WorkerUnopened, 0)
-	}
-	if err == fasthttp.ErrTimeout {
-		return unknown(defect.HorizonPast)
-	}
-	if err == fasthttp.ErrBodyTooLarge {
-		return unknown(defect.BadAnswer)
-	}
-	return unknown(defect.WorkerLost)
-}
-
-// bodiless answers have no body, whatever their headers say.
-func bodiless(method string, status int) bool {
-	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
-// answerOf checks that an answer is whole before it counts as one.
-func answerOf(carry *schema.Carry, response *fasthttp.Response, speech WorkerSpeech, most int) *schema.Carried {
-	// The length is read before the body, for the library puts its own in place of it after.
-	length, status := response.Header.ContentLength(), response.StatusCode()
-	var body []byte
-	if bodiless(carry.Method, status) {
-		_ = response.CloseBodyStream()
-	} else {
-		// A body that ends when its connection does cannot be told from one cut short.
-		const endsWithConnection = -2
-		if length == endsWithConnection {
-			_ = response.CloseBodyStream()
-			return unknown(defect.BadAnswer)
-		}
-		stream := response.BodyStream()
-		if stream == nil {
-			stream = bytes.NewReader(response.Body())
-		}
-		read, err := io.ReadAll(io.LimitReader(stream, int64(most)+1))
-		closed := response.CloseBodyStream()
-		if err != nil || closed != nil || len(read) > most || (length >= 0 && len(read) != length) {
-			return unknown(defect.BadAnswer)
-		}
-		body = read
-	}
-	if status < 200 || status > 599 {
-		return unknown(defect.BadAnswer)
-	}
-	if !speech.Sound(&response.Header, body) {
+	case !r.Speech.Sound(&response.Header, x.body):
 		return unknown(defect.BadAnswer)
 	}
-	carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: int32(status), Body: body,
-		Length: uint64(len(body)), Checksum: crc32.ChecksumIEEE(body)}
+	*result = Answered
+	carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: int32(response.StatusCode()), Body: x.body,
+		Length: uint64(len(x.body)), Checksum: crc32.ChecksumIEEE(x.body)}
 	for name, value := range response.Header.All() {
-		if speech.Passes(name, true) {
+		if r.Speech.Passes(name, true) {
 			carried.Headers = append(carried.Headers, &schema.Header{Name: string(name), Value: string(value)})
 		}
 	}
 	return carried
 }
+
+// bodiless answers have no body, whatever their headers say.
+func bodiless(method string, status int) bool {
+	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"meadowhinge/internal/defect"
 	"meadowhinge/schema"
 )
@@ -88,7 +86,8 @@
 	said     Description
 	heardAt  time.Duration
 	tether   net.Conn // open as long as the worker lives; its end is the worker's end
-	client   *fasthttp.HostClient
+	conns    *conns
+	buffer   *Buffer
 }
 
 // Workers are the workers beside this proxy, each registration under an instance of its own.
@@ -164,8 +163,16 @@
 		// A worker that said it is leaving does not come back under the same token.
 		said.Leaving = said.Leaving || held.said.Leaving
 		changed := said.Leaving != held.said.Leaving || said.Area != held.said.Area || said.Slots != held.said.Slots
+		slots := said.Slots != held.said.Slots
 		held.said, held.heardAt = said, now
 		w.lock.Unlock()
+		// What still waits for a worker that leaves is better off with another.
+		if said.Leaving {
+			held.buffer.Shut(defect.Leaving)
+		}
+		if slots {
+			held.buffer.Slots(now, int(said.Slots))
+		}
 		if changed {
 			w.onChange()
 		}
@@ -199,7 +206,11 @@
 	w.lock.Lock()
 	w.serial++
 	fresh := &localWorker{instance: fmt.Sprintf("%s/%s/%x.%d", w.options.Proxy, said.Address, w.options.Incarnation, w.serial),
-		address: said.Address, said: said, heardAt: now, tether: tether, client: w.clientFor(said.Address)}
+		address: said.Address, said: said, heardAt: now, tether: tether,
+		conns: &conns{address: said.Address, dial: w.options.Dial, now: w.options.Now}, buffer: NewBuffer(w.options.ConnsMost, int(said.Slots))}
+	if said.Leaving {
+		fresh.buffer.Shut(defect.Leaving)
+	}
 	if said.ID != "" {
 		fresh.instance = said.ID
 		// It may have said meanwhile that it is gone.
@@ -222,18 +233,6 @@
 	return fresh.instance, nil
 }
 
-func (w *Workers) clientFor(address string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{Addr: address, MaxConns: w.options.ConnsMost, StreamResponseBody: true,
-		// Retries are decided by the plan alone; the library must never make one of its own.
-		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader: true, DisableHeaderNamesNormalizing: true, DisablePathNormalizing: true,
-		MaxIdleConnDuration: time.Duration(w.options.Silence) * time.Second,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := w.options.Dial(address)
-			return conn, defect.Wrap(err, defect.WorkerUnopened, address)
-		}}
-}
-
 // watch waits for the end of a worker's tether. The kernel closes it when the worker dies,
 // long before its beats are missed.
 func (w *Workers) watch(held *localWorker) {
@@ -261,7 +260,8 @@
 	if held.tether != nil {
 		held.tether.Close()
 	}
-	held.client.CloseIdleConnections()
+	held.conns.close()
+	held.buffer.Shut(defect.WrongInstance)
 }
 
 // Sweep drops the workers that fell silent.
@@ -296,7 +296,8 @@
 		if area == "" {
 			area = w.options.Area
 		}
-		listed = append(listed, &schema.Worker{Instance: held.instance, Service: held.said.Service, Version: held.said.Version,
+		running, waiting, _ := held.buffer.Load()
+		listed = append(listed, &schema.Worker{Running: running, Waiting: waiting, Instance: held.instance, Service: held.said.Service, Version: held.said.Version,
 			Area: area, Load: held.said.Load, Leaving: held.said.Leaving || w.parting,
 			Slots: held.said.Slots, WarmNanos: int64(w.warm(held))})
 	}
@@ -320,6 +321,17 @@
 	return held, held.said.token(), ""
 }
 
+// Load is how much a worker here has at hand and before it, and how many it works on at once.
+func (w *Workers) Load(instance string) (running, waiting, slots uint32) {
+	w.lock.Lock()
+	held := w.byInstance[instance]
+	w.lock.Unlock()
+	if held == nil {
+		return 0, 0, 0
+	}
+	return held.buffer.Load()
+}
+
 // disown drops a registration whose address turned out to be somebody else's.
 func (w *Workers) disown(held *localWorker) {
 	w.lock.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -249,12 +249,8 @@
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
 		Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
-	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now,
+	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
-			// What is not refused for an old setup need not wait for the new one.
-			if serving(given) {
-				return
-			}
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
 		},
 		Outdated: func(sequence uint64) bool {
