Run calls alone and in chains through real proxies, and fit what one costs

Hollow members carry no calls, so what a call costs on each side, in bytes and in time added, needs real proxies.

--- a/cmd/rehearsal/hollow.go
+++ b/cmd/rehearsal/hollow.go
@@ -86,3 +86,25 @@
 	fmt.Println("slopes in", file)
 	return 0
 }
+
+// calls runs chains of calls through real proxies and fits what one costs.
+func calls(args []string) int {
+	const program = "rehearsal calls"
+	given := &schema.CallsOptions{}
+	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckCalls(given) }, &given.Folder, &given.Binaries); done {
+		return code
+	}
+	report, err := rehearsal.RunCalls(given, os.Stderr)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v (logs in %s)\n", program, err, given.Folder)
+		return 1
+	}
+	report.Print(os.Stdout)
+	file := filepath.Join(given.Folder, "calls.json")
+	if err := errors.Join(report.Write(file), report.Draw(given.Folder, given.Plots)); err != nil {
+		fmt.Fprintln(os.Stderr, program+":", err)
+		return 1
+	}
+	fmt.Println("calls in", file)
+	return 0
+}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -21,7 +21,7 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
-var words = map[string]func(args []string) int{"hollow": hollow, "slopes": slopes}
+var words = map[string]func(args []string) int{"hollow": hollow, "slopes": slopes, "calls": calls}
 
 func run(args []string) int {
 	if len(args) > 1 && args[0] == rehearsal.StandInStore {
--- a/internal/rehearsal/hollow_core.go
+++ b/internal/rehearsal/hollow_core.go
@@ -107,20 +107,33 @@
 	return defect.New(defect.Internal, "no free loopback addresses")
 }
 
-// hollowSettings are a hollow member's settings, checked as the program's own are.
-func (f *Fleet) hollowSettings(given *schema.HollowOptions, i int) (*schema.ProxyOptions, error) {
+// edgeSettings are the settings of a proxy, but for those of its own process.
+func (f *Fleet) edgeSettings(mode string, i int, callers []string, membersMost int64) (map[string]string, error) {
 	address := fmt.Sprintf("127.%d.%d.%d", f.net, 2+i/edgesPerNet, 1+i%edgesPerNet)
+	var listens []string
+	for at, caller := range callers {
+		listens = append(listens, fmt.Sprintf("%s=%s:%d", caller, address, portCallers+at))
+	}
 	settings := map[string]string{"name": address, "area": f.area(i), "listen": fmt.Sprintf("%s:%d", address, portHop), "seeds": f.coreSeeds(portRegistry, -1),
-		"callers": fmt.Sprintf("%s=%s:%d", clientKind, address, portCallers), "workers-listen": fmt.Sprintf("%s:%d", address, portWorkers),
-		"probe-listen": fmt.Sprintf("%s:%d", address, portProbe), "lease": f.lease.String(), "members-most": fmt.Sprint(max(sourcesLeast, 2*given.Members))}
-	if given.Mode == open {
+		"callers": strings.Join(listens, ","), "workers-listen": fmt.Sprintf("%s:%d", address, portWorkers),
+		"probe-listen": fmt.Sprintf("%s:%d", address, portProbe), "lease": f.lease.String(), "members-most": fmt.Sprint(membersMost)}
+	if mode == open {
 		settings["links"], settings["doubt"] = "plain", "serve"
-	} else {
-		certificate, err := f.authority.Issue("proxy", address, []string{clientKind})
-		if err != nil {
-			return nil, err
-		}
-		settings["certificate"], settings["authority"], settings["data"] = certificate, f.authority.File(), filepath.Join(f.folder, "members")
+		return settings, nil
+	}
+	certificate, err := f.authority.Issue("proxy", address, callers)
+	settings["certificate"], settings["authority"] = certificate, f.authority.File()
+	return settings, err
+}
+
+// hollowSettings are a hollow member's settings, checked as the program's own are.
+func (f *Fleet) hollowSettings(given *schema.HollowOptions, i int) (*schema.ProxyOptions, error) {
+	settings, err := f.edgeSettings(given.Mode, i, []string{clientKind}, max(sourcesLeast, 2*given.Members))
+	if err != nil {
+		return nil, err
+	}
+	if given.Mode != open {
+		settings["data"] = filepath.Join(f.folder, "members")
 	}
 	var args []string
 	for name, value := range settings {
--- a/internal/rehearsal/hollow_operator.go
+++ b/internal/rehearsal/hollow_operator.go
@@ -110,7 +110,7 @@
 		callers := []string{clientKind}
 		// Each service is called by a few others, as in a tree of calls.
 		for j := 1; j <= min(callersEach, int(o.given.Services)-1); j++ {
-			callers = append(callers, serviceName((i+j)%int(o.given.Services)))
+			callers = append(callers, serviceName((i-j+int(o.given.Services))%int(o.given.Services)))
 		}
 		fmt.Fprintf(&text, "service: %q: {versions: [%q, %q], fallback: %q, callers: %s}\n", serviceName(i), versionOld, versionNew, versionOld, quoted(callers))
 		if i < int(o.given.Releases) {
--- a/internal/rehearsal/plots.go
+++ b/internal/rehearsal/plots.go
@@ -87,9 +87,7 @@
 	}
 	title := fmt.Sprintf("%d members, %d services, %d routes", r.Options.Members, r.Options.Services, r.Options.Routes)
 	if len(spans) > 0 {
-		err := draw(folder, form, "spans", title, "milliseconds", "per cent done within", spans, func(p *plot.Plot) {
-			p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-		})
+		err := draw(folder, form, "spans", title, "milliseconds", "per cent done within", spans, logAcross)
 		if err != nil {
 			return err
 		}
@@ -112,3 +110,6 @@
 	}
 	return nil
 }
+
+// logAcross spreads times over their powers of ten.
+func logAcross(p *plot.Plot) { p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1} }
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -41,6 +41,7 @@
 	leaving  atomic.Bool
 	running  atomic.Int64
 	illness  atomic.Pointer[Illness]
+	onward   atomic.Pointer[func(call *fasthttp.RequestCtx)] // what is done for an answer, besides
 }
 
 // Illness is how a bad version behaves.
@@ -141,6 +142,9 @@
 	if w.delay > 0 {
 		time.Sleep(w.delay)
 	}
+	if onward := w.onward.Load(); onward != nil {
+		(*onward)(call)
+	}
 	text, _ := json.Marshal(standin.NewReply(op, w.name, string(bytes.Repeat([]byte("x"), 200))))
 	call.SetContentType("application/json")
 	call.SetBody(text)
