Judge versions by what the proxies beside their workers see, call by call

Cause: versions were judged by what callers saw. A proxy killed beside a worker, a cut link or a frozen machine counted against the version; a version of which three in ten answers came eight times slower stayed below the mean's bound of five; and all counts of verdicts went through the core four times a second. The proxy beside a worker now counts, by service, version, route and statement of the plan, how requests ended that it handed over, with times in steps of about the root of two. Ruled out: waiting on the mean (needs far more calls), and counting at callers without lost links (a version slower than its deadline would not be seen). After: what was seen of judged services only, and verdicts each half lease.

--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"meadowhinge/internal/options"
+	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
 
@@ -248,12 +249,18 @@
 	ticker := time.NewTicker(s.lease / tellParts)
 	defer ticker.Stop()
 	changed := true
+	looked, any, judged := uint64(0), false, func(string) bool { return false }
 	for turn := 0; ; turn++ {
-		// Loads and liveness are told every renewParts-th of a lease, a change at once; counts
-		// oftener, but only while some version is to be judged by them.
+		// Loads and liveness are told every renewParts-th of a lease, a change at once; what was
+		// seen of workers oftener, but only while some version is to be judged by it; counts of
+		// verdicts, which nothing waits for, more seldom.
 		due := changed || turn%(tellParts/renewParts) == 0
-		if len(s.view().Setup.Guards) > 0 || due {
-			s.tellOnce(ctx, due)
+		if setup := s.view().Setup; setup.Sequence != looked {
+			judged, any = release.Judged(setup)
+			looked = setup.Sequence
+		}
+		if any || due {
+			s.tellOnce(ctx, due, turn%(tellParts/countParts) == 0, judged)
 		}
 		select {
 		case <-ctx.Done():
@@ -266,8 +273,9 @@
 	}
 }
 
-// tellOnce reports counts, and with whole this proxy's workers too.
-func (s *Server) tellOnce(ctx context.Context, whole bool) {
+// tellOnce reports what was seen of judged services, with whole this proxy's workers too, and
+// counts of verdicts if they are wanted.
+func (s *Server) tellOnce(ctx context.Context, whole, counts bool, judged func(service string) bool) {
 	var source *schema.Source
 	if whole {
 		s.workers.Sweep()
@@ -277,9 +285,12 @@
 	}
 	address, at := s.feedAddress()
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-	asked := s.now()
-	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
-		Incarnation: s.incarnation, Source: source, Counts: s.tally.Counts(s.view().Setup.Sequence)})
+	asked, setup := s.now(), s.view().Setup
+	report := &schema.Report{Proxy: s.options.Name, Incarnation: s.incarnation, Source: source, Applied: setup.Sequence, Works: s.runner.Works.Tell(judged)}
+	if counts {
+		report.Counts = s.tally.Counts(setup.Sequence)
+	}
+	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, report)
 	cancel()
 	if err == nil {
 		s.trials.Granted(asked, told.Trials)
