Tell workers' proxies the rank and aim of a call; drop a worker whose port is dead

Cause: the buffer before a worker rules by rank and aim, which no caller's side told; and a worker that crashed stood listed until its beats were missed, each call to it in vain. Ruled out: probing, which costs; the end of a connection, which a living worker may bring about. After: the first that is refused a connection ends the registration, and all that waits there is refused as not run; the worker's next word, if it lives, brings it back. Conclusion: held by TestResetAndDeadWorkers.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -378,12 +378,24 @@
 	return service.Fallback
 }
 
+// aimLeft is what is left of a call's aim, below 0 once it is past, 0 if it has none.
+func aimLeft(made *plan.Plan, left time.Duration) int64 {
+	if made.Aim <= 0 {
+		return 0
+	}
+	aim := made.Aim - (made.Horizon - left)
+	if aim <= 0 {
+		return -1
+	}
+	return int64(aim)
+}
+
 func (c *Carrier) sendOn(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
 	carry := &schema.Carry{Request: fmt.Sprintf("%s-%d", ended.ID, ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
 		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
 		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name,
-		Host: call.Request.Host, Identity: call.Request.Identity}
+		Host: call.Request.Host, Identity: call.Request.Identity, Rank: uint32(max(0, ended.Plan.Route.Rank)), AimNanos: aimLeft(ended.Plan, left)}
 	// A call that may be repeated leaves itself time to be, should this proxy hang.
 	patience := left
 	if ended.Plan.Class == setup.Repeatable {
--- a/internal/dispatch/conns_test.go
+++ b/internal/dispatch/conns_test.go
@@ -233,7 +233,16 @@
 		t.Errorf("ended %v with %s", got.Ending, got.Defect)
 	}
 	s.workers.byInstance["w"].conns.address = "127.0.0.1:1"
-	if got := s.run(t, "second", nil); got.Ending != schema.Ending_ENDING_NOT_RUN {
+	for _, want := range []defect.Kind{defect.WorkerUnopened, defect.WrongInstance} {
+		if got := s.run(t, string(want), nil); got.Ending != schema.Ending_ENDING_NOT_RUN || got.Defect != string(want) {
+			t.Errorf("ended %v with %s, want %s", got.Ending, got.Defect, want)
+		}
+	}
+	// A worker that speaks again is there again.
+	if _, err := s.workers.Describe(Description{ID: "w", Address: s.address, Service: "shop", Version: "1", BeatMS: 60000}); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.run(t, "third", nil); got.Ending != schema.Ending_ENDING_UNKNOWN {
 		t.Errorf("ended %v with %s", got.Ending, got.Defect)
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"hash/crc32"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -220,6 +222,10 @@
 	err := held.conns.hand(&x)
 	switch kind := defect.KindOf(err); {
 	case err != nil && kind == defect.WorkerUnopened:
+		// Where nobody listens there is no worker any more; should there be, its next word tells.
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.Workers.disown(held)
+		}
 		return notRun(kind, 0)
 	case err != nil:
 		return unknown(kind)
