Keep proxies in sessions with a registry of their own zone, and let the roster mind them

A proxy that serves in doubt needs no lease, yet its sessions were kept like one: every proxy renewed at three registries, told its workers eight times a lease whether they changed or not, and each poll carried a vector of all sources.

Now a proxy has one session: it says what it has once, then the registry sends what is new, and a sign of life eight times a lease. A step function (session.Tie) picks the registry: one of the own zone first, another when it is silent, gone or not in touch with the core, opened beside the old one unless that is dead. With each sign of life the registry says how long ago its store knew its setup to be the newest, so a proxy always knows how old its picture may be; it shows this.

Who lives is minded by the registry that has, or had, the session. Sources go when it finds the session ended for good, or when it is itself lost and those that do so are in touch with the core; a registry that was cut off keeps what it knows. Incarnations are a count of lives above random bits in place of the time of day: a proxy asks at its start what was seen of its name, and goes beyond whatever it meets later. Registries without an order keep level by sessions too.

Ruled out: cursors over polls (a session has its place by itself, and a vector once per session is a few hundred bytes within the zone); passing all news on to every registry (four times the bytes between zones), so only what a peer does not hear itself is passed on.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,7 +32,6 @@
 const (
 	renewParts  = registry.LeaseParts
 	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
-	countParts  = 2                       // counts of verdicts are for operators to read
 	pollParts   = 2
 	sweepParts  = 4 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
@@ -50,7 +49,8 @@
 type Server struct {
 	schema.DRPCHopUnimplementedServer
 	options     *schema.ProxyOptions
-	incarnation uint64
+	life        uint64 // tells this life from others; settled before any session
+	incarnation uint64 // of what is told of this proxy, above all that was seen of it; guarded by lock
 	address     string
 	lease       time.Duration
 	ends        *link.Ends
@@ -77,9 +77,13 @@
 	behind   time.Duration // since when some registry knew a newer setup than the one applied; 0 for never
 	feedAt   int
 	members  atomic.Int64
+	told     int64          // proxies that the registry knows to live; guarded by lock
+	tie      *session.Tie   // with which registry this proxy is in session; guarded by lock
+	vouched  time.Duration  // of what time the setup here is known to have been the newest; 0 for never; guarded by lock
 	fleet    *session.Fleet // how many share the budgets; guarded by lock
 	counter  uint64
 	tellNow  chan struct{}
+	lookNow  chan struct{}                // the setup is another
 	asking   map[string]chan *claimTicket // claims on their way, by registry; guarded by lock
 	linked   context.Context              // ends with this proxy's links
 	inFlight sync.WaitGroup
@@ -164,14 +168,17 @@
 
 // build makes a proxy that has no listeners and no sessions yet.
 func build(ends *link.Ends, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) (*Server, error) {
-	s := &Server{options: given, incarnation: uint64(time.Now().UnixNano()), address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
-		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
+	s := &Server{options: given, address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
+		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
+	s.life = session.NextIncarnation(0)
+	s.incarnation = s.life
 	if s.address == "" {
 		s.address = given.Listen
 	}
 	s.members.Store(given.MembersMost)
 	s.fleet = session.NewFleet(given.MembersMost, s.lease)
 	s.journal = journal.New(EmptyPicture(), eventsKept, s.speeches.fold)
+	s.tie = s.newTie()
 	s.granted = session.NewGate(s.lease, s.now)
 	s.gate = s.granted
 	if serving(given) {
@@ -199,11 +206,18 @@
 // join begins this proxy's sessions with the registries; they end with ctx.
 func (s *Server) join(ctx context.Context) {
 	s.linked = ctx
-	for i := range options.List(s.options.Seeds) {
-		go s.renew(ctx, i)
-	}
-	go s.feed(ctx)
-	go s.tell(ctx)
+	go func() {
+		s.settle(ctx)
+		if serving(s.options) {
+			go s.keepTie(ctx)
+		} else {
+			for i := range options.List(s.options.Seeds) {
+				go s.renew(ctx, i)
+			}
+			go s.feed(ctx)
+		}
+		s.tell(ctx)
+	}()
 }
 
 // drain stops taking calls and waits for those in flight, as long as settings allow.
@@ -232,6 +246,7 @@
 	case <-done:
 	case <-draining.Done():
 	}
+	s.farewell()
 	return first
 }
 
@@ -247,7 +262,7 @@
 		speaks[caller] = true
 	}
 	s.speaks = link.Local("proxy", given.Name, speaks)
-	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.incarnation, Area: given.Area, Silence: given.Silence,
+	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.life, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
 		Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
 	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
@@ -260,7 +275,7 @@
 	s.trials = dispatch.NewTrials(dispatch.TrialOptions{Length: time.Duration(given.Trial), Failures: given.TrialFailures, Times: given.TrialTimes,
 		Excess: given.TrialExcess, Slow: given.TrialSlow}, func() int { return int(s.members.Load()) },
 		func() dispatch.Guards { return s.view().Setup })
-	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.incarnation,
+	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.life,
 		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
 		View:    s.view, Leased: s.gate.Open, Now: s.now, Dice: rand.Float64, Soundness: s.facts, Trials: s.trials, Tally: s.tally,
 		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor),
@@ -304,6 +319,9 @@
 	Leased   bool             `json:"leased"`
 	LeaseMS  int64            `json:"leaseMs"`
 	Members  int64            `json:"members"`
+	Registry string           `json:"registry,omitempty"` // with which this proxy is in session
+	Vouched  bool             `json:"vouched"`            // whether the picture's age is known
+	AgeMS    int64            `json:"ageMs"`              // since it was last known that nothing newer was promised to anyone
 	Sources  int              `json:"sources"`
 	Known    int              `json:"knownWorkers"` // in the whole mesh
 	Workers  []*schema.Worker `json:"workers"`
@@ -320,7 +338,8 @@
 			known += len(pool)
 		}
 	}
-	return Status{Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.granted.Until() - s.now()).Milliseconds(),
+	registry, age, vouched := s.picture()
+	return Status{Registry: registry, Vouched: vouched, AgeMS: age.Milliseconds(), Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.granted.Until() - s.now()).Milliseconds(),
 		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
 		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
 }
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"meadowhinge/internal/options"
-	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
 
@@ -126,7 +125,7 @@
 	defer cancel()
 	asked := s.now()
 	applied := s.journal.View().setup.Sequence
-	reply, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Lease(bounded, &schema.Renew{Proxy: s.options.Name, Incarnation: s.incarnation, Applied: applied, Knows: knows, LeaseNanos: int64(s.lease)})
+	reply, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Lease(bounded, &schema.Renew{Proxy: s.options.Name, Incarnation: s.life, Applied: applied, Knows: knows, LeaseNanos: int64(s.lease)})
 	if err != nil {
 		return ""
 	}
@@ -154,6 +153,11 @@
 
 // feedAddress is the registry this proxy has its session with.
 func (s *Server) feedAddress() (string, int) {
+	if serving(s.options) {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		return s.tie.Current(), 0
+	}
 	addresses := s.registries()
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -208,6 +212,7 @@
 		s.lock.Lock()
 		s.learn(pulled.Cores)
 		s.lock.Unlock()
+		s.mind(pulled.Sources)
 		if len(pulled.Sources) == 0 && pulled.Setup <= held.setup.Sequence {
 			continue
 		}
@@ -246,26 +251,30 @@
 
 // tell reports workers and counts to the registry of this proxy's session.
 func (s *Server) tell(ctx context.Context) {
-	ticker := time.NewTicker(s.lease / tellParts)
-	defer ticker.Stop()
 	changed := true
-	looked, any, judged := uint64(0), false, func(string) bool { return false }
 	for turn := 0; ; turn++ {
-		// Loads and liveness are told every renewParts-th of a lease, a change at once; what was
-		// seen of workers oftener, but only while some version is to be judged by it; counts of
-		// verdicts, which nothing waits for, more seldom.
-		due := changed || turn%(tellParts/renewParts) == 0
-		if setup := s.view().Setup; setup.Sequence != looked {
-			judged, any = release.Judged(setup)
-			looked = setup.Sequence
+		// Loads and liveness are told every renewParts-th of a lease, a change at once; counts
+		// oftener, but only while some version is to be judged by them. In a session the registry
+		// sees that this proxy lives, and nothing is told while nothing changes.
+		due := changed || (!serving(s.options) && turn%(tellParts/renewParts) == 0)
+		judged := len(s.view().Setup.Guards) > 0
+		told := true
+		if judged || due {
+			told = s.tellOnce(ctx, due)
 		}
-		if any || due {
-			s.tellOnce(ctx, due, turn%(tellParts/countParts) == 0, judged)
+		var wait <-chan time.Time
+		switch {
+		case !told && due && serving(s.options):
+			wait = time.After(s.lease / retryParts)
+		case judged || !serving(s.options):
+			wait = time.After(s.lease / tellParts)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-wait:
+			changed = !told && due && serving(s.options)
+		case <-s.lookNow:
 			changed = false
 		case <-s.tellNow:
 			changed = true
@@ -273,29 +282,33 @@
 	}
 }
 
-// tellOnce reports what was seen of judged services, with whole this proxy's workers too, and
-// counts of verdicts if they are wanted.
-func (s *Server) tellOnce(ctx context.Context, whole, counts bool, judged func(service string) bool) {
+// tellOnce reports counts, and with whole this proxy's workers too; it tells whether that went well.
+func (s *Server) tellOnce(ctx context.Context, whole bool) bool {
+	defer s.trials.Forget()
+	address, at := s.feedAddress()
+	// Without a session there is nobody to tell.
+	if address == "" {
+		return false
+	}
 	var source *schema.Source
-	if whole {
+	switch {
+	case whole && serving(s.options):
+		source = s.source()
+	case whole:
 		s.workers.Sweep()
 		source = s.source()
 		view := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}, Sweep: s.lease / sweepParts})
 		s.facts.Keep(view.Known())
 	}
-	address, at := s.feedAddress()
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-	asked, setup := s.now(), s.view().Setup
-	report := &schema.Report{Proxy: s.options.Name, Incarnation: s.incarnation, Source: source, Applied: setup.Sequence, Works: s.runner.Works.Tell(judged)}
-	if counts {
-		report.Counts = s.tally.Counts(setup.Sequence)
-	}
-	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, report)
+	asked := s.now()
+	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
+		Incarnation: s.life, Source: source, Counts: s.tally.Counts(s.view().Setup.Sequence)})
 	cancel()
 	if err == nil {
 		s.trials.Granted(asked, told.Trials)
-	} else if ctx.Err() == nil {
+	} else if ctx.Err() == nil && !serving(s.options) {
 		s.moveOn(at)
 	}
-	s.trials.Forget()
+	return err == nil
 }
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -92,6 +92,10 @@
 			}
 		}
 		for _, source := range event.Sources {
+			// Of a bare source nothing is known but that it was seen.
+			if source.Bare {
+				continue
+			}
 			held, found := after.sources[source.Name]
 			if (!found && newer(source.Stamp, after.swept[source.Name])) || (found && newer(source.Stamp, held.source.Stamp)) {
 				after.sources[source.Name] = known{source, event.At}
@@ -123,7 +127,10 @@
 	if a.GetIncarnation() != b.GetIncarnation() {
 		return a.GetIncarnation() > b.GetIncarnation()
 	}
-	return a.GetCounter() > b.GetCounter()
+	if a.GetCounter() != b.GetCounter() {
+		return a.GetCounter() > b.GetCounter()
+	}
+	return a.GetEnded() && !b.GetEnded()
 }
 
 // View is what plans are made from.
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -54,6 +54,7 @@
 	cores  map[string]*schema.Core
 	agreed []*schema.Core // the seats as the store beside has them, where no order rules
 	moved  chan struct{}
+	beat   chan struct{} // closed and replaced whenever sessions are due a sign of life
 	store  schema.DRPCStoreClient
 
 	offerSerial uint64
@@ -107,13 +108,14 @@
 		given.Seat = ipOf(address)
 	}
 	s := &Server{options: given, order: options.List(given.Order), lease: time.Duration(given.Lease), address: address, ends: ends, log: frame.Log,
-		started: time.Now(), born: uint64(time.Now().UnixNano()), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{}), offers: map[string]*offered{}}
+		started: time.Now(), born: session.NextIncarnation(0), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{}), beat: make(chan struct{}), offers: map[string]*offered{}}
 	for _, change := range changes {
 		change(s)
 	}
 	s.fleet = session.NewFleet(given.SourcesMost, s.lease)
 	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost), Leaseless: s.stableIsEnough()})
 	s.claims = NewClaims(ClaimsOptions{Lease: s.lease, Window: time.Duration(given.KeyWindow), Most: int(given.ClaimsMost), Seats: len(s.seats())})
+	s.table.Among(len(s.seats()))
 	s.setup, _ = setup.Compile(s.state, 0)
 	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born, Area: given.Area}
 	s.store = schema.NewDRPCStoreClient(ends.To(ctx, given.Store))
@@ -137,6 +139,7 @@
 	go s.steer(ctx)
 	go s.fillClaims(ctx)
 	go s.pullFromAll(ctx)
+	go s.beats(ctx)
 	outward, err := s.serveOperators(given.OperatorListen)
 	if err != nil {
 		return err
@@ -186,7 +189,7 @@
 		after := s.table.stable
 		s.lock.Unlock()
 		bounded, cancel := context.WithTimeout(ctx, s.lease)
-		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / pollParts)})
+		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / BeatParts)})
 		cancel()
 		if err != nil {
 			s.pause(ctx, retryParts)
@@ -203,8 +206,12 @@
 	if len(back.Cores) > 0 && !sameCores(s.agreed, back.Cores) {
 		s.log.V(1).Info("the seats are others", "seats", len(back.Cores))
 		s.agreed = back.Cores
+		s.table.Among(len(s.seats()))
 		s.announce()
 	}
+	if back.Vouched && back.Stable >= s.table.stable {
+		s.table.Vouch(s.now() - time.Duration(back.AgeNanos))
+	}
 	if back.Stable <= s.table.stable {
 		return
 	}
@@ -231,6 +238,7 @@
 				reached := s.table.stable >= back.Stable
 				if reached {
 					s.table.SetCurrent()
+					s.announce()
 				}
 				moved := s.moved
 				s.lock.Unlock()
@@ -264,7 +272,7 @@
 			if pulling[address] == nil {
 				bounded, cancel := context.WithCancel(ctx)
 				pulling[address] = cancel
-				go s.pullFrom(bounded, address)
+				go s.keepLevel(bounded, address)
 			}
 		}
 		select {
@@ -322,7 +330,9 @@
 
 // sameCores tells whether two lists name the same seats at the same places.
 func sameCores(a, b []*schema.Core) bool {
-	return slices.EqualFunc(a, b, func(a, b *schema.Core) bool { return a.Seat == b.Seat && a.Address == b.Address })
+	return slices.EqualFunc(a, b, func(a, b *schema.Core) bool {
+		return a.Seat == b.Seat && a.Address == b.Address && a.Area == b.Area && a.Incarnation == b.Incarnation
+	})
 }
 
 // learnCore notes where a core machine is now; of two tellings the later start wins.
@@ -330,6 +340,15 @@
 	if core == nil || core.Seat == "" {
 		return false
 	}
+	own := s.cores[s.options.Seat]
+	// Where an earlier life of this registry was is believed until this one's word is the later.
+	if core.Seat == s.options.Seat {
+		if session.Overtaken(own.Incarnation, core.Incarnation, false) {
+			s.cores[core.Seat] = &schema.Core{Seat: own.Seat, Address: own.Address, Area: own.Area, Incarnation: session.NextIncarnation(core.Incarnation)}
+			return true
+		}
+		return false
+	}
 	listed := false
 	for _, seat := range s.seats() {
 		listed = listed || seat.Seat == core.Seat
@@ -422,6 +441,16 @@
 	return reply, nil
 }
 
+// Greet tells a proxy that starts which incarnation of its name was seen last.
+func (s *Server) Greet(ctx context.Context, greeting *schema.Greeting) (*schema.Greeted, error) {
+	if err := s.isProxy(ctx, greeting.Proxy); err != nil {
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return &schema.Greeted{Incarnation: s.table.Seen(greeting.Proxy)}, nil
+}
+
 // Feed waits for news that a node lacks and gives it.
 func (s *Server) Feed(ctx context.Context, pull *schema.Pull) (*schema.Pulled, error) {
 	if pull.Core != nil {
@@ -436,11 +465,19 @@
 		s.table.Differs(pull.Node, "order", pull.Order, s.options.Order, pull.Order != "")
 		s.lock.Unlock()
 	}
+	s.lock.Lock()
+	s.table.Learn(s.now(), pull.Vector)
+	s.lock.Unlock()
+	of := pull.Node
+	if pull.Core != nil {
+		of = ""
+	}
 	horizon := time.NewTimer(min(time.Duration(pull.WaitNanos), s.lease))
 	defer horizon.Stop()
 	for {
 		s.lock.Lock()
 		pulled := &schema.Pulled{Sources: s.table.Feed(s.now(), pull.Vector), Setup: s.table.stable, Cores: s.coreList()}
+		pulled.Sources = append(pulled.Sources, s.table.Bare(pull.Vector, of)...)
 		if pull.Core == nil && s.table.stable > pull.Setup {
 			pulled.Items, pulled.Whole = s.state.After(pull.Setup)
 			pulled.Items = unsaid(pulled.Items)
@@ -505,13 +542,13 @@
 	if ask.Duty != "" {
 		s.takeTrials(ask.Trials)
 	}
-	return s.countsHere(ask.Works), nil
+	return s.countsHere(), nil
 }
 
-func (s *Server) countsHere(works bool) *schema.CountsBack {
+func (s *Server) countsHere() *schema.CountsBack {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.table.Counts(s.now(), works)
+	return s.table.Counts(s.now())
 }
 
 // Look gives this registry's status.
@@ -519,7 +556,9 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	now := s.now()
+	age, known := s.table.Age(now)
 	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now),
+		Sessions: uint32(s.table.Sessions()), Members: uint32(s.table.Members(now)), Vouched: known, AgeNanos: int64(age), Reached: s.table.Reached(now),
 		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load(),
 		Claims: uint64(s.claims.Held()), ClaimsCount: s.claims.Counts(now), RefusedClaims: s.claims.Refused, Odd: s.table.Odd()}, nil
 }
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -40,6 +40,7 @@
 type heldSource struct {
 	source *schema.Source
 	at     time.Duration
+	place  uint64 // in the order in which news were taken here
 }
 
 type stableMark struct {
@@ -66,6 +67,7 @@
 	trials   []*schema.Trial
 	trialsAt time.Duration // when the release duty last handed them out
 	odd      map[string]string
+	roster   roster
 }
 
 // trace is when a setup was where, as far as this registry saw.
@@ -80,7 +82,7 @@
 
 // NewTable makes the memory of a registry that has just started.
 func NewTable(options TableOptions) *Table {
-	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}, toldAt: map[leaseKey]time.Duration{}, odd: map[string]string{}}
+	return &Table{options: options, leases: map[leaseKey]*lease{}, sources: map[string]*heldSource{}, counts: map[leaseKey]*schema.SourceCounts{}, traces: map[uint64]*trace{}, toldAt: map[leaseKey]time.Duration{}, odd: map[string]string{}, roster: newRoster()}
 }
 
 // SetCurrent tells that the registry knows at least what was stable when it started.
@@ -100,14 +102,6 @@
 	t.marks = append(t.marks, stableMark{setup, now})
 }
 
-// KnownFor is how long a sequence has been known here; nothing if it is not kept any more.
-func (t *Table) KnownFor(now time.Duration, sequence uint64) time.Duration {
-	if traced := t.traces[sequence]; traced != nil {
-		return now - traced.seen
-	}
-	return 0
-}
-
 // Grants tells whether leases are given. A registry that has just started may have given
 // leases and set fences it forgot, so it waits until those leases have run out.
 func (t *Table) Grants(now time.Duration) bool {
@@ -126,10 +120,12 @@
 		}
 	}
 	for name, held := range t.sources {
-		if now-held.at > keptSources*t.options.Lease {
+		// Proxies in session say nothing while nothing changes: see retire.
+		if held.source.Home == "" && now-held.at > keptSources*t.options.Lease {
 			delete(t.sources, name)
 		}
 	}
+	t.retire(now)
 }
 
 // Renew grants or refuses a lease.
@@ -197,7 +193,10 @@
 	if a.GetIncarnation() != b.GetIncarnation() {
 		return a.GetIncarnation() > b.GetIncarnation()
 	}
-	return a.GetCounter() > b.GetCounter()
+	if a.GetCounter() != b.GetCounter() {
+		return a.GetCounter() > b.GetCounter()
+	}
+	return a.GetEnded() && !b.GetEnded()
 }
 
 // Merge takes a source's news if it is newer than what is held.
@@ -205,36 +204,50 @@
 	if source == nil || source.Stamp == nil {
 		return false
 	}
+	if source.Bare {
+		return t.learnBare(now, source)
+	}
 	held := t.sources[source.Name]
 	if held != nil && !newerStamp(source.Stamp, held.source.Stamp) {
 		return false
 	}
-	if held == nil && len(t.sources) >= t.options.SourcesMost {
+	if held == nil && len(t.sources) >= t.options.SourcesMost && !t.makeRoom() {
 		return false
 	}
-	t.sources[source.Name] = &heldSource{source, now}
+	t.put(now, source)
 	return true
 }
 
+// makeRoom forgets the ended source that was taken longest ago.
+func (t *Table) makeRoom() bool {
+	oldest := ""
+	for name, held := range t.sources {
+		if held.source.Stamp.GetEnded() && (oldest == "" || held.place < t.sources[oldest].place) {
+			oldest = name
+		}
+	}
+	delete(t.sources, oldest)
+	return oldest != ""
+}
+
 // Tell takes a proxy's report; counts only grow within an incarnation.
 func (t *Table) Tell(now time.Duration, report *schema.Report) bool {
 	t.toldAt[leaseKey{report.Proxy, report.Incarnation}] = now
-	if len(report.Counts)+len(report.Works) <= t.options.CountsMost {
-		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts, Works: report.Works, Applied: report.Applied})
+	if len(report.Counts) > 0 && len(report.Counts) <= t.options.CountsMost {
+		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts})
+	}
+	t.own(report.Source)
+	if report.Source.GetEnded() {
+		report.Source.Stamp.Ended = true
 	}
 	return t.Merge(now, report.Source)
 }
 
-// Counts gives what proxies told of their verdicts, and how many of them did of late; with works
-// only what versions are judged by.
-func (t *Table) Counts(now time.Duration, works bool) *schema.CountsBack {
+// Counts gives what proxies told of their verdicts, and how many of them did of late.
+func (t *Table) Counts(now time.Duration) *schema.CountsBack {
 	back := &schema.CountsBack{Telling: uint32(t.telling(now))}
-	for key, held := range t.counts {
-		given := &schema.SourceCounts{Proxy: held.Proxy, Incarnation: held.Incarnation, Works: held.Works, Applied: held.Applied, AgoNanos: int64(now - t.toldAt[key])}
-		if !works {
-			given.Counts = held.Counts
-		}
-		back.Sources = append(back.Sources, given)
+	for _, counts := range t.counts {
+		back.Sources = append(back.Sources, counts)
 	}
 	return back
 }
@@ -252,23 +265,16 @@
 	return count
 }
 
-// keepCounts keeps, for one incarnation of a proxy, the report that counted most; what a report
-// leaves out stays as it was told.
+// keepCounts keeps, for one incarnation of a proxy, the report that counted most.
 func (t *Table) keepCounts(given *schema.SourceCounts) {
 	key := leaseKey{given.Proxy, given.Incarnation}
 	held := t.counts[key]
 	if held == nil {
-		held = &schema.SourceCounts{Proxy: given.Proxy, Incarnation: given.Incarnation}
 		t.told = append(t.told, key)
 	}
-	kept := &schema.SourceCounts{Proxy: held.Proxy, Incarnation: held.Incarnation, Counts: held.Counts, Works: held.Works, Applied: max(held.Applied, given.Applied)}
-	if callsIn(given) > 0 && callsIn(given) >= callsIn(held) {
-		kept.Counts = given.Counts
-	}
-	if len(given.Works) > 0 && worksIn(given) >= worksIn(held) {
-		kept.Works = given.Works
+	if held == nil || callsIn(given) >= callsIn(held) {
+		t.counts[key] = given
 	}
-	t.counts[key] = kept
 	// Counts of incarnations long gone make room, oldest first.
 	for len(t.told) > 4*t.options.SourcesMost {
 		delete(t.counts, t.told[0])
@@ -278,16 +284,7 @@
 
 func callsIn(counts *schema.SourceCounts) uint64 {
 	var calls uint64
-	for _, line := range counts.GetCounts() {
-		calls += line.Calls
-	}
-	return calls
-}
-
-// worksIn adds up what workers ended.
-func worksIn(counts *schema.SourceCounts) uint64 {
-	var calls uint64
-	for _, line := range counts.GetWorks() {
+	for _, line := range counts.Counts {
 		calls += line.Calls
 	}
 	return calls
@@ -355,6 +352,12 @@
 	for name, held := range t.sources {
 		vector[name] = held.source.Stamp
 	}
+	// Of what was only seen, nothing is had of its last life.
+	for name, held := range t.roster.bare {
+		if seen := (&schema.Stamp{Incarnation: held.source.Stamp.Incarnation}); newerStamp(seen, vector[name]) {
+			vector[name] = seen
+		}
+	}
 	return vector
 }
 
@@ -362,7 +365,9 @@
 func (t *Table) Members(now time.Duration) int {
 	count := 0
 	for _, held := range t.sources {
-		if now-held.at <= t.options.Lease {
+		leased := held.source.Home == "" && now-held.at <= t.options.Lease
+		inSession := held.source.Home != "" && !held.source.Stamp.GetEnded()
+		if leased || inSession {
 			count++
 		}
 	}
