Let a hangup end no process

Cause: SIGHUP says that the settings have changed, and a program that does not mind it is ended by it. Conclusion: what changed is still read at the next start only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,8 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectAt)
 	}
+	// Word that settings have changed is not word to end.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := body(ctx, frame)
