Let the seats be agreed state: they found, join, give way and come back empty

On the users' platform a process is told three seeds, not how many seats there are. Machines of the core are taken away for good and others come at other addresses, with empty disks; a disk may be lost where its machine returns.

The seats are now part of the state, changed one at a time by an entry that counts as soon as it is taken, and only once the holder's epoch has something stable and the seats before it are. A seat is a name and the incarnation of its folder, 64 bits drawn once: an empty folder is another seat, so it counts for nothing that was on the lost one, and no order of incarnations is needed (they came from the time of day). Reading both others before one counts again was ruled out: a late word of the lost folder could still be counted by a holder that was not read.

An epoch now begins upon what a seat holds, where that is a part of it; the whole state goes out only to whoever lacks too much.

The log is files of our own: tidwall/wal shortens its front by a temporary file, a rename and removals, and where none of these lasts before the folder is synced, a loss of power can leave neither the old file nor the new. A new file with the whole state is synced first now, and only then does the old one go; what is written at once is one frame, read whole or not at all. A disk that refuses a write gets the whole state, again and again, until it takes it; before, the process ended.

--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -44,18 +44,19 @@
 func (w *World) startSeat(node *seatNode) {
 	w.rise(&node.machine)
 	node.writing, node.tickets = nil, map[string]func(any){}
-	records := node.disk
-	if len(records) == 0 {
-		node.incarnation = uint64(w.next())
-		records = []*schema.Record{{Incarnation: node.incarnation}}
-		node.disk = records
-	}
-	if w.plant == PlantAmnesia && node.life > 1 {
-		records = append(append([]*schema.Record(nil), records...), &schema.Record{Counted: true})
-	}
 	name := node.name[len("store-"):]
-	node.seat = store.NewSeat(store.Options{Name: name, Order: []string{"a", "b", "c"}, Address: name, Silence: silence, Stall: stall,
-		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64, DroppedMost: 64}, node.incarnation, records)
+	options := store.Options{Name: name, Order: []string{"a", "b", "c"}, Address: name, Losses: 1, Silence: silence, Stall: stall,
+		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64, DroppedMost: 64}
+	if len(node.disk) == 0 {
+		// The planted fault lets an empty folder pass for the one that was lost.
+		if w.plant != PlantAmnesia || node.incarnation == 0 {
+			node.incarnation = uint64(w.next())
+		} else {
+			options.Founders = options.Order
+		}
+		node.disk = []*schema.Record{store.Birth(options, node.incarnation)}
+	}
+	node.seat = store.NewSeat(options, node.incarnation, node.disk)
 	w.every(&node.machine, tick, func() { w.act(node, node.seat.Tick(node.clock.at(w.now))) })
 }
 
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -27,7 +28,9 @@
 	options *schema.StoreOptions
 	ends    *link.Ends
 	log     logr.Logger
+	ctx     context.Context
 	started time.Time
+	life    uint64 // tells this process's tickets from those of others
 
 	lock     sync.Mutex
 	seat     *Seat
@@ -40,7 +43,8 @@
 	outboxes map[string]chan *schema.SeatLetter
 	writes   []Persist     // waiting to be synced; bounded by what the seat admits
 	wake     chan struct{} // tells the writer that there is something to do
-	broken   chan error
+	timer    *time.Timer   // of the seat's next tick
+	wakeAt   time.Duration
 }
 
 // Log is a disk as the daemon uses it: what Write returned for is synced.
@@ -68,61 +72,26 @@
 		return err
 	}
 	defer ends.Close()
-	order := orderOf(given)
+	order := options.List(given.Order)
 	if self := ends.Self(); self.Role != "store" || self.Name != given.Seat {
 		return defect.New(defect.BadOptions, fmt.Sprintf("certificate is for %s %q, not store %q", self.Role, self.Name, given.Seat))
 	}
-	listed := false
-	for _, name := range order {
-		listed = listed || name == given.Seat
-	}
-	if !listed {
+	if len(order) > 0 && !slices.Contains(order, given.Seat) {
 		return defect.New(defect.BadOptions, "seat: is not in order")
 	}
-	folder := filepath.Join(given.Data, "setup")
-	opened, records, err := Open(folder)
-	if defect.KindOf(err) == defect.DiskCorrupt && err != nil {
-		// Rot in the middle: the seat starts empty and is refilled by the others.
-		frame.Log.Error(err, "log is corrupt and set aside; refilling from the other seats")
-		if err = SetAside(folder); err == nil {
-			opened, records, err = Open(folder)
-		}
-	}
-	if err != nil {
-		return err
+	seatOptions := seatOptionsOf(given)
+	disk, records := openDisk(ctx, frame.Log, given, seatOptions, running.under)
+	if disk == nil {
+		return nil
 	}
-	disk := running.under(opened)
 	defer disk.Close()
-	incarnation := uint64(time.Now().UnixNano())
-	if len(records) == 0 {
-		// The incarnation is synced before any letter leaves, so that a seat is never two.
-		if err := disk.Write([]*schema.Record{{Incarnation: incarnation}}, false); err != nil {
-			return err
-		}
-	}
 	listener, err := net.Listen("tcp", given.Listen)
 	if err != nil {
 		return defect.Wrap(err, defect.BadOptions, "listen")
 	}
-	address := given.Advertise
-	if address == "" {
-		address = given.Listen
-	}
-	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
-		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{},
-		wake: make(chan struct{}, 1), broken: make(chan error, 1)}
-	s.seat = NewSeat(Options{Name: given.Seat, Order: order, Address: address, Silence: time.Duration(given.Silence),
-		Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost), OutcomesMost: int(given.OutcomesMost),
-		BufferMost: int(given.Buffer), DroppedMost: int(given.DroppedMost)}, incarnation, records)
-	for _, name := range order {
-		if name != given.Seat {
-			s.outboxes[name] = make(chan *schema.SeatLetter, given.Buffer)
-		}
-	}
-	// The map is whole before anybody reads it, and never changes after.
-	for name := range s.outboxes {
-		go s.post(ctx, name)
-	}
+	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), life: rand.Uint64(), ctx: ctx, tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
+		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{}, wake: make(chan struct{}, 1), timer: time.NewTimer(0)}
+	s.seat = NewSeat(seatOptions, 0, records)
 	go s.write(ctx, disk)
 	mux := drpcmux.New()
 	if err := schema.DRPCRegisterStore(mux, s); err != nil {
@@ -140,9 +109,7 @@
 	go func() { served <- ends.Serve(ctx, listener, mux, "store", "registry") }()
 	frame.Log.V(1).Info("store up", "seat", given.Seat, "listen", given.Listen, "records", len(records))
 
-	// The clock runs several times within each ping's interval.
-	ticker := time.NewTicker(time.Duration(given.Silence) / (pingsPerSilence * 4))
-	defer ticker.Stop()
+	defer s.timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -150,10 +117,11 @@
 			return nil
 		case err := <-served:
 			return err
-		case err := <-s.broken:
-			return err
-		case <-ticker.C:
-			s.step(func(now time.Duration) []Action { return s.seat.Tick(now) })
+		case <-s.timer.C:
+			s.step(func(now time.Duration) []Action {
+				s.wakeAt = 0
+				return s.seat.Tick(now)
+			})
 		}
 	}
 }
@@ -168,21 +136,76 @@
 
 const plainLinks = "plain"
 
-// orderOf names the seats: those of the order or, without one, the IPs of the seeds.
-func orderOf(given *schema.StoreOptions) []string {
-	if given.Order != "" {
-		return options.List(given.Order)
+// seatOptionsOf makes a seat's options. Without an order seats are named by their IPs, and the
+// seeds are the first seats where all of them start for the first time.
+func seatOptionsOf(given *schema.StoreOptions) Options {
+	made := Options{Name: given.Seat, Order: options.List(given.Order), Address: given.Advertise, Losses: int(given.Losses),
+		Silence: time.Duration(given.Silence), Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost),
+		OutcomesMost: int(given.OutcomesMost), BufferMost: int(given.Buffer), DroppedMost: int(given.DroppedMost)}
+	if made.Address == "" {
+		made.Address = given.Listen
+	}
+	if len(made.Order) > 0 {
+		return made
 	}
-	var names []string
 	for _, seed := range options.List(given.Seeds) {
 		if place, err := netip.ParseAddrPort(seed); err == nil {
-			names = append(names, place.Addr().String())
+			made.Seeds = append(made.Seeds, place.Addr().String())
 		}
 	}
-	slices.Sort(names)
-	return slices.Compact(names)
+	slices.Sort(made.Seeds)
+	made.Seeds = slices.Compact(made.Seeds)
+	if given.Founding && slices.Contains(made.Seeds, made.Name) {
+		made.Founders = made.Seeds
+	}
+	made.Raise = given.Founding && made.Founders == nil
+	return made
 }
 
+// openDisk opens the log, and writes the first record of an empty one. A disk that refuses is
+// asked again until ctx ends; then it gives nil.
+func openDisk(ctx context.Context, log logr.Logger, given *schema.StoreOptions, seat Options, under func(Log) Log) (Log, []*schema.Record) {
+	for {
+		disk, records, err := tryDisk(log, given, seat, under)
+		if err == nil {
+			return disk, records
+		}
+		log.Error(err, "the disk refuses; asking it again")
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(seat.Stall / retriesPerStall):
+		}
+	}
+}
+
+func tryDisk(log logr.Logger, given *schema.StoreOptions, seat Options, under func(Log) Log) (Log, []*schema.Record, error) {
+	opened, records, err := Open(given.Data)
+	if err != nil && defect.KindOf(err) == defect.DiskCorrupt {
+		// Rot: the seat starts empty and is refilled by the others.
+		log.Error(err, "log is corrupt and set aside; refilling from the other seats")
+		if err = SetAside(given.Data); err == nil {
+			opened, records, err = Open(given.Data)
+		}
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	disk := under(opened)
+	if len(records) == 0 {
+		// The incarnation is drawn, for there is nobody to ask: only whether two are equal matters.
+		records = []*schema.Record{Birth(seat, 1+rand.Uint64N(math.MaxUint64-1))}
+		if err := disk.Write(records, true); err != nil {
+			disk.Close()
+			return nil, nil, err
+		}
+	}
+	return disk, records, nil
+}
+
+// retriesPerStall is how often, in a stall bound, a disk that refuses is asked again.
+const retriesPerStall = 8
+
 // placeOf is where a seat named by its IP stands: every store has the same port.
 func placeOf(given *schema.StoreOptions, name string) string {
 	own, err := netip.ParseAddrPort(given.Listen)
@@ -213,12 +236,17 @@
 func (s *Server) step(event func(now time.Duration) []Action) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	for _, action := range event(time.Since(s.started)) {
+	s.act(event(time.Since(s.started)))
+}
+
+// act hands actions out; the caller holds the lock.
+func (s *Server) act(actions []Action) {
+	for _, action := range actions {
 		switch one := action.(type) {
 		case Send:
 			// A full buffer means the peer is slow or gone; what is lost is sent again.
 			select {
-			case s.outboxes[one.Letter.To] <- one.Letter:
+			case s.outbox(one.Letter.To) <- one.Letter:
 			default:
 			}
 		case Persist:
@@ -233,6 +261,10 @@
 			s.end(one.Back.Ticket, one.Back)
 		}
 	}
+	if wakes := s.seat.Wakes(); s.wakeAt == 0 || wakes < s.wakeAt {
+		s.wakeAt = wakes
+		s.timer.Reset(wakes - time.Since(s.started))
+	}
 	s.noteTimes()
 	if stable, _ := s.seat.Stable(); stable != s.lastSeen {
 		s.lastSeen = stable
@@ -307,9 +339,11 @@
 				continue
 			}
 			if err := disk.Write(records, one.Whole); err != nil {
-				s.step(func(now time.Duration) []Action { return s.seat.DiskFailed(now) })
-				s.broken <- err
-				return
+				s.log.Error(err, "the disk refuses a write; the whole state is written again until it takes it")
+				if !s.rewrite(ctx, disk) {
+					return
+				}
+				break // what is left of the batch is in what was written
 			}
 			records = nil
 			s.step(func(now time.Duration) []Action { return s.seat.Synced(now, one.Mark) })
@@ -317,35 +351,80 @@
 	}
 }
 
-// addressOf finds where a seat is reached: where it last spoke from, else every seed.
-func (s *Server) addressesOf(name string) []string {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if address := s.seat.Addresses()[name]; address != "" && s.options.Order == "" {
-		return []string{address}
-	} else if address != "" {
-		return append([]string{address}, options.List(s.options.Seeds)...)
+// rewrite writes the whole state, again and again, to a disk that refused a write.
+func (s *Server) rewrite(ctx context.Context, disk Log) bool {
+	for {
+		s.step(func(now time.Duration) []Action { return s.seat.DiskFailed(now) })
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(time.Duration(s.options.Stall) / retriesPerStall):
+		}
+		s.lock.Lock()
+		// It stands for everything that waits to be written.
+		s.writes = nil
+		s.act(s.seat.Rewrite(time.Since(s.started)))
+		whole := s.writes[0]
+		s.writes = s.writes[1:]
+		s.lock.Unlock()
+		if disk.Write([]*schema.Record{whole.Record}, true) == nil {
+			s.step(func(now time.Duration) []Action { return s.seat.Synced(now, whole.Mark) })
+			return true
+		}
 	}
+}
+
+// outbox is where letters for a seat wait to be posted; the caller holds the lock.
+func (s *Server) outbox(name string) chan *schema.SeatLetter {
+	if s.outboxes[name] == nil {
+		s.outboxes[name] = make(chan *schema.SeatLetter, s.options.Buffer)
+		go s.post(s.ctx, name, s.outboxes[name])
+	}
+	return s.outboxes[name]
+}
+
+// addressesOf finds where a seat is reached: where it last spoke from, else every seed.
+func (s *Server) addressesOf(name string) (addresses []string, known bool) {
+	s.lock.Lock()
+	address := s.seat.Addresses()[name]
+	s.lock.Unlock()
 	// Seats that are named by their IPs are found by their names.
+	if address == "" && s.options.Order == "" {
+		address = placeOf(s.options, name)
+	}
 	if s.options.Order == "" {
-		return []string{placeOf(s.options, name)}
+		return []string{address}, true
+	}
+	if address != "" {
+		return append([]string{address}, options.List(s.options.Seeds)...), true
 	}
-	return options.List(s.options.Seeds)
+	return options.List(s.options.Seeds), false
+}
+
+// wire is an open stream of letters to one address.
+type wire struct {
+	schema.DRPCStore_DeliverClient
+	end     context.CancelFunc
+	heading *schema.SeatLetter // what its letters have in common
 }
 
 // post sends letters to one seat, in order, as many at once as are waiting.
-func (s *Server) post(ctx context.Context, name string) {
+func (s *Server) post(ctx context.Context, name string, outbox chan *schema.SeatLetter) {
+	wires := map[string]*wire{}
 	for {
 		var letters []*schema.SeatLetter
 		select {
 		case <-ctx.Done():
+			for _, one := range wires {
+				one.end()
+			}
 			return
-		case first := <-s.outboxes[name]:
+		case first := <-outbox:
 			letters = append(letters, first)
 		}
 		for more := true; more && len(letters) < int(s.options.Buffer); {
 			select {
-			case next := <-s.outboxes[name]:
+			case next := <-outbox:
 				letters = append(letters, next)
 			default:
 				more = false
@@ -353,35 +432,95 @@
 		}
 		// A seat may stand at any seed, or have come back elsewhere; letters name whom they are
 		// for, and a store that is not the one meant ignores them.
-		for i, address := range s.addressesOf(name) {
-			bounded, cancel := context.WithTimeout(ctx, time.Duration(s.options.Silence))
-			_, err := schema.NewDRPCStoreClient(s.ends.To(bounded, address)).Deliver(bounded, &schema.SeatLetters{Letters: letters})
-			cancel()
-			if err == nil && i == 0 && s.known(name) {
+		addresses, known := s.addressesOf(name)
+		for _, address := range addresses {
+			if s.carry(ctx, wires, address, letters) && known {
 				break
 			}
 		}
+		for address, one := range wires {
+			if !slices.Contains(addresses, address) {
+				one.end()
+				delete(wires, address)
+			}
+		}
 	}
 }
 
-func (s *Server) known(name string) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.seat.Addresses()[name] != ""
+// carry sends letters over the wire to an address. One that was open may have broken long since,
+// so a second is tried.
+func (s *Server) carry(ctx context.Context, wires map[string]*wire, address string, letters []*schema.SeatLetter) bool {
+	for {
+		open, was := wires[address]
+		if !was {
+			bounded, end := context.WithCancel(ctx)
+			stream, err := schema.NewDRPCStoreClient(s.ends.To(bounded, address)).Deliver(bounded)
+			if err != nil {
+				end()
+				return false
+			}
+			open = &wire{stream, end, &schema.SeatLetter{}}
+			wires[address] = open
+		}
+		err := open.Send(&schema.SeatLetters{Letters: open.shorten(letters)})
+		if err == nil {
+			return true
+		}
+		open.end()
+		delete(wires, address)
+		if !was {
+			return false
+		}
+	}
+}
+
+// shorten leaves out of letters what the one before said too: pings are most of what is sent.
+func (w *wire) shorten(letters []*schema.SeatLetter) (short []*schema.SeatLetter) {
+	for _, letter := range letters {
+		if sameHeading(letter, w.heading) {
+			letter = &schema.SeatLetter{Body: letter.Body}
+		} else {
+			w.heading = &schema.SeatLetter{}
+			lengthen(w.heading, letter)
+		}
+		short = append(short, letter)
+	}
+	return short
+}
+
+func sameHeading(a, b *schema.SeatLetter) bool {
+	return a.From == b.From && a.To == b.To && a.Address == b.Address && a.Incarnation == b.Incarnation && a.Founder == b.Founder
+}
+
+// lengthen puts back what shorten left out.
+func lengthen(letter, heading *schema.SeatLetter) {
+	letter.From, letter.To, letter.Address, letter.Incarnation, letter.Founder = heading.From, heading.To, heading.Address, heading.Incarnation, heading.Founder
 }
 
 // Deliver takes letters from another seat.
-func (s *Server) Deliver(ctx context.Context, letters *schema.SeatLetters) (*schema.Nothing, error) {
-	peer := link.PeerOf(ctx)
-	for _, letter := range letters.Letters {
-		// Only the seat named in the certificate may speak as that seat.
-		if peer.Role != "store" || peer.Name != letter.From {
-			s.ends.Refused.Add(1)
-			return nil, defect.New(defect.Stranger, letter.From)
+func (s *Server) Deliver(stream schema.DRPCStore_DeliverStream) error {
+	peer := link.PeerOf(stream.Context())
+	heading := &schema.SeatLetter{}
+	for {
+		letters, err := stream.Recv()
+		if err != nil {
+			return nil // whoever sent them has gone
+		}
+		for _, letter := range letters.Letters {
+			if letter.From == "" {
+				lengthen(letter, heading)
+			} else {
+				heading = &schema.SeatLetter{}
+				lengthen(heading, letter)
+			}
+			// Only the seat named in the certificate may speak as that seat.
+			if peer.Role != "store" || peer.Name != letter.From {
+				s.ends.Refused.Add(1)
+				return defect.New(defect.Stranger, letter.From)
+			}
+			s.step(func(now time.Duration) []Action { return s.seat.Deliver(now, letter) })
 		}
-		s.step(func(now time.Duration) []Action { return s.seat.Deliver(now, letter) })
 	}
-	return &schema.Nothing{}, nil
 }
 
 // await runs an event under a new ticket and waits for its end.
@@ -392,7 +531,7 @@
 		return nil
 	}
 	s.nextID++
-	ticket := fmt.Sprintf("%s-%d-%d", s.options.Seat, s.started.UnixNano(), s.nextID)
+	ticket := fmt.Sprintf("%s-%x-%d", s.options.Seat, s.life, s.nextID)
 	waiting := make(chan any, 1)
 	s.tickets[ticket] = waiting
 	s.lock.Unlock()
@@ -460,12 +599,12 @@
 	}
 }
 
-// vouched adds how fresh the stable state is.
+// vouched adds how fresh the stable state is, and who the seats are.
 func (s *Server) vouched(back *schema.StableBack) *schema.StableBack {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	age, known := s.seat.Fresh(time.Since(s.started))
-	back.AgeNanos, back.Vouched = int64(age), known
+	back.AgeNanos, back.Vouched, back.Cores = int64(age), known, s.seat.Seats()
 	return back
 }
 
--- a/internal/store/fresh.go
+++ b/internal/store/fresh.go
@@ -70,7 +70,7 @@
 // was promised; false if it never has.
 func (s *Seat) Fresh(now time.Duration) (age time.Duration, known bool) {
 	// An empty seat's word counts for nothing, not even to itself.
-	if !s.counted {
+	if !s.member() {
 		return 0, false
 	}
 	s.fresh.told(s.options.Name, now, s.seq, s.stable)
