--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,9 +59,6 @@
 	}
 	// Word that settings have changed is not word to end.
 	signal.Ignore(syscall.SIGHUP)
-	// Settings are read once, at the start: word that their file changed must not end a process
-	// that has calls in flight. What changed counts from the next start on.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := body(ctx, frame)
