Plan a call in two allocations: no maps, no names joined, no hash where none decides

Cause: each plan built a context of maps, joined flag names, kept a map of walked flags and ordered the whole pool. Flags are now evaluated for a Subject, of which Context is one; a flag without prerequisites can close no cycle, so it is not walked for one, and a variation with all the weight needs no bucket. Ruled out: ordering all 40 workers (carrying out tries a few, and plans anew when through).

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -71,6 +71,7 @@
 	// ClaimPause is how long a refusal may wait for its claim to be let go.
 	ClaimPause time.Duration
 
+	facts   plan.Facts
 	budgets *xsync.Map[string, *Budget]
 	memory  *Memory
 	serial  atomic.Uint64
@@ -82,6 +83,7 @@
 func (c *Carrier) Start(remembered int) *Carrier {
 	c.budgets = xsync.NewMap[string, *Budget]()
 	c.memory = NewMemory(remembered)
+	c.facts = &Facts{c.Soundness, c.Trials}
 	return c
 }
 
@@ -149,7 +151,7 @@
 }
 
 func (c *Carrier) plan(request *plan.Request) (*plan.Plan, error) {
-	return plan.Make(c.View(), request, c.Options, Facts{c.Soundness, c.Trials}, c.Now(), c.Dice)
+	return plan.Make(c.View(), request, c.Options, c.facts, c.Now(), c.Dice)
 }
 
 func (c *Carrier) budget(service string) *Budget {
--- a/internal/flag/flag.go
+++ b/internal/flag/flag.go
@@ -188,33 +188,31 @@
 	Segments map[string]*Segment
 }
 
-// attribute finds a value in the context of a kind; present is false for none or null.
-func (c Context) attribute(kind, name string) (value any, present bool) {
-	if kind == "" {
-		kind = DefaultKind
-	}
-	// The kind itself can be asked for; it is the same whichever context is meant.
-	if name == "kind" {
-		return kind, len(c) > 0 && c.has(kind)
-	}
+// Subject is what flags are evaluated for: a context of one or more kinds. Context is one; what
+// is at hand already can be another, so that no maps need be made of it.
+type Subject interface {
+	// KeyOf gives the key of the context of a kind, found being false if there is none.
+	KeyOf(kind string) (key string, found bool)
+	// Attribute gives an attribute besides kind and key; null is as good as absent.
+	Attribute(kind, name string) (value any, present bool)
+	// Keyed tells whether no context lacks its key.
+	Keyed() bool
+}
+
+// KeyOf gives the key of the context of a kind.
+func (c Context) KeyOf(kind string) (string, bool) {
 	single, found := c[kind]
-	if !found {
-		return nil, false
-	}
-	if name == "" || name == "key" {
-		return single.Key, single.Key != ""
-	}
-	value, found = single.Attributes[name]
-	return value, found && value != nil
+	return single.Key, found
 }
 
-func (c Context) has(kind string) bool { _, found := c[kind]; return found }
+// Attribute gives an attribute of the context of a kind.
+func (c Context) Attribute(kind, name string) (any, bool) {
+	value, found := c[kind].Attributes[name]
+	return value, found && value != nil
+}
 
-// valid tells whether the context can be evaluated: a user with a key, and no keyless part.
-func (c Context) valid() bool {
-	if !c.has(DefaultKind) {
-		return false
-	}
+// Keyed tells whether no context lacks its key.
+func (c Context) Keyed() bool {
 	for _, single := range c {
 		if single.Key == "" {
 			return false
@@ -223,28 +221,69 @@
 	return true
 }
 
+// orDefault is the kind that is meant.
+func orDefault(kind string) string {
+	if kind == "" {
+		return DefaultKind
+	}
+	return kind
+}
+
+func has(subject Subject, kind string) bool {
+	_, found := subject.KeyOf(kind)
+	return found
+}
+
+// attribute finds a value in the context of a kind; present is false for none or null.
+func attribute(subject Subject, kind, name string) (value any, present bool) {
+	kind = orDefault(kind)
+	key, found := subject.KeyOf(kind)
+	switch {
+	case !found:
+		return nil, false
+	// The kind itself can be asked for; it is the same whichever context is meant.
+	case name == "kind":
+		return kind, true
+	case name == "" || name == "key":
+		return key, key != ""
+	}
+	return subject.Attribute(kind, name)
+}
+
+// valid tells whether a context can be evaluated: a user with a key, and no keyless part.
+func valid(subject Subject) bool { return has(subject, DefaultKind) && subject.Keyed() }
+
 // Evaluate decides a flag for a context. It never fails: what cannot be decided is ReasonError.
-func (s *Set) Evaluate(key string, context Context) Result {
-	chosenFlag, found := s.Flags[key]
-	if !found {
+func (s *Set) Evaluate(key string, context Subject) Result {
+	return s.Decide(s.Flags[key], context)
+}
+
+// Decide is Evaluate of a flag that was looked up already, nil if there is none.
+func (s *Set) Decide(chosenFlag *Flag, context Subject) Result {
+	if chosenFlag == nil {
 		return Result{Index: -1, Reason: ReasonError, Error: FlagNotFound}
 	}
-	if !context.valid() {
+	if !valid(context) {
 		return Result{Index: -1, Reason: ReasonError, Error: KeyMissing}
 	}
-	return s.evaluate(chosenFlag, context, map[string]bool{})
+	return s.evaluate(chosenFlag, context, nil)
 }
 
-func (s *Set) evaluate(chosenFlag *Flag, context Context, walked map[string]bool) Result {
+func (s *Set) evaluate(chosenFlag *Flag, context Subject, walked map[string]bool) Result {
 	if !chosenFlag.On {
 		return chosenFlag.give(chosenFlag.OffVariation, Result{Reason: ReasonOff})
 	}
 	// Cycles are refused on write; the walk is still bounded so that no definition can hang a proxy.
-	if walked[chosenFlag.Key] {
-		return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+	if len(chosenFlag.Prerequisites) > 0 {
+		if walked[chosenFlag.Key] {
+			return Result{Index: -1, Reason: ReasonError, Error: MalformedFlag}
+		}
+		if walked == nil {
+			walked = map[string]bool{}
+		}
+		walked[chosenFlag.Key] = true
+		defer delete(walked, chosenFlag.Key)
 	}
-	walked[chosenFlag.Key] = true
-	defer delete(walked, chosenFlag.Key)
 
 	for _, prerequisite := range chosenFlag.Prerequisites {
 		neededFlag, found := s.Flags[prerequisite.Key]
@@ -259,11 +298,7 @@
 	}
 	for i := range chosenFlag.Targets {
 		target := &chosenFlag.Targets[i]
-		kind := target.ContextKind
-		if kind == "" {
-			kind = DefaultKind
-		}
-		if single, found := context[kind]; found && target.listed[single.Key] {
+		if key, found := context.KeyOf(orDefault(target.ContextKind)); found && target.listed[key] {
 			return chosenFlag.give(target.Variation, Result{Reason: ReasonTarget})
 		}
 	}
@@ -285,7 +320,7 @@
 	return result
 }
 
-func (f *Flag) serve(serve Serve, context Context, result Result) Result {
+func (f *Flag) serve(serve Serve, context Subject, result Result) Result {
 	if serve.Variation != nil {
 		return f.give(*serve.Variation, result)
 	}
@@ -300,16 +335,14 @@
 }
 
 // place picks the first variation whose running weight exceeds the context's bucket.
-func (r *Rollout) place(key, salt string, context Context) (int, bool) {
-	kind := r.ContextKind
-	if kind == "" {
-		kind = DefaultKind
-	}
+func (r *Rollout) place(key, salt string, context Subject) (int, bool) {
+	kind := orDefault(r.ContextKind)
 	last, found := 0, false
 	for _, weighted := range r.Variations {
 		if weighted.Weight > 0 {
-			// A context of another kind cannot be bucketed: it gets the first that has any weight.
-			if !context.has(kind) {
+			// A context of another kind cannot be bucketed: it gets the first that has any weight. And
+			// what has all the weight needs no bucket.
+			if weighted.Weight == Whole || !has(context, kind) {
 				return weighted.Variation, true
 			}
 			last, found = weighted.Variation, true
@@ -329,7 +362,7 @@
 
 // allHold tells whether every clause holds. A flag rule that names a custom attribute
 // that is null is skipped even where a negated clause would hold.
-func (s *Set) allHold(clauses []Clause, context Context, segments bool) bool {
+func (s *Set) allHold(clauses []Clause, context Subject, segments bool) bool {
 	for i := range clauses {
 		if !s.holds(&clauses[i], context, segments) {
 			return false
@@ -338,7 +371,7 @@
 	return true
 }
 
-func (s *Set) holds(clause *Clause, context Context, segments bool) bool {
+func (s *Set) holds(clause *Clause, context Subject, segments bool) bool {
 	if clause.Operator == segmentMatch {
 		if !segments {
 			return false
@@ -353,7 +386,7 @@
 		}
 		return inside != clause.Negate
 	}
-	value, present := context.attribute(clause.ContextKind, clause.Attribute)
+	value, present := attribute(context, clause.ContextKind, clause.Attribute)
 	// Null and absent both mean there is nothing to compare, so the rule is skipped, negated or not.
 	if !present {
 		return false
@@ -384,12 +417,12 @@
 	return false
 }
 
-func (s *Set) contains(segment *Segment, context Context) bool {
-	user := context[DefaultKind]
-	if segment.included[user.Key] {
+func (s *Set) contains(segment *Segment, context Subject) bool {
+	user, _ := context.KeyOf(DefaultKind)
+	if segment.included[user] {
 		return true
 	}
-	if segment.excluded[user.Key] {
+	if segment.excluded[user] {
 		return false
 	}
 	for i := range segment.Rules {
@@ -400,11 +433,7 @@
 		if rule.Weight == nil {
 			return true
 		}
-		kind := rule.ContextKind
-		if kind == "" {
-			kind = DefaultKind
-		}
-		if Bucket(segment.Key, segment.Salt, nil, context, kind, rule.BucketBy) < float64(*rule.Weight)/Whole {
+		if Bucket(segment.Key, segment.Salt, nil, context, orDefault(rule.ContextKind), rule.BucketBy) < float64(*rule.Weight)/Whole {
 			return true
 		}
 	}
--- a/internal/flag/operator.go
+++ b/internal/flag/operator.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha1"
-	"encoding/hex"
+	"encoding/binary"
 	"math"
 	"reflect"
 	"strconv"
@@ -19,27 +19,34 @@
 )
 
 // Bucket places a context in [0,1]; a missing kind or value gives 0.
-func Bucket(key, salt string, seed *int64, context Context, kind, attribute string) float64 {
-	value, present := context.attribute(kind, attribute)
-	if !present {
-		return 0
+func Bucket(key, salt string, seed *int64, context Subject, kind, name string) float64 {
+	// Nearly always the key is what counts; it is text as it is.
+	text, usable := "", false
+	if name == "" || name == "key" {
+		text, usable = context.KeyOf(kind)
+		usable = usable && text != ""
+	} else if value, present := attribute(context, kind, name); present {
+		text, usable = bucketText(value)
 	}
-	text, usable := bucketText(value)
 	if !usable {
 		return 0
 	}
-	prefix := key + "." + salt
+	var space [bucketBytes]byte
+	joined := space[:0]
 	if seed != nil {
-		prefix = strconv.FormatInt(*seed, 10)
-	}
-	sum := sha1.Sum([]byte(prefix + "." + text))
-	number, err := strconv.ParseUint(hex.EncodeToString(sum[:])[:bucketDigits], 16, 64)
-	if err != nil {
-		return 0
+		joined = strconv.AppendInt(joined, *seed, 10)
+	} else {
+		joined = append(append(append(joined, key...), '.'), salt...)
 	}
-	return float64(number) / bucketWhole
+	joined = append(append(joined, '.'), text...)
+	sum := sha1.Sum(joined)
+	// The first digits of its text are the first bits of the number.
+	return float64(binary.BigEndian.Uint64(sum[:])>>(64-4*bucketDigits)) / bucketWhole
 }
 
+// bucketBytes is how long what is hashed may be before it takes an allocation.
+const bucketBytes = 192
+
 // bucketText gives the text a value is bucketed by; only text and whole numbers have one.
 func bucketText(value any) (string, bool) {
 	if text, isText := value.(string); isText {
--- /dev/null
+++ b/internal/plan/bench_test.go
@@ -0,0 +1,49 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// BenchmarkMake is a route without split, and a version flag with a rollout.
+func BenchmarkMake(b *testing.B) {
+	for _, pool := range []int{5, 40} {
+		b.Run(fmt.Sprint(pool, " workers"), func(b *testing.B) {
+			var workers []Candidate
+			for i := range pool {
+				workers = append(workers, Candidate{Instance: fmt.Sprint("w", i), Proxy: fmt.Sprint("p", i), Area: []string{"near", "far", "away"}[i%3], Slots: 18, Running: i % 7, Pace: 1e8})
+			}
+			view := compiledOf(b, benchBodies, Directory{"shop": {"1": workers, "2": workers}})
+			request := asking("GET", "/a/x", nil)
+			request.Host, request.Identity = "a.example", "9c41d07be2a35f68"
+			dice := rand.New(rand.NewPCG(1, 1))
+			var known Facts = facts{}
+			roll := dice.Float64
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Make(view, request, options, known, 0, roll); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+var benchBodies = map[string]string{"service/shop": `{"versions":["1","2"],"fallback":"1"}`,
+	"route/r":           `{"service":"shop","host":"a.example","prefix":"/a/","aim":"200ms","horizon":"800ms"}`,
+	"flag/release.shop": `{"on":true,"salt":"s","variations":["1","2"],"offVariation":0,"fallthrough":{"rollout":{"variations":[{"variation":0,"weight":90000},{"variation":1,"weight":10000}]}}}`}
+
+// A plan allocates itself and its candidates, and no more, whatever its flag takes to decide.
+func TestMakeAllocatesLittle(t *testing.T) {
+	view := compiledOf(t, benchBodies, Directory{"shop": {"1": workers("a", "b", "far1"), "2": workers("c")}})
+	request := asking("GET", "/a/x", nil)
+	request.Host, request.Identity = "a.example", "9c41d07be2a35f68"
+	dice := rand.New(rand.NewPCG(1, 1))
+	var known Facts = facts{}
+	roll := dice.Float64
+	allocations := testing.AllocsPerRun(1000, func() { _, _ = Make(view, request, options, known, 0, roll) })
+	if allocations > 2 {
+		t.Errorf("%v allocations", allocations)
+	}
+}
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"sort"
+	"sync"
 	"time"
 )
 
@@ -75,55 +76,68 @@
 
 // rated is a worker of a pool that was looked at.
 type rated struct {
-	at   int
-	time float64 // that one more call is expected to take, in nanoseconds, or in calls where nothing is known
-	wait float64 // of that, before the worker begins on it
-	near bool
-	seen Seen
+	at    int
+	time  float64 // that one more call is expected to take, in nanoseconds, or in calls where nothing is known
+	wait  float64 // of that, before the worker begins on it
+	group int
+	seen  Seen
 }
 
-// placing is one choice among a pool.
+// The groups of workers, in the order in which they are tried.
+const (
+	near = iota // of the own zone
+	far
+	full   // without room
+	passed // that fail
+	groups
+)
+
+// lookedMost is how many workers are looked at, of a larger pool.
+const lookedMost = nearLooked + farLooked
+
+// placing is one choice among a pool. It is used over and over, for its space.
 type placing struct {
 	pool    []Candidate
-	options *Options
+	options Options
 	facts   Facts
 	now     time.Duration
 	dice    Dice
 	looked  []rated
-	near    []rated
-	far     []rated
-	full    []rated // without room
-	passed  []rated // that fail
+	groups  [groups][]int // of places among those looked at
 }
 
+var placings = sync.Pool{New: func() any { return &placing{} }}
+
 // place picks workers for a call, in the order in which to try them: of the own zone first unless
 // that would make the call late, the likely quickest in front; then those without room, then
 // those that fail.
-func place(pool []Candidate, aim time.Duration, options *Options, facts Facts, now time.Duration, dice Dice) []Candidate {
+func place(pool []Candidate, aim time.Duration, options Options, facts Facts, now time.Duration, dice Dice) []Candidate {
 	if len(pool) == 0 {
 		return nil
 	}
-	var space [5 * (nearLooked + farLooked)]rated
-	const room = nearLooked + farLooked
-	p := placing{pool: pool, options: options, facts: facts, now: now, dice: dice, looked: space[:0:room],
-		near: space[room : room : 2*room], far: space[2*room : 2*room : 3*room], full: space[3*room : 3*room : 4*room], passed: space[4*room : 4*room]}
-	if len(pool) <= room {
+	p := placings.Get().(*placing)
+	p.pool, p.options, p.facts, p.now, p.dice = pool, options, facts, now, dice
+	defer func() {
+		p.pool, p.facts, p.dice = nil, nil, nil
+		placings.Put(p)
+	}()
+	if len(pool) <= lookedMost {
 		p.look(0, len(pool), len(pool))
 	} else {
 		p.look(min(int(dice()*float64(len(pool))), len(pool)-1), nearLooked, farLooked)
 		// Where nobody of those is any good, all are looked at.
-		if len(p.near)+len(p.far) == 0 && len(p.looked) < len(pool) {
+		if len(p.groups[near])+len(p.groups[far]) == 0 && len(p.looked) < len(pool) {
 			p.look(0, len(pool), len(pool))
 		}
 	}
-	if len(p.near) > 0 && len(p.far) > 0 && p.spills(aim) {
-		p.near, p.far = p.far, p.near
+	if len(p.groups[near]) > 0 && len(p.groups[far]) > 0 && p.spills(aim) {
+		p.groups[near], p.groups[far] = p.groups[far], p.groups[near]
 	}
 	chosen := make([]Candidate, 0, min(len(p.looked), candidatesMost))
-	for _, group := range [...][]rated{p.near, p.far, p.full, p.passed} {
+	for _, group := range p.groups {
 		for len(group) > 0 && len(chosen) < candidatesMost {
 			best := p.draw(group)
-			chosen = append(chosen, pool[group[best].at])
+			chosen = append(chosen, pool[p.looked[group[best]].at])
 			group[best] = group[len(group)-1]
 			group = group[:len(group)-1]
 		}
@@ -134,22 +148,25 @@
 // look rates workers from a place in the pool on, at most so many near and far ones, and sorts
 // them into groups.
 func (p *placing) look(start, nearMost, farMost int) {
-	p.looked, p.near, p.far, p.full, p.passed = p.looked[:0], p.near[:0], p.far[:0], p.full[:0], p.passed[:0]
-	near, far := 0, 0
+	p.looked = p.looked[:0]
+	for i := range p.groups {
+		p.groups[i] = p.groups[i][:0]
+	}
+	left := [2]int{near: nearMost, far: farMost}
 	for i := range p.pool {
 		at := start + i
 		if at >= len(p.pool) {
 			at -= len(p.pool)
 		}
-		counted, most := &far, farMost
+		group := far
 		if p.pool[at].Area == p.options.Area {
-			counted, most = &near, nearMost
+			group = near
 		}
-		if *counted < most {
-			*counted++
-			p.looked = append(p.looked, rated{at: at, near: counted == &near, seen: p.facts.See(&p.pool[at], p.now)})
+		if left[group] > 0 {
+			left[group]--
+			p.looked = append(p.looked, rated{at: at, group: group, seen: p.facts.See(&p.pool[at], p.now)})
 		}
-		if near == nearMost && far == farMost {
+		if left[near]+left[far] == 0 {
 			break
 		}
 	}
@@ -160,17 +177,14 @@
 	}
 	for i := range p.looked {
 		one := &p.looked[i]
-		switch seen := &one.seen; {
+		switch {
 		// Beyond the ratio nobody more is passed by: when all fail alike, none is the outlier.
-		case len(p.passed) < len(p.looked)/ejectedMost && p.fails(seen, calls-seen.Calls, failures-seen.Failures):
-			p.passed = append(p.passed, *one)
-		case seen.Full:
-			p.full = append(p.full, *one)
-		case one.near:
-			p.near = append(p.near, *one)
-		default:
-			p.far = append(p.far, *one)
+		case len(p.groups[passed]) < len(p.looked)/ejectedMost && p.fails(&one.seen, calls-one.seen.Calls, failures-one.seen.Failures):
+			one.group = passed
+		case one.seen.Full:
+			one.group = full
 		}
+		p.groups[one.group] = append(p.groups[one.group], i)
 	}
 }
 
@@ -227,14 +241,15 @@
 // spills tells whether another zone is tried first this time. The more the wait here would make
 // calls late, the more of them go: by chance, so that proxies don't change over all at once.
 func (p *placing) spills(aim time.Duration) bool {
-	best, blind := &p.near[0], false
-	for i := range p.near {
-		blind = blind || p.near[i].seen.Slots == 0
-		if p.near[i].time < best.time {
-			best = &p.near[i]
+	best, blind := &p.looked[p.groups[near][0]], false
+	for _, i := range p.groups[near] {
+		one := &p.looked[i]
+		blind = blind || one.seen.Slots == 0
+		if one.time < best.time {
+			best = one
 		}
 	}
-	away := &p.far[p.draw(p.far)]
+	away := &p.looked[p.groups[far][p.draw(p.groups[far])]]
 	if blind {
 		// Where it is known at least how long calls take, and that is soon enough, they stay.
 		soon := aim > 0 && best.seen.Pace > 0 && best.seen.Pace < aim/spillSoon
@@ -250,7 +265,7 @@
 }
 
 // draw picks the better of two of a group, drawn at random.
-func (p *placing) draw(group []rated) int {
+func (p *placing) draw(group []int) int {
 	if len(group) == 1 {
 		return 0
 	}
@@ -259,7 +274,7 @@
 	if second >= first {
 		second++
 	}
-	if group[second].time < group[first].time {
+	if p.looked[group[second]].time < p.looked[group[first]].time {
 		return second
 	}
 	return first
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -70,6 +70,8 @@
 	Horizon    time.Duration
 	Aim        time.Duration // the time within which an answer is worth most, 0 for none
 	Candidates []Candidate   // in the order in which to try them
+
+	context context // of its request
 }
 
 // keyMost is the longest idempotency key, in bytes.
@@ -101,7 +103,8 @@
 		made.Horizon = min(made.Horizon, request.Asked)
 	}
 	made.Aim = min(route.Aim, made.Horizon)
-	context := ContextOf(route, request, options.Area)
+	made.context = contextOf(route, request, options.Area)
+	context := &made.context
 	made.Service = route.Service
 	if len(route.Split) > 0 {
 		made.Split = split(view, route, context)
@@ -120,7 +123,7 @@
 		return nil, defect.New(defect.Malformed, fmt.Sprintf("Idempotency-Key needs 1 to %d bytes", keyMost))
 	}
 	// A policy says whether there is to be a call at all; only then the flag decides its version.
-	if route.Policy != nil && !route.Policy.Holds(policyContext(route, request, options.Area, context)) {
+	if route.Policy != nil && !route.Policy.Holds(policyContext(context)) {
 		made.Verdict = Verdict{Flag: setup.FlagOf(made.Service), Reason: ReasonPolicy, Setup: view.Setup.Sequence}
 		return made, defect.New(defect.PolicyRefused, route.PolicyName)
 	}
@@ -141,16 +144,16 @@
 	if request.Idempotency != "" && made.Class == setup.Once {
 		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one *Candidate) bool { return facts.See(one, now).Unreached })
 	} else {
-		made.Candidates = place(pool, made.Aim, &options, facts, now, dice)
+		made.Candidates = place(pool, made.Aim, options, facts, now, dice)
 	}
 	return made, nil
 }
 
 // split decides the service of a route that is split.
-func split(view *View, route *setup.Route, context flag.Context) Verdict {
-	key := route.SplitFlag()
-	result := view.Setup.Flags.Evaluate(key, context)
-	verdict := Verdict{Flag: key, Version: result.Value, Reason: result.Reason, Error: result.Error, Setup: view.Setup.Sequence}
+func split(view *View, route *setup.Route, context flag.Subject) Verdict {
+	decider := view.Setup.Service(route)
+	result := view.Setup.Flags.Decide(decider.Flag, context)
+	verdict := Verdict{Flag: decider.Key, Version: result.Value, Reason: result.Reason, Error: result.Error, Setup: view.Setup.Sequence}
 	if result.Index < 0 {
 		// The fallback of a split is the first that has any weight.
 		verdict.Reason = flag.ReasonError
@@ -164,7 +167,7 @@
 // otherOf picks, for a split whose service has nobody, one that has, by weight. A key stays with
 // its service for as long as that is so; its bucket is another than the split's, for all keys of
 // the service that has nobody are alike in that one.
-func otherOf(view *View, route *setup.Route, decided, caller string, context flag.Context, facts Facts, now time.Duration) string {
+func otherOf(view *View, route *setup.Route, decided, caller string, context flag.Subject, facts Facts, now time.Duration) string {
 	var able []setup.Share
 	whole := 0.0
 	for _, share := range route.Split {
@@ -190,7 +193,7 @@
 }
 
 // decide gives the verdict on the version of a service, and the pool that is to serve.
-func decide(view *View, name string, context flag.Context, facts Facts, now time.Duration) (Verdict, []Candidate) {
+func decide(view *View, name string, context flag.Subject, facts Facts, now time.Duration) (Verdict, []Candidate) {
 	service := view.Setup.Services[name]
 	verdict := evaluate(view, service, name, context)
 	if verdict.Version == "" {
@@ -227,21 +230,58 @@
 	return false
 }
 
-// ContextOf builds the context of a request: the user as the route says, and the caller.
-func ContextOf(route *setup.Route, request *Request, area string) flag.Context {
-	context := flag.Context{CallerKind: {Key: request.Caller, Attributes: map[string]any{"area": area}}}
-	user := flag.Single{Attributes: map[string]any{"method": request.Method, "path": request.Path}}
+// context is what flags are evaluated for: the user as the route says, and the caller. It reads
+// the request where it is asked, for most flags ask for nothing but the key.
+type context struct {
+	route   *setup.Route
+	request *Request
+	area    string
+	key     string
+}
+
+// contextOf is the context of a request.
+func contextOf(route *setup.Route, request *Request, area string) context {
+	made := context{route: route, request: request, area: area, key: request.Identity}
 	// Where the route names no header, the request's own identity is the key.
-	if user.Key = request.Identity; route.Key != "" {
-		user.Key, _ = request.Header(route.Key)
+	if route.Key != "" {
+		made.key, _ = request.Header(route.Key)
+	}
+	return made
+}
+
+// KeyOf gives the user's key, or the calling service.
+func (c *context) KeyOf(kind string) (string, bool) {
+	switch kind {
+	case flag.DefaultKind:
+		return c.key, true
+	case CallerKind:
+		return c.request.Caller, true
 	}
-	for name, header := range route.Attributes {
-		if value, present := request.Header(header); present {
-			user.Attributes[name] = typed(value)
+	return "", false
+}
+
+// Keyed tells whether both are known.
+func (c *context) Keyed() bool { return c.key != "" && c.request.Caller != "" }
+
+// Attribute gives what the route takes from headers, method and path; of the caller, its zone.
+func (c *context) Attribute(kind, name string) (any, bool) {
+	if kind == CallerKind {
+		return c.area, name == "area"
+	}
+	// A route's own attribute goes before what every request has.
+	if header, listed := c.route.Attributes[name]; listed && kind == flag.DefaultKind {
+		if value, present := c.request.Header(header); present {
+			return typed(value), true
 		}
 	}
-	context[flag.DefaultKind] = user
-	return context
+	switch {
+	case kind != flag.DefaultKind:
+	case name == "method":
+		return c.request.Method, true
+	case name == "path":
+		return c.request.Path, true
+	}
+	return nil, false
 }
 
 // typed reads a header's value: plain numbers and true or false are taken as such.
@@ -259,11 +299,11 @@
 }
 
 // policyContext is what a policy sees: what the flag's context holds, by names of its own.
-func policyContext(route *setup.Route, request *Request, area string, context flag.Context) policy.Context {
-	user := context[flag.DefaultKind]
-	seen := policy.Context{Caller: request.Caller, Area: area, Method: request.Method, Path: request.Path, Key: user.Key, Attributes: map[string]any{}}
-	for name := range route.Attributes {
-		if value, present := user.Attributes[name]; present {
+func policyContext(context *context) policy.Context {
+	request := context.request
+	seen := policy.Context{Caller: request.Caller, Area: context.area, Method: request.Method, Path: request.Path, Key: context.key, Attributes: map[string]any{}}
+	for name := range context.route.Attributes {
+		if value, present := context.Attribute(flag.DefaultKind, name); present {
 			seen.Attributes[name] = value
 		}
 	}
@@ -271,10 +311,10 @@
 }
 
 // evaluate asks the flag for the version of a service.
-func evaluate(view *View, service *setup.Service, name string, context flag.Context) Verdict {
-	key := setup.FlagOf(name)
-	result := view.Setup.Flags.Evaluate(key, context)
-	verdict := Verdict{Flag: key, Version: result.Value, Reason: result.Reason, RuleID: result.RuleID, Error: result.Error, Setup: view.Setup.Sequence}
+func evaluate(view *View, service *setup.Service, name string, context flag.Subject) Verdict {
+	decider := view.Setup.Version(name)
+	result := view.Setup.Flags.Decide(decider.Flag, context)
+	verdict := Verdict{Flag: decider.Key, Version: result.Value, Reason: result.Reason, RuleID: result.RuleID, Error: result.Error, Setup: view.Setup.Sequence}
 	// The fallback stands in for an error. A version the setup does not list is never called.
 	if result.Index < 0 || !service.Allows(result.Value) {
 		verdict.Version, verdict.Reason = service.Fallback, flag.ReasonError
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -264,7 +264,7 @@
 	}
 }
 
-func compiledOf(t *testing.T, bodies map[string]string, directory Directory) *View {
+func compiledOf(t testing.TB, bodies map[string]string, directory Directory) *View {
 	t.Helper()
 	var items []*schema.Item
 	for key, body := range bodies {
--- a/internal/setup/compile.go
+++ b/internal/setup/compile.go
@@ -285,6 +285,7 @@
 		policies:   map[string]*Policy{},
 		programs:   map[string]*policy.Program{},
 		parts:      maps.Clone(before.parts),
+		deciders:   map[string]Decider{},
 	}
 	var faults []*schema.Fault
 	add := func(path, format string, values ...any) {
@@ -315,7 +316,10 @@
 	made.crossCheck(add)
 	made.bindPolicies(before, add)
 	for _, name := range names(made.Services) {
-		if decider := made.Flags.Flags[FlagOf(name)]; decider != nil {
+		key := FlagOf(name)
+		decider := made.Flags.Flags[key]
+		made.deciders[name] = Decider{key, decider}
+		if decider != nil {
 			for _, version := range decider.Reachable() {
 				if version != made.Services[name].Fallback {
 					made.Guards[name] = append(made.Guards[name], version)
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -191,6 +191,7 @@
 	policies   map[string]*Policy
 	programs   map[string]*policy.Program // by expression and attributes, taken over from setup to setup
 	parts      map[string]*part           // by Key, taken over where the item stayed
+	deciders   map[string]Decider         // by service
 	match      matcher
 	decodes    int // bodies decoded for this setup
 }
@@ -207,6 +208,9 @@
 
 // StopOn gives the stop that stands against a version, if one does.
 func (s *Setup) StopOn(service, version string) *Stop {
+	if len(s.Stops) == 0 {
+		return nil
+	}
 	if stop := s.Stops[StopName(service, version)]; stop != nil && !stop.Lifted {
 		return stop
 	}
@@ -230,6 +234,28 @@
 // RouteFlagOf names the flag that decides the service of a route that is split.
 func RouteFlagOf(route string) string { return "route." + route }
 
+// Decider is the flag that decides something, by its name; nil if there is none.
+type Decider struct {
+	Key  string
+	Flag *flag.Flag
+}
+
+// Version is what decides the version of a service.
+func (s *Setup) Version(service string) Decider {
+	if one, known := s.deciders[service]; known {
+		return one
+	}
+	return Decider{Key: FlagOf(service)}
+}
+
+// Service is what decides the service of a route that is split.
+func (s *Setup) Service(route *Route) Decider {
+	if route.splitFlag == nil {
+		return Decider{Key: route.SplitFlag()}
+	}
+	return Decider{route.splitFlag.Key, route.splitFlag}
+}
+
 // Key joins kind and name.
 func Key(kind, name string) string { return kind + "/" + name }
 
