Tell with every answer how long the worker takes, as the proxy beside it sees it

Cause: callers' proxies learned a worker's pace from a call's whole time, in which the way and the wait are too, so a full worker seemed slow for long after. The buffer before the worker knows the time itself; it is told with answers and in the directory, and smoothed by whoever hears it. Ruled out: a mean kept by each caller's proxy, which sees a fifteenth of the calls.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -264,6 +264,13 @@
 	b.next(now)
 }
 
+// Pace is how long the worker takes for a request, of late; 0 for not known.
+func (b *Buffer) Pace() time.Duration {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.all.mean
+}
+
 // Load is how much the worker has at hand, how much waits for it, and how many it works on at once.
 func (b *Buffer) Load() (running, waiting, slots uint32) {
 	b.lock.Lock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -69,7 +69,8 @@
 	carried := r.check(ctx, peer, carry, arrived)
 	carried.Request = carry.Request
 	// Whoever calls next does well to know how full the worker is.
-	carried.Running, carried.Waiting, carried.Slots = r.Workers.Load(carry.Instance)
+	running, waiting, slots, pace := r.Workers.Load(carry.Instance)
+	carried.Running, carried.Waiting, carried.Slots, carried.PaceNanos = running, waiting, slots, int64(pace)
 	return carried
 }
 
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -39,7 +39,7 @@
 const (
 	fullParts  = 64   // the part of an ejection for which a worker without room is tried last, if not told
 	usualParts = 16.0 // the part of news that goes into the usual load
-	paceParts  = 16   // the part of a time seen from here that goes into the pace
+	paceParts  = 8    // the part of news that goes into the pace
 )
 
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
@@ -197,14 +197,16 @@
 func (f *workerFacts) heard(now, took time.Duration, carried *schema.Carried) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	switch {
-	case carried.PaceNanos > 0:
-		f.pace = time.Duration(carried.PaceNanos)
-	case carried.Ending != schema.Ending_ENDING_ANSWERED:
-	case f.pace == 0:
-		f.pace = took
-	default:
-		f.pace += (took - f.pace) / paceParts
+	// Its proxy knows best how long the worker takes; from here, the way and the wait are in it too.
+	told := time.Duration(carried.PaceNanos)
+	if told == 0 && carried.Ending == schema.Ending_ENDING_ANSWERED {
+		told = took
+	}
+	if f.pace == 0 {
+		f.pace = told
+	}
+	if told > 0 {
+		f.pace += (told - f.pace) / paceParts
 	}
 	if carried.Slots == 0 {
 		return
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -299,7 +299,7 @@
 		running, waiting, _ := held.buffer.Load()
 		listed = append(listed, &schema.Worker{Running: running, Waiting: waiting, Instance: held.instance, Service: held.said.Service, Version: held.said.Version,
 			Area: area, Load: held.said.Load, Leaving: held.said.Leaving || w.parting,
-			Slots: held.said.Slots, WarmNanos: int64(w.warm(held))})
+			Slots: held.said.Slots, WarmNanos: int64(w.warm(held)), PaceNanos: int64(held.buffer.Pace())})
 	}
 	sort.Slice(listed, func(i, j int) bool { return listed[i].Instance < listed[j].Instance })
 	return listed
@@ -322,14 +322,15 @@
 }
 
 // Load is how much a worker here has at hand and before it, and how many it works on at once.
-func (w *Workers) Load(instance string) (running, waiting, slots uint32) {
+func (w *Workers) Load(instance string) (running, waiting, slots uint32, pace time.Duration) {
 	w.lock.Lock()
 	held := w.byInstance[instance]
 	w.lock.Unlock()
 	if held == nil {
-		return 0, 0, 0
+		return 0, 0, 0, 0
 	}
-	return held.buffer.Load()
+	running, waiting, slots = held.buffer.Load()
+	return running, waiting, slots, held.buffer.Pace()
 }
 
 // disown drops a registration whose address turned out to be somebody else's.
