Refuse what can never be right also where a newer version stands in its place

Cause: items whose given version is not higher are left out before the setup is compiled, so an invalid one among them was acknowledged. Its own checks are made all the same now. Ruled out: holding it to the rest of the setup too; what it named may be gone by right.

--- a/internal/store/accept_test.go
+++ b/internal/store/accept_test.go
@@ -67,6 +67,7 @@
 		"higher":                         {[]*schema.Item{item("stands", 8, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 8}},
 		"equal":                          {[]*schema.Item{item("stands", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
 		"lower, a drop":                  {[]*schema.Item{item("stands", 6, "")}, schema.Ruling_RULING_ACCEPTED, nil},
+		"lower, never right":             {[]*schema.Item{item("stands", 6, `{"salt":5}`)}, schema.Ruling_RULING_INVALID, nil},
 		"older than a drop":              {[]*schema.Item{item("dropped", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
 		"newer than a drop":              {[]*schema.Item{item("dropped", 9, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"dropped": 9}},
 		"a drop of what never was":       {[]*schema.Item{item("never", 3, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"never": 3}},
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -185,6 +185,13 @@
 	written := change.Items
 	if change.ByGiven {
 		written = newest(state, change.Items)
+		// What can never be right is refused also where a newer version stands in its place.
+		if len(written) < len(change.Items) {
+			if faults := setup.Check(change.Items); len(faults) > 0 {
+				entry.Outcome.Ruling, entry.Outcome.Faults = schema.Ruling_RULING_INVALID, faults[:min(len(faults), faultsMost)]
+				return entry, before
+			}
+		}
 	} else if entry.Outcome.Current = unexpected(state, change); len(entry.Outcome.Current) > 0 {
 		entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
 		return entry, before
