Take callers' connections ourselves: strict, byte for byte, under the setup's limits

Cause: the library's server repairs what should be refused (a length beside chunks, bare line ends, folded lines), folds headers of one name, has its bounds fixed when it starts, and takes no new connections once it is told to end. The front reads heads itself, refuses with 400 whatever could be read in two ways, hands target, header names, order and duplicates on as they came, drops what a caller named in Connection, and takes its bounds from the setup's limits on every request. Slow heads and bodies end in 408, large ones in 413 and 431, quiet connections just end; a caller that goes away does not break its request off. A call is carried out by its connection's own goroutine: ants goes from that path and a count bounds calls and hops in flight instead. Routes are matched on the path as it was written, which is also what the worker gets. Ruled out: the library's server with a check of the raw head, which leaves its bounds and its end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,6 +158,12 @@
 
 // Refuse answers with a typed error.
 func Refuse(call *fasthttp.RequestCtx, err error, outcome string, faults any) {
+	status, refusal := RefusalOf(err, outcome, faults)
+	Answer(call, status, refusal)
+}
+
+// RefusalOf is a typed error as it is answered, and its status.
+func RefusalOf(err error, outcome string, faults any) (int, Refusal) {
 	kind := defect.KindOf(err)
-	Answer(call, defect.Status(kind), Refusal{Defect: kind, Detail: err.Error(), Outcome: outcome, Faults: faults})
+	return defect.Status(kind), Refusal{Defect: kind, Detail: err.Error(), Outcome: outcome, Faults: faults}
 }
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -25,6 +25,8 @@
 	NotAllowed     Kind = "CALLER_NOT_ALLOWED"
 	PolicyRefused  Kind = "POLICY_REFUSED"
 	TooLarge       Kind = "TOO_LARGE"
+	HeadTooLarge   Kind = "HEAD_TOO_LARGE"
+	TooSlow        Kind = "TOO_SLOW"
 	Malformed      Kind = "MALFORMED"
 	NoLease        Kind = "NO_LEASE"
 	NoWorker       Kind = "NO_WORKER"
@@ -64,6 +66,8 @@
 	NotAllowed:     http.StatusForbidden,
 	PolicyRefused:  http.StatusForbidden,
 	TooLarge:       http.StatusRequestEntityTooLarge,
+	HeadTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
+	TooSlow:        http.StatusRequestTimeout,
 	NoLease:        http.StatusServiceUnavailable,
 	NoWorker:       http.StatusServiceUnavailable,
 	BufferFull:     http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,464 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/defect"
+)
+
+// bounds are what a caller may send, and how long it may take.
+type bounds struct {
+	head     int           // bytes of a head
+	body     int           // bytes of a body
+	headWait time.Duration // from the first byte of a head to its last
+	quiet    time.Duration // without a byte, between requests or within one
+}
+
+// front takes requests from callers at one listener. A library's server would not do: the
+// bounds change with the setup, a request that could be read in two ways is to be refused and
+// not repaired, target and headers go on as they came, and new connections are taken for as
+// long as this process lives.
+type front struct {
+	listener net.Listener
+	bounds   func() bounds
+	most     int // connections at once
+	// leaving tells callers to take their connections back with the next answer.
+	leaving *atomic.Bool
+	serve   func(head *Head, body []byte, came time.Time, reply *Reply)
+	refuse  func(head *Head, err error, reply *Reply)
+
+	lock  sync.Mutex
+	talks map[*talk]struct{}
+	ended bool
+	gone  chan struct{} // closed when the last talk has ended after the end
+}
+
+// Sizes in bytes, and ratios.
+const (
+	firstRead   = 4 << 10  // of a connection's buffer; it grows with heads that need more
+	bodyStep    = 64 << 10 // of a body before more of it has come
+	joinMost    = 16 << 10 // bodies up to this are written together with their head
+	lineMost    = 256      // of a chunk's size line
+	lingerTimes = 16       // times the bound, of a body that is read and dropped after a refusal
+	stillGood   = 4        // a deadline is moved once this part of it has passed
+)
+
+func newFront(listener net.Listener, most int, leaving *atomic.Bool, bounds func() bounds) *front {
+	return &front{listener: listener, bounds: bounds, most: most, leaving: leaving, talks: map[*talk]struct{}{}, gone: make(chan struct{})}
+}
+
+// run takes connections until the listener is closed.
+func (f *front) run() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			// Descriptors may run out for a moment; only a closed listener takes no more for good.
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		one := &talk{front: f, conn: conn}
+		f.lock.Lock()
+		taken := !f.ended && len(f.talks) < f.most
+		if taken {
+			f.talks[one] = struct{}{}
+		}
+		f.lock.Unlock()
+		if !taken {
+			conn.Close()
+			continue
+		}
+		go one.run()
+	}
+}
+
+// acceptPause is how long a listener rests that could not take a connection.
+const acceptPause = 10 * time.Millisecond
+
+// finish takes no more connections and waits, as long as until, for the talks that are at a
+// request; what is idle is closed. It tells whether all came to their end.
+func (f *front) finish(until <-chan struct{}) bool {
+	f.listener.Close()
+	f.lock.Lock()
+	f.ended = true
+	if len(f.talks) == 0 {
+		f.lock.Unlock()
+		return true
+	}
+	for one := range f.talks {
+		if one.idle.Load() {
+			_ = one.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	f.lock.Unlock()
+	select {
+	case <-f.gone:
+		return true
+	case <-until:
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for one := range f.talks {
+		one.conn.Close()
+	}
+	return false
+}
+
+func (f *front) ending() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.ended
+}
+
+func (f *front) leave(one *talk) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	delete(f.talks, one)
+	if f.ended && len(f.talks) == 0 {
+		close(f.gone)
+	}
+}
+
+// talk is one connection of a caller. Its requests are answered one after the other, in the
+// order in which they came.
+type talk struct {
+	front   *front
+	conn    net.Conn
+	buffer  []byte // what has come and is not yet used is in [at:have]
+	at      int
+	have    int
+	readBy  time.Time // the deadlines set on the connection
+	writeBy time.Time
+	idle    atomic.Bool
+	head    Head
+	reply   Reply
+	out     []byte
+}
+
+func (t *talk) run() {
+	defer t.front.leave(t)
+	defer t.conn.Close()
+	t.buffer = make([]byte, firstRead)
+	for t.exchange() {
+	}
+}
+
+// exchange takes one request and answers it; false ends the connection.
+func (t *talk) exchange() bool {
+	limits := t.front.bounds()
+	t.reply.reset()
+	came, err := t.readHead(limits)
+	if err == errIdle {
+		return false
+	}
+	var body []byte
+	if err == nil {
+		body, err = t.readBody(limits)
+	}
+	if err != nil {
+		// Whoever closed the connection on its own request waits for no answer.
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+			return false
+		}
+		t.front.refuse(&t.head, err, &t.reply)
+		if t.write(true) == nil {
+			t.linger(limits)
+		}
+		return false
+	}
+	t.front.serve(&t.head, body, came, &t.reply)
+	closes := t.head.closes || t.front.leaving.Load()
+	return t.write(closes) == nil && !closes
+}
+
+// errIdle is the end of a connection between requests.
+var errIdle = errors.New("idle connection")
+
+// wait moves the deadline for reading; one that is still good is left as it is.
+func (t *talk) wait(now time.Time, span time.Duration) {
+	if left := t.readBy.Sub(now); left <= span && left >= span-span/stillGood {
+		return
+	}
+	t.readBy = now.Add(span)
+	_ = t.conn.SetReadDeadline(t.readBy)
+}
+
+// fill reads what is there into the buffer, which has room for at least one byte.
+func (t *talk) fill() error {
+	count, err := t.conn.Read(t.buffer[t.have:])
+	t.have += count
+	if count > 0 {
+		return nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return defect.Wrap(err, defect.TooSlow, "request")
+	}
+	return err
+}
+
+// readHead reads a request's head, and tells when its first byte was seen.
+func (t *talk) readHead(limits bounds) (time.Time, error) {
+	t.head = Head{Fields: t.head.Fields[:0], kept: t.head.kept[:0]}
+	if t.at == t.have {
+		t.at, t.have = 0, 0
+		// A buffer that one large head needed is not kept for the small ones after it.
+		if len(t.buffer) > firstRead {
+			t.buffer = make([]byte, firstRead)
+		}
+		t.wait(time.Now(), limits.quiet)
+		t.idle.Store(true)
+		if t.front.ending() {
+			return time.Time{}, errIdle
+		}
+		err := t.fill()
+		t.idle.Store(false)
+		if err != nil {
+			return time.Time{}, errIdle
+		}
+	}
+	came, searched := time.Now(), 0
+	for partial := false; ; partial = true {
+		// Line ends before a request line are let be, as is the custom.
+		for searched == 0 && t.have-t.at >= 2 && t.buffer[t.at] == '\r' && t.buffer[t.at+1] == '\n' {
+			t.at += 2
+		}
+		if end := headEnds(t.buffer[t.at:t.have], searched); end > 0 {
+			text := string(t.buffer[t.at : t.at+end])
+			// The bound is for the lines after the first, and for the first.
+			if first := strings.IndexByte(text, '\n') + 1; first > limits.head || end-first > limits.head {
+				return came, defect.New(defect.HeadTooLarge, strconv.Itoa(end)+" bytes")
+			}
+			t.at += end
+			return came, parseHead(text, &t.head)
+		}
+		searched = t.have - t.at
+		switch {
+		case searched > 2*limits.head:
+			return came, defect.New(defect.HeadTooLarge, "more than "+strconv.Itoa(limits.head)+" bytes")
+		case bareEnd(t.buffer[t.at:t.have]):
+			return came, malformed("a bare line end")
+		}
+		t.makeRoom(2 * limits.head)
+		if !partial {
+			t.readBy = came.Add(limits.headWait)
+			_ = t.conn.SetReadDeadline(t.readBy)
+		}
+		if err := t.fill(); err != nil {
+			return came, err
+		}
+	}
+}
+
+// bareEnd tells whether a line ends without a carriage return: such a head might never end.
+func bareEnd(came []byte) bool {
+	for at := 0; ; {
+		next := bytes.IndexByte(came[at:], '\n')
+		if next < 0 {
+			return false
+		}
+		if at += next; at == 0 || came[at-1] != '\r' {
+			return true
+		}
+		at++
+	}
+}
+
+// makeRoom lets the buffer take more, up to a bound above what it may hold.
+func (t *talk) makeRoom(most int) {
+	if t.at > 0 {
+		copy(t.buffer, t.buffer[t.at:t.have])
+		t.at, t.have = 0, t.have-t.at
+	}
+	if t.have == len(t.buffer) {
+		larger := make([]byte, min(2*len(t.buffer), max(most, len(t.buffer))+firstRead))
+		copy(larger, t.buffer[:t.have])
+		t.buffer = larger
+	}
+}
+
+// readBody reads the body that the head tells of.
+func (t *talk) readBody(limits bounds) ([]byte, error) {
+	switch {
+	case t.head.length > int64(limits.body):
+		return nil, defect.New(defect.TooLarge, strconv.FormatInt(t.head.length, 10)+" bytes")
+	case t.head.length == 0 && !t.head.chunked:
+		return nil, nil
+	case t.head.expects && t.at == t.have:
+		if _, err := io.WriteString(t.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, io.ErrUnexpectedEOF
+		}
+	}
+	if t.head.chunked {
+		return t.readChunks(limits)
+	}
+	return t.take(nil, int(t.head.length), limits)
+}
+
+// take appends so many bytes of the body; room is made as they come, not as they are promised.
+func (t *talk) take(body []byte, count int, limits bounds) ([]byte, error) {
+	buffered := min(count, t.have-t.at)
+	if body == nil {
+		body = make([]byte, 0, min(count, bodyStep))
+	}
+	body = append(body, t.buffer[t.at:t.at+buffered]...)
+	t.at += buffered
+	for count -= buffered; count > 0; {
+		if len(body) == cap(body) {
+			larger := make([]byte, len(body), min(len(body)+count, 2*cap(body)+bodyStep))
+			copy(larger, body)
+			body = larger
+		}
+		room := body[len(body):min(cap(body), len(body)+count)]
+		t.wait(time.Now(), limits.quiet)
+		got, err := t.conn.Read(room)
+		if got == 0 && err != nil {
+			return nil, endOfBody(err)
+		}
+		body, count = body[:len(body)+got], count-got
+	}
+	return body, nil
+}
+
+func endOfBody(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return defect.Wrap(err, defect.TooSlow, "body")
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// line reads a line within a chunked body, without its end.
+func (t *talk) line(most int, limits bounds) ([]byte, error) {
+	for searched := 0; ; {
+		if next := bytes.IndexByte(t.buffer[t.at+searched:t.have], '\n'); next >= 0 {
+			line := t.buffer[t.at : t.at+searched+next]
+			t.at += len(line) + 1
+			if len(line) == 0 || line[len(line)-1] != '\r' {
+				return nil, malformed("a bare line end")
+			}
+			return line[:len(line)-1], nil
+		}
+		if searched = t.have - t.at; searched > most {
+			return nil, malformed("a long line between chunks")
+		}
+		t.makeRoom(most)
+		t.wait(time.Now(), limits.quiet)
+		if err := t.fill(); err != nil {
+			return nil, endOfBody(err)
+		}
+	}
+}
+
+// readChunks reads a chunked body; what follows its last chunk is dropped.
+func (t *talk) readChunks(limits bounds) ([]byte, error) {
+	body := []byte{}
+	for {
+		line, err := t.line(lineMost, limits)
+		if err != nil {
+			return nil, err
+		}
+		size, extension, _ := bytes.Cut(line, []byte(";"))
+		count, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 62)
+		if err != nil || len(size) == 0 || !isHex(size[0]) || !clean(string(extension), ' ') {
+			return nil, malformed("a chunk's size")
+		}
+		if count > uint64(limits.body-len(body)) {
+			return nil, defect.New(defect.TooLarge, "more than "+strconv.Itoa(limits.body)+" bytes")
+		}
+		if count == 0 {
+			break
+		}
+		if body, err = t.take(body, int(count), limits); err != nil {
+			return nil, err
+		}
+		if end, err := t.line(lineMost, limits); err != nil {
+			return nil, err
+		} else if len(end) > 0 {
+			return nil, malformed("a chunk's end")
+		}
+	}
+	for left := limits.head; ; {
+		line, err := t.line(left, limits)
+		if err != nil || len(line) == 0 {
+			return body, err
+		}
+		if left -= len(line); left <= 0 {
+			return nil, defect.New(defect.HeadTooLarge, "trailer")
+		}
+	}
+}
+
+func isHex(one byte) bool {
+	return (one >= '0' && one <= '9') || (one|0x20 >= 'a' && one|0x20 <= 'f')
+}
+
+// bodiless tells whether an answer has no body, whatever it would be.
+func bodiless(method string, status int) bool {
+	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// write gives the caller its answer.
+func (t *talk) write(closes bool) error {
+	reply := &t.reply
+	out := append(t.out[:0], "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(reply.Status), 10)
+	out = append(append(append(out, ' '), fasthttp.StatusMessage(reply.Status)...), "\r\n"...)
+	out = append(out, reply.fields...)
+	body := reply.Body
+	if bodiless(t.head.Method, reply.Status) {
+		body = nil
+	} else {
+		out = append(strconv.AppendInt(append(out, "Content-Length: "...), int64(len(body)), 10), "\r\n"...)
+	}
+	if closes {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "\r\n"...)
+	// A caller that reads nothing for long is not waited for.
+	quiet := t.front.bounds().quiet
+	if now := time.Now(); t.writeBy.Sub(now) < quiet/2 {
+		t.writeBy = now.Add(quiet)
+		_ = t.conn.SetWriteDeadline(t.writeBy)
+	}
+	var err error
+	if len(body) <= joinMost {
+		out = append(out, body...)
+		_, err = t.conn.Write(out)
+	} else {
+		both := net.Buffers{out, body}
+		_, err = both.WriteTo(t.conn)
+	}
+	t.out = out
+	if cap(t.out) > 2*joinMost {
+		t.out = nil
+	}
+	reply.Body = nil
+	return err
+}
+
+// linger reads on for a while after a refusal: a connection closed on unread bytes is reset,
+// and the caller would never see why.
+func (t *talk) linger(limits bounds) {
+	if half, can := t.conn.(interface{ CloseWrite() error }); can {
+		_ = half.CloseWrite()
+	}
+	_ = t.conn.SetReadDeadline(time.Now().Add(limits.headWait))
+	// Nothing is owed any more, so the end of this process need not wait for it.
+	t.idle.Store(true)
+	if t.front.ending() {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, t.conn, int64(limits.body)*lingerTimes)
+}
--- a/internal/proxy/hollow.go
+++ b/internal/proxy/hollow.go
@@ -48,11 +48,7 @@
 		here, _ := net.Pipe()
 		return here, nil
 	}
-	server, err := build(ends, frame, given, func(given *running) { given.fold, given.dial = fold, dial })
-	if err != nil {
-		ends.Close()
-		return nil, err
-	}
+	server := build(ends, frame, given, func(given *running) { given.fold, given.dial = fold, dial })
 	ctx, cancel := context.WithCancel(context.Background())
 	server.join(ctx)
 	return &Hollow{server: server, end: cancel, ends: ends}, nil
@@ -62,7 +58,6 @@
 func (h *Hollow) End() {
 	h.end()
 	h.ends.Close()
-	h.server.release()
 }
 
 // Beat takes a description, as the workers' listener would.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,13 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 	"storj.io/drpc/drpcmux"
 
@@ -64,8 +62,8 @@
 	runner  *dispatch.Runner
 	carrier *dispatch.Carrier
 	tally   *dispatch.Tally
-	calls   *ants.Pool
-	hops    *ants.Pool
+	calls   atomic.Int64 // in flight, of callers here
+	hops    atomic.Int64 // in flight, from other proxies
 	facts   *dispatch.Soundness
 	trials  *dispatch.Trials
 
@@ -106,11 +104,7 @@
 			return defect.New(defect.BadOptions, fmt.Sprintf("callers: the certificate may not speak for %q", caller))
 		}
 	}
-	s, err := build(ends, frame, given, changes...)
-	if err != nil {
-		return err
-	}
-	defer s.release()
+	s := build(ends, frame, given, changes...)
 
 	listener, err := net.Listen("tcp", given.Listen)
 	if err != nil {
@@ -145,12 +139,11 @@
 	// to another, where a taken one would only bring them a refusal.
 	if !s.gate.AwaitFirst(ctx) {
 		frame.Draining.Store(true)
-		return s.drain([]*fasthttp.Server{beside})
+		return s.drain(nil, beside)
 	}
-	var outward []*fasthttp.Server
+	var outward []*front
 	for caller, address := range callers {
-		server, err := s.listen(address, s.callerHandler(caller), int(given.BodyMost),
-			func(call *fasthttp.RequestCtx, err error) { s.refuse(call, err, notRun) })
+		server, err := s.open(caller, address)
 		if err != nil {
 			return err
 		}
@@ -163,11 +156,11 @@
 		return err
 	}
 	frame.Draining.Store(true)
-	return s.drain(append(outward, beside))
+	return s.drain(outward, beside)
 }
 
 // build makes a proxy that has no listeners and no sessions yet.
-func build(ends *link.Ends, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) (*Server, error) {
+func build(ends *link.Ends, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) *Server {
 	s := &Server{options: given, address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
 		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
 	s.life = session.NextIncarnation(0)
@@ -186,21 +179,8 @@
 	}
 	s.tally = dispatch.NewTally(tallyLines)
 	s.facts = dispatch.NewSoundness(given.FailuresMost, time.Duration(given.Ejection))
-	var err error
-	if s.calls, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "pool")
-	}
-	if s.hops, err = ants.NewPool(int(given.Buffer), ants.WithNonblocking(true)); err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "pool")
-	}
 	s.assemble()
-	return s, nil
-}
-
-// release lets go of what build took.
-func (s *Server) release() {
-	s.calls.Release()
-	s.hops.Release()
+	return s
 }
 
 // join begins this proxy's sessions with the registries; they end with ctx.
@@ -221,7 +201,7 @@
 }
 
 // drain stops taking calls and waits for those in flight, as long as settings allow.
-func (s *Server) drain(outward []*fasthttp.Server) error {
+func (s *Server) drain(outward []*front, beside *fasthttp.Server) error {
 	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.Drain))
 	defer cancel()
 	// Workers here are told as leaving first, so that other proxies send elsewhere.
@@ -232,11 +212,12 @@
 	case <-time.After(time.Duration(s.options.Drain) / drainNotice):
 	}
 	var first error
-	for _, server := range outward {
-		if err := server.ShutdownWithContext(draining); err != nil && first == nil {
-			first = defect.Wrap(err, defect.Draining, "calls still in flight at the end of the drain time")
+	for _, one := range outward {
+		if !one.finish(draining.Done()) && first == nil {
+			first = defect.New(defect.Draining, "calls still in flight at the end of the drain time")
 		}
 	}
+	_ = beside.ShutdownWithContext(draining)
 	done := make(chan struct{})
 	go func() {
 		s.inFlight.Wait()
@@ -297,12 +278,13 @@
 func (s *Server) Run(ctx context.Context, carry *schema.Carry) (*schema.Carried, error) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Done()
-	carried := make(chan *schema.Carried, 1)
-	// The pool bounds what is in flight here; beyond it a dispatch is refused unrun.
-	if err := s.hops.Submit(func() { carried <- s.runner.Run(ctx, link.PeerOf(ctx), carry) }); err != nil {
+	// Beyond the bound a dispatch is refused unrun.
+	if s.hops.Add(1) > s.options.Buffer {
+		s.hops.Add(-1)
 		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.BufferFull)}, nil
 	}
-	return <-carried, nil
+	defer s.hops.Add(-1)
+	return s.runner.Run(ctx, link.PeerOf(ctx), carry), nil
 }
 
 func (s *Server) soundness() daemon.Soundness {
@@ -341,7 +323,7 @@
 	registry, age, vouched := s.picture()
 	return Status{Registry: registry, Vouched: vouched, AgeMS: age.Milliseconds(), Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.granted.Until() - s.now()).Milliseconds(),
 		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
-		InCalls: s.calls.Running(), HopCalls: s.hops.Running()}
+		InCalls: int(s.calls.Load()), HopCalls: int(s.hops.Load())}
 }
 
 // ShownEvent is an event of the journal, in short.
@@ -422,59 +404,78 @@
 	return nil
 }
 
-// callerHandler takes calls from one caller; the listener, never a header, says who calls.
-func (s *Server) callerHandler(caller string) fasthttp.RequestHandler {
-	return func(call *fasthttp.RequestCtx) {
-		ended := make(chan *dispatch.Ended, 1)
-		taken, err := s.callOf(caller, call)
-		if err != nil {
-			s.refuse(call, err, notRun)
-			return
-		}
-		s.inFlight.Add(1)
-		defer s.inFlight.Done()
-		if err := s.calls.Submit(func() { ended <- s.carrier.Carry(context.Background(), taken) }); err != nil {
-			s.refuse(call, defect.New(defect.BufferFull, "too many calls in flight"), notRun)
-			return
-		}
-		s.answer(call, <-ended)
+// open listens for one caller; the listener, never a header, says who calls.
+func (s *Server) open(caller, address string) (*front, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.BadOptions, address)
 	}
+	made := newFront(listener, int(s.options.Buffer)*connsPerCall, s.draining, s.bounds)
+	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
+	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
+		s.serve(caller, head, body, came, reply)
+	}
+	go made.run()
+	return made, nil
 }
 
-// callOf copies a request out of the server's buffers.
-func (s *Server) callOf(caller string, call *fasthttp.RequestCtx) (*dispatch.Call, error) {
-	taken := &dispatch.Call{Target: string(call.RequestURI()), Body: append([]byte(nil), call.PostBody()...)}
-	values := map[string]string{}
-	taken.Headers = dispatch.HeadersOf(&call.Request.Header, s.speeches.worker)
-	for _, header := range taken.Headers {
-		name := strings.ToLower(header.Name)
-		if _, found := values[name]; !found {
-			values[name] = header.Value
-		}
+// connsPerCall is how many connections callers may hold for each call that may be in flight.
+const connsPerCall = 4
+
+// bounds are what callers may send, and how long they may take, as the setup in use states it.
+func (s *Server) bounds() bounds {
+	limits := &s.view().Setup.Limits
+	return bounds{head: limits.HeaderMost, body: int(min(limits.BodyMost, s.options.BodyMost)), headWait: limits.HeaderWait, quiet: limits.Quiet}
+}
+
+// serve carries one call out, on its connection's own thread of control.
+func (s *Server) serve(caller string, head *Head, body []byte, came time.Time, reply *Reply) {
+	taken, err := s.callOf(caller, head, body)
+	if err != nil {
+		s.refuse(head, err, notRun, reply)
+		return
 	}
-	taken.Request = plan.Request{Caller: caller, Method: string(call.Method()), Path: string(call.Path()), Host: string(call.Host()),
-		Header: func(name string) (string, bool) { value, found := values[strings.ToLower(name)]; return value, found }}
-	if err := s.speeches.callers.Take(call, taken); err != nil {
+	// What it took to read the body is gone from the time that the caller gives.
+	if taken.Request.Asked > 0 {
+		taken.Request.Asked = max(1, taken.Request.Asked-time.Since(came))
+	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Done()
+	defer s.calls.Add(-1)
+	if s.calls.Add(1) > s.options.Buffer {
+		s.refuse(head, defect.New(defect.BufferFull, "too many calls in flight"), notRun, reply)
+		return
+	}
+	s.answer(head, s.carrier.Carry(context.Background(), taken), reply)
+}
+
+// callOf makes a call of a request.
+func (s *Server) callOf(caller string, head *Head, body []byte) (*dispatch.Call, error) {
+	taken := &dispatch.Call{Target: head.Target, Body: body}
+	head.pass(func(name string) bool { return s.speeches.worker.Passes([]byte(name), false) })
+	for _, field := range head.kept {
+		taken.Headers = append(taken.Headers, &schema.Header{Name: field.Name, Value: field.Value})
+	}
+	taken.Request = plan.Request{Caller: caller, Method: head.Method, Path: head.Path, Host: head.Host, Header: head.passed}
+	if err := s.speeches.callers.Take(head, taken); err != nil {
 		return nil, err
 	}
 	return taken, nil
 }
 
 // answer writes what became of a call.
-func (s *Server) answer(call *fasthttp.RequestCtx, ended *dispatch.Ended) {
+func (s *Server) answer(head *Head, ended *dispatch.Ended, reply *Reply) {
 	if ended.Err != nil {
 		outcome := notRun
 		if ended.Carried != nil {
 			outcome = dispatch.OutcomeName(ended.Carried.Ending)
 		}
-		s.refuse(call, ended.Err, outcome)
+		s.refuse(head, ended.Err, outcome, reply)
 	} else {
-		call.Response.Reset()
-		call.SetStatusCode(int(ended.Carried.Status))
+		reply.Status, reply.Body = int(ended.Carried.Status), ended.Carried.Body
 		for _, header := range ended.Carried.Headers {
-			call.Response.Header.Add(header.Name, header.Value)
+			reply.Add(header.Name, header.Value)
 		}
-		call.SetBody(ended.Carried.Body)
 	}
-	s.speeches.callers.Answer(call, ended)
+	s.speeches.callers.Answer(ended, reply)
 }
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
@@ -62,6 +60,6 @@
 }
 
 // refuse gives a caller its final answer, with word when to come back if that makes sense.
-func (s *Server) refuse(call *fasthttp.RequestCtx, err error, outcome string) {
-	s.speeches.callers.Refuse(call, err, outcome, s.waitAfter(err))
+func (s *Server) refuse(head *Head, err error, outcome string, reply *Reply) {
+	s.speeches.callers.Refuse(head, err, outcome, s.waitAfter(err), reply)
 }
--- a/internal/proxy/refuse_test.go
+++ b/internal/proxy/refuse_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/dispatch"
 	"meadowhinge/schema"
@@ -20,7 +18,7 @@
 		defect.NoMajority: "1", defect.KeyUnclaimed: "1", defect.KeyUnsettled: "2", defect.HorizonPast: "2", defect.BufferFull: "2", defect.Repeated: "2",
 		defect.LinkLost: "5", defect.LinkUnopened: "5", defect.WorkerLost: "5", defect.WorkerUnopened: "5", defect.BadAnswer: "5", defect.Draining: "7",
 		// What stays refused, however often it is asked for.
-		defect.NoRoute: "", defect.PolicyRefused: "", defect.NotAllowed: "", defect.TooLarge: "", defect.Malformed: "", defect.KeyReused: "", defect.BadOptions: "", defect.BadSetup: "",
+		defect.NoRoute: "", defect.PolicyRefused: "", defect.NotAllowed: "", defect.TooLarge: "", defect.HeadTooLarge: "", defect.TooSlow: "", defect.Malformed: "", defect.KeyReused: "", defect.BadOptions: "", defect.BadSetup: "",
 		defect.Conflict: "", defect.StaleDuty: "", defect.UnknownChange: "", defect.DiskFailed: "", defect.DiskCorrupt: "", defect.Stranger: "", defect.Internal: "",
 	}
 	for _, kind := range defect.Kinds() {
@@ -29,9 +27,9 @@
 			t.Errorf("%s: nothing is said of when to come back", kind)
 		}
 		for _, carried := range []*schema.Carried{nil, {Ending: schema.Ending_ENDING_NOT_RUN}, {Ending: schema.Ending_ENDING_UNKNOWN}} {
-			call := &fasthttp.RequestCtx{}
-			s.answer(call, &dispatch.Ended{Err: defect.New(kind, ""), Carried: carried})
-			if got := string(call.Response.Header.Peek("Retry-After")); got != seconds {
+			reply := &Reply{}
+			s.answer(&Head{}, &dispatch.Ended{Err: defect.New(kind, ""), Carried: carried}, reply)
+			if got := reply.Field("Retry-After"); got != seconds {
 				t.Errorf("%s: come back after %q, want %q", kind, got, seconds)
 			}
 		}
