--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -46,11 +46,15 @@
 	// for a newer setup.
 	Doubting bool
 	Now      func() time.Duration
+	Works    *Works
 	Speech   WorkerSpeech // nil for our own
 	seen     *Seen
 	memory   *Memory
 }
 
+// worksMost is how many lines of work a runner keeps.
+const worksMost = 1024
+
 // waitParts is the part of the time left that a dispatch may wait for news before it is refused.
 const waitParts = 8
 
@@ -60,6 +64,9 @@
 		runner.Speech = OwnSpeech{}
 	}
 	runner.seen, runner.memory = NewSeen(remembered), NewMemory(remembered)
+	if runner.Works == nil {
+		runner.Works = NewWorks(worksMost)
+	}
 	return &runner
 }
 
@@ -169,9 +176,12 @@
 		return carried
 	}
 	began, result := r.Now(), Unrun
+	// From here on it is the worker's time, and its version's doing.
+	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
 	carried := r.give(ctx, held, carry, left, &result)
 	now := r.Now()
 	held.buffer.End(now, carry.Route, result, now-began)
+	work.End(now, now-began, carried)
 	return carried
 }
 
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"meadowhinge/internal/options"
+	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
 
@@ -252,21 +253,26 @@
 // tell reports workers and counts to the registry of this proxy's session.
 func (s *Server) tell(ctx context.Context) {
 	changed := true
+	looked, any, judged := uint64(0), false, func(string) bool { return false }
 	for turn := 0; ; turn++ {
-		// Loads and liveness are told every renewParts-th of a lease, a change at once; counts
-		// oftener, but only while some version is to be judged by them. In a session the registry
-		// sees that this proxy lives, and nothing is told while nothing changes.
+		// Loads and liveness are told every renewParts-th of a lease, a change at once; what was
+		// seen of workers oftener, but only while some version is to be judged by it; counts of
+		// verdicts, which nothing waits for, more seldom. In a session the registry sees that this
+		// proxy lives, and nothing is told while nothing changes.
 		due := changed || (!serving(s.options) && turn%(tellParts/renewParts) == 0)
-		judged := len(s.view().Setup.Guards) > 0
+		if setup := s.view().Setup; setup.Sequence != looked {
+			judged, any = release.Judged(setup)
+			looked = setup.Sequence
+		}
 		told := true
-		if judged || due {
-			told = s.tellOnce(ctx, due)
+		if any || due {
+			told = s.tellOnce(ctx, due, turn%(tellParts/countParts) == 0, judged)
 		}
 		var wait <-chan time.Time
 		switch {
 		case !told && due && serving(s.options):
 			wait = time.After(s.lease / retryParts)
-		case judged || !serving(s.options):
+		case any || !serving(s.options):
 			wait = time.After(s.lease / tellParts)
 		}
 		select {
@@ -282,8 +288,9 @@
 	}
 }
 
-// tellOnce reports counts, and with whole this proxy's workers too; it tells whether that went well.
-func (s *Server) tellOnce(ctx context.Context, whole bool) bool {
+// tellOnce reports what was seen of judged services, with whole this proxy's workers too, and
+// counts of verdicts if they are wanted; it tells whether that went well.
+func (s *Server) tellOnce(ctx context.Context, whole, counts bool, judged func(service string) bool) bool {
 	defer s.trials.Forget()
 	address, at := s.feedAddress()
 	// Without a session there is nobody to tell.
@@ -301,9 +308,12 @@
 		s.facts.Keep(view.Known())
 	}
 	bounded, cancel := context.WithTimeout(ctx, s.lease/renewParts)
-	asked := s.now()
-	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, &schema.Report{Proxy: s.options.Name,
-		Incarnation: s.life, Source: source, Counts: s.tally.Counts(s.view().Setup.Sequence)})
+	asked, setup := s.now(), s.view().Setup
+	report := &schema.Report{Proxy: s.options.Name, Incarnation: s.life, Source: source, Applied: setup.Sequence, Works: s.runner.Works.Tell(judged)}
+	if counts {
+		report.Counts = s.tally.Counts(setup.Sequence)
+	}
+	told, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Tell(bounded, report)
 	cancel()
 	if err == nil {
 		s.trials.Granted(asked, told.Trials)
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -542,13 +542,13 @@
 	if ask.Duty != "" {
 		s.takeTrials(ask.Trials)
 	}
-	return s.countsHere(), nil
+	return s.countsHere(ask.Works), nil
 }
 
-func (s *Server) countsHere() *schema.CountsBack {
+func (s *Server) countsHere(works bool) *schema.CountsBack {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.table.Counts(s.now())
+	return s.table.Counts(s.now(), works)
 }
 
 // Look gives this registry's status.
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -309,24 +309,32 @@
 	answers := others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
 		return peer.Counts(ctx, &schema.CountsAsk{})
 	})
-	return MostOf(append(answers, s.countsHere()))
+	return MostOf(append(answers, s.countsHere(false)))
 }
 
-// MostOf keeps, of each proxy's incarnation, the telling that counted most.
+// MostOf keeps, of each proxy's incarnation, the tellings that counted most.
 func MostOf(answers []*schema.CountsBack) []*schema.SourceCounts {
 	most := map[leaseKey]*schema.SourceCounts{}
+	var all []*schema.SourceCounts
 	for _, answer := range answers {
-		for _, counts := range answer.Sources {
-			key := leaseKey{counts.Proxy, counts.Incarnation}
-			if held := most[key]; held == nil || callsIn(counts) > callsIn(held) {
-				most[key] = counts
+		for _, told := range answer.Sources {
+			key := leaseKey{told.Proxy, told.Incarnation}
+			held := most[key]
+			if held == nil {
+				held = &schema.SourceCounts{Proxy: told.Proxy, Incarnation: told.Incarnation, AgoNanos: told.AgoNanos}
+				most[key] = held
+				all = append(all, held)
+			}
+			if callsIn(told) > callsIn(held) {
+				held.Counts = told.Counts
+			}
+			// Of two tellings that count the same, the later one has what is under way now.
+			if worksIn(told) > worksIn(held) || (worksIn(told) == worksIn(held) && told.AgoNanos <= held.AgoNanos) {
+				held.Works = told.Works
 			}
+			held.Applied, held.AgoNanos = max(held.Applied, told.Applied), min(held.AgoNanos, told.AgoNanos)
 		}
 	}
-	var all []*schema.SourceCounts
-	for _, counts := range most {
-		all = append(all, counts)
-	}
 	return all
 }
 
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/daemon"
-	"meadowhinge/internal/defect"
 	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
@@ -62,7 +60,8 @@
 		case <-ticker.C:
 		}
 		compiled, state := s.compiledState()
-		if len(compiled.Guards)+len(compiled.Releases)+len(compiled.Progress) == 0 || !s.hasDuty(ctx) {
+		workers := s.pools()
+		if !release.Due(compiled, workers) || !s.hasDuty(ctx) {
 			duty = nil
 			continue
 		}
@@ -72,7 +71,7 @@
 		trials := duty.Trials(compiled)
 		s.takeTrials(trials)
 		counts, heard := s.gather(ctx, trials)
-		steps, err := duty.Look(s.now(), compiled, state, counts, heard)
+		steps, err := duty.Look(s.now(), compiled, state, release.Sight{Counts: counts, Heard: heard, Workers: workers, Known: s.knownFor})
 		if err != nil {
 			s.log.Error(err, "release step")
 		}
@@ -88,15 +87,51 @@
 func (s *Server) steering() release.Options {
 	given := s.options
 	return release.Options{TrialShare: 100 * given.TrialShare, CallsEnough: uint64(given.CallsEnough), FailuresMost: uint64(given.BrakeFailures), Excess: given.BrakeExcess,
-		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps)}
+		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps), Sure: given.BrakeSure, FinishAt: given.FinishAt}
+}
+
+// pools counts the workers that live, by service and version.
+func (s *Server) pools() map[[2]string]release.Pool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return PoolsOf(s.table.Feed(s.now(), nil))
+}
+
+// PoolsOf counts the workers of sources, by service and version.
+func PoolsOf(sources []*schema.Source) map[[2]string]release.Pool {
+	pools := map[[2]string]release.Pool{}
+	untold := map[[2]string]bool{}
+	for _, source := range sources {
+		for _, worker := range source.Workers {
+			if worker.Leaving || worker.Gone {
+				continue
+			}
+			key := [2]string{worker.Service, worker.Version}
+			untold[key] = untold[key] || worker.Slots == 0
+			pool := pools[key]
+			pool.Workers, pool.Slots = pool.Workers+1, pool.Slots+int(worker.Slots)
+			if untold[key] {
+				pool.Slots = 0
+			}
+			pools[key] = pool
+		}
+	}
+	return pools
+}
+
+// knownFor is how long this registry has known what was stated in a sequence.
+func (s *Server) knownFor(sequence uint64) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.table.KnownFor(s.now(), sequence)
 }
 
 // gather collects the counts of all registries reached, handing out trials with the call. It
 // tells of what part of the fleet they are.
 func (s *Server) gather(ctx context.Context, trials []*schema.Trial) ([]*schema.SourceCounts, float64) {
 	answers := append(others(ctx, s, s.lease/trialParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
-		return peer.Counts(ctx, &schema.CountsAsk{Duty: s.options.Seat, Trials: trials})
-	}), s.countsHere())
+		return peer.Counts(ctx, &schema.CountsAsk{Duty: s.options.Seat, Trials: trials, Works: true})
+	}), s.countsHere(true))
 	telling := 0
 	for _, answer := range answers {
 		telling += int(answer.Telling)
@@ -132,52 +167,6 @@
 	}
 }
 
-// Order states that a service's calls move to a version, as one ordinary change. It gives nothing
-// but nil once that is stable, or was before: an order may be given again to any registry.
-func (s *Server) Order(ctx context.Context, order release.Order) error {
-	for ctx.Err() == nil {
-		compiled, state := s.compiledState()
-		if !s.caughtUp() {
-			break
-		}
-		step, err := release.Place(compiled, state, order)
-		if err != nil || step == nil {
-			return err
-		}
-		submitted := s.offer(ctx, step.Change(s.options.Seat, s.born, rand.Uint64(), state))
-		if submitted == nil {
-			break
-		}
-		switch submitted.Outcome.Ruling {
-		case schema.Ruling_RULING_ACCEPTED:
-			return nil
-		case schema.Ruling_RULING_INVALID:
-			return defect.New(defect.BadSetup, submitted.Outcome.String())
-		}
-		// Somebody else wrote meanwhile, perhaps a step of the plan before: it is thought over
-		// against what stands then.
-		s.pause(ctx, retryParts)
-	}
-	return defect.New(defect.NoMajority, "order for "+order.Service)
-}
-
-// Ordered tells which version was last ordered for a service and what has come of it: one of
-// release.Trial, Ramp, Hold, Done and Back, or nothing.
-func (s *Server) Ordered(service string) (version, state string, err error) {
-	if !s.caughtUp() {
-		return "", "", defect.New(defect.NoMajority, "this registry has not caught up")
-	}
-	version, state = release.StateOf(s.compiled(), service)
-	return version, state, nil
-}
-
-// caughtUp tells whether this registry knows what was stable when it started.
-func (s *Server) caughtUp() bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.table.current
-}
-
 // ShownRelease is a plan beside what has come of it.
 type ShownRelease struct {
 	Name     string  `json:"name"`
@@ -200,7 +189,7 @@
 	shown := []ShownRelease{}
 	for name, planned := range compiled.Releases {
 		one := ShownRelease{Name: name, Service: planned.Service, Version: planned.Version, Target: planned.Target, Over: planned.OverIn, Pace: planned.Pace,
-			Measured: release.Gather(counts, planned.Service, planned.Version, compiled.FallbackOf(planned.Service)).Share()}
+			Measured: release.Gather(counts, planned.Service, planned.Version, planned.Sequence, compiled.FallbackOf(planned.Service)).Share()}
 		if progress := compiled.Progress[name]; progress != nil {
 			one.State, one.Reason, one.Share, one.Duty, one.Holder = progress.State, progress.Reason, progress.Share, progress.Duty, progress.Holder
 		}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -102,6 +102,14 @@
 	t.marks = append(t.marks, stableMark{setup, now})
 }
 
+// KnownFor is how long a sequence has been known here; nothing if it is not kept any more.
+func (t *Table) KnownFor(now time.Duration, sequence uint64) time.Duration {
+	if traced := t.traces[sequence]; traced != nil {
+		return now - traced.seen
+	}
+	return 0
+}
+
 // Grants tells whether leases are given. A registry that has just started may have given
 // leases and set fences it forgot, so it waits until those leases have run out.
 func (t *Table) Grants(now time.Duration) bool {
@@ -233,8 +241,8 @@
 // Tell takes a proxy's report; counts only grow within an incarnation.
 func (t *Table) Tell(now time.Duration, report *schema.Report) bool {
 	t.toldAt[leaseKey{report.Proxy, report.Incarnation}] = now
-	if len(report.Counts) > 0 && len(report.Counts) <= t.options.CountsMost {
-		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts})
+	if len(report.Counts)+len(report.Works) <= t.options.CountsMost {
+		t.keepCounts(&schema.SourceCounts{Proxy: report.Proxy, Incarnation: report.Incarnation, Counts: report.Counts, Works: report.Works, Applied: report.Applied})
 	}
 	t.own(report.Source)
 	if report.Source.GetEnded() {
@@ -243,11 +251,16 @@
 	return t.Merge(now, report.Source)
 }
 
-// Counts gives what proxies told of their verdicts, and how many of them did of late.
-func (t *Table) Counts(now time.Duration) *schema.CountsBack {
+// Counts gives what proxies told of their verdicts, and how many of them did of late; with works
+// only what versions are judged by.
+func (t *Table) Counts(now time.Duration, works bool) *schema.CountsBack {
 	back := &schema.CountsBack{Telling: uint32(t.telling(now))}
-	for _, counts := range t.counts {
-		back.Sources = append(back.Sources, counts)
+	for key, held := range t.counts {
+		given := &schema.SourceCounts{Proxy: held.Proxy, Incarnation: held.Incarnation, Works: held.Works, Applied: held.Applied, AgoNanos: int64(now - t.toldAt[key])}
+		if !works {
+			given.Counts = held.Counts
+		}
+		back.Sources = append(back.Sources, given)
 	}
 	return back
 }
@@ -265,16 +278,23 @@
 	return count
 }
 
-// keepCounts keeps, for one incarnation of a proxy, the report that counted most.
+// keepCounts keeps, for one incarnation of a proxy, the report that counted most; what a report
+// leaves out stays as it was told.
 func (t *Table) keepCounts(given *schema.SourceCounts) {
 	key := leaseKey{given.Proxy, given.Incarnation}
 	held := t.counts[key]
 	if held == nil {
+		held = &schema.SourceCounts{Proxy: given.Proxy, Incarnation: given.Incarnation}
 		t.told = append(t.told, key)
 	}
-	if held == nil || callsIn(given) >= callsIn(held) {
-		t.counts[key] = given
+	kept := &schema.SourceCounts{Proxy: held.Proxy, Incarnation: held.Incarnation, Counts: held.Counts, Works: held.Works, Applied: max(held.Applied, given.Applied)}
+	if callsIn(given) > 0 && callsIn(given) >= callsIn(held) {
+		kept.Counts = given.Counts
+	}
+	if len(given.Works) > 0 && worksIn(given) >= worksIn(held) {
+		kept.Works = given.Works
 	}
+	t.counts[key] = kept
 	// Counts of incarnations long gone make room, oldest first.
 	for len(t.told) > 4*t.options.SourcesMost {
 		delete(t.counts, t.told[0])
@@ -284,7 +304,16 @@
 
 func callsIn(counts *schema.SourceCounts) uint64 {
 	var calls uint64
-	for _, line := range counts.Counts {
+	for _, line := range counts.GetCounts() {
+		calls += line.Calls
+	}
+	return calls
+}
+
+// worksIn adds up what workers ended.
+func worksIn(counts *schema.SourceCounts) uint64 {
+	var calls uint64
+	for _, line := range counts.GetWorks() {
 		calls += line.Calls
 	}
 	return calls
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -27,6 +27,9 @@
 type guard struct {
 	statement uint64
 	brake     Brake
+	suspicion Suspicion
+	strength  float64 // of the suspicion, as of the last gathering
+	why       string
 	stopped   string // why, once the brake was pulled
 	fine      bool   // as of the last gathering
 }
@@ -37,6 +40,40 @@
 	first     Evidence
 	lately    Evidence
 	steppedAt time.Duration
+	// Of a plan by its term:
+	firstAt time.Duration // of first, from which it is measured what is needed
+	step    uint64        // the sequence of its last step; lately is the evidence then
+	needed  float64       // calls under way at all the service's workers
+}
+
+// Sight is what a duty sees of the fleet.
+type Sight struct {
+	Counts []*schema.SourceCounts
+	Heard  float64 // the part of the fleet that the counts tell of
+	// Workers are those that live, by service and version.
+	Workers map[[2]string]Pool
+	// Known is how long this registry has known what was stated in a sequence.
+	Known func(sequence uint64) time.Duration
+}
+
+// Pool is the workers of a version.
+type Pool struct {
+	Workers int
+	Slots   int // together, 0 if any does not tell
+}
+
+// inTouch is how long a proxy may be silent before nothing waits for it.
+const inTouch = time.Second
+
+// behind counts the proxies that do not go by a setup yet.
+func (s Sight) behind(sequence uint64) int {
+	count := 0
+	for _, source := range s.Counts {
+		if time.Duration(source.AgoNanos) <= inTouch && source.Applied < sequence {
+			count++
+		}
+	}
+	return count
 }
 
 // Step is a change that the duty wants written, against the versions it was made from.
@@ -45,6 +82,46 @@
 	Items []*schema.Item
 }
 
+// Due tells whether there is anything for a duty to look at.
+func Due(compiled *setup.Setup, workers map[[2]string]Pool) bool {
+	if len(compiled.Guards) > 0 || len(standSteps(compiled, workers)) > 0 {
+		return true
+	}
+	for name := range compiled.Progress {
+		if compiled.Releases[name] == nil {
+			return true
+		}
+	}
+	for name, planned := range compiled.Releases {
+		// What is done by its term, or was turned back, asks for nothing any more.
+		progress := compiled.Progress[name]
+		if planned.By != setup.ByTerm || progress == nil || progress.Set != identity(planned) || running(progress.State) ||
+			progress.Reason == operatorsWord && planned.Pace != "back" {
+			return true
+		}
+	}
+	return false
+}
+
+// running tells whether a plan in a state goes on.
+func running(state string) bool { return state != Done && state != Back }
+
+// Judged tells of which services the work done is to be told, for a version is judged by it, and
+// whether there are any.
+func Judged(compiled *setup.Setup) (judges func(service string) bool, any bool) {
+	judged := map[string]bool{}
+	for service := range compiled.Guards {
+		judged[service] = true
+	}
+	for name, planned := range compiled.Releases {
+		progress := compiled.Progress[name]
+		if progress == nil || progress.Set != identity(planned) || running(progress.State) {
+			judged[planned.Service] = true
+		}
+	}
+	return func(service string) bool { return judged[service] }, len(judged) > 0
+}
+
 // NewDuty begins the duty anew at a seat; a plan makes at most one step in least.
 func NewDuty(options Options, seat string, least time.Duration) *Duty {
 	return &Duty{options: options, seat: seat, least: least, guards: map[[2]string]*guard{}, courses: map[string]*course{}}
@@ -82,13 +159,12 @@
 	return trials
 }
 
-// Look judges every guarded version and steers every plan by what was counted; heard is the
-// part of the fleet that the counts tell of.
-func (d *Duty) Look(now time.Duration, compiled *setup.Setup, state setup.State, counts []*schema.SourceCounts, heard float64) ([]Step, error) {
-	var steps []Step
+// Look judges every guarded version and steers every plan by what was seen.
+func (d *Duty) Look(now time.Duration, compiled *setup.Setup, state setup.State, sight Sight) ([]Step, error) {
+	steps := standSteps(compiled, sight.Workers)
 	var failed error
 	for key := range d.guards {
-		if _, guarded := compiled.Statement(key[0], key[1]); !guarded {
+		if _, guarded := compiled.Statement(key[0], key[1]); !guarded && !settling(compiled, key[0], key[1]) {
 			delete(d.guards, key)
 		}
 	}
@@ -106,7 +182,7 @@
 				held = &guard{statement: statement}
 				d.guards[key] = held
 			}
-			d.judge(held, Gather(counts, service, version, compiled.FallbackOf(service)), heard)
+			d.judge(held, Gather(sight.Counts, service, version, statement, compiled.FallbackOf(service)), sight.Heard)
 			// Without a plan to turn back, the stop is stated by itself, so that it outlives this duty.
 			if _, planned := planFor(compiled, service, version); held.stopped != "" && planned == nil && compiled.StopOn(service, version) == nil {
 				step, err := stopStep(service, version, held.stopped)
@@ -125,7 +201,13 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(compiled.Releases)) {
 		planned := compiled.Releases[name]
-		step, err := d.steer(now, compiled, state, planned, Gather(counts, planned.Service, planned.Version, compiled.FallbackOf(planned.Service)))
+		var step *Step
+		var err error
+		if planned.By == setup.ByTerm {
+			step, err = d.term(now, compiled, state, planned, sight)
+		} else {
+			step, err = d.steer(now, compiled, state, planned, Gather(sight.Counts, planned.Service, planned.Version, planned.Sequence, compiled.FallbackOf(planned.Service)))
+		}
 		if err != nil {
 			failed = err
 		} else if step != nil {
@@ -141,6 +223,158 @@
 		held.stopped = reason
 	}
 	held.fine = held.brake.Fine(d.options, heard)
+	if held.strength, held.why = held.suspicion.Look(d.options, evidence); held.strength >= 1 && held.stopped == "" {
+		held.stopped = held.why
+	}
+}
+
+// settling tells whether a plan has just made a version the fallback and waits for the last calls
+// at the old one: it is not guarded any more, but still judged.
+func settling(compiled *setup.Setup, service, version string) bool {
+	name, planned := planFor(compiled, service, version)
+	progress := compiled.Progress[name]
+	return planned != nil && progress != nil && progress.Set == identity(planned) && progress.State == Settle
+}
+
+// neededOver is the time over which it is measured how many calls are under way.
+const neededOver = time.Second
+
+// writtenParts is how often in a plan's time its progress is written though nothing changes, so
+// that a registry that starts later knows about how late it is.
+const writtenParts = 6
+
+// term makes the next step of a plan that goes by its term, if one is due.
+func (d *Duty) term(now time.Duration, compiled *setup.Setup, state setup.State, planned *setup.Release, sight Sight) (*Step, error) {
+	service, before := compiled.Services[planned.Service], setup.Progress{}
+	if service == nil || service.Fallback == "" {
+		return nil, nil
+	}
+	sequence, elapsed := planned.Sequence, sight.Known(planned.Sequence)
+	if known := compiled.Progress[planned.Name]; known != nil && known.Set == identity(planned) {
+		before, sequence = *known, state[setup.Key("progress", planned.Name)].Version.GetSequence()
+		// A registry that started later than the plan goes on from what was written of it.
+		elapsed = max(elapsed, time.Duration(before.Elapsed)+sight.Known(sequence))
+	}
+	if before.From == "" {
+		before.From = service.Fallback
+	}
+	if before.State == Done {
+		return nil, nil
+	}
+	if before.From == planned.Version {
+		// It is in place already: nothing moves.
+		after := before
+		after.State, after.Reason, after.Share = Done, "the version has all calls", planned.Target
+		return d.termStep(planned, compiled, state, before, after)
+	}
+	evidence := Gather(sight.Counts, planned.Service, planned.Version, planned.Sequence, before.From)
+	key := [2]string{planned.Service, planned.Version}
+	held := d.guards[key]
+	if held == nil || held.statement != planned.Sequence {
+		held = &guard{statement: planned.Sequence}
+		d.guards[key] = held
+	}
+	if _, guarded := compiled.Statement(key[0], key[1]); !guarded {
+		d.judge(held, evidence, sight.Heard)
+	}
+	taken := d.courses[planned.Name]
+	if taken == nil {
+		taken = &course{statement: planned.Sequence, first: evidence, firstAt: now}
+		d.courses[planned.Name] = taken
+	}
+	if taken.step != sequence {
+		taken.step, taken.lately = sequence, evidence
+	}
+	if passed := now - taken.firstAt; passed >= neededOver {
+		lately := evidence.Since(taken.first)
+		all := total(lately.Old)
+		all.add(total(lately.New))
+		all.add(lately.Rest)
+		taken.needed, taken.first, taken.firstAt = underWay(all, passed), evidence, now
+	}
+	pool := sight.Workers[key]
+	seen := Term{Elapsed: elapsed, Turn: d.least, Suspicion: held.strength, Why: held.why, Calls: total(evidence.New).Calls, Lately: total(evidence.Since(taken.lately).New).Calls,
+		Needed: taken.needed, Slots: float64(pool.Slots), Workers: pool.Workers, Behind: sight.behind(sequence), Open: total(evidence.Old).Open, Stands: stands(compiled, planned.Service)}
+	if held.stopped != "" {
+		seen.Suspicion, seen.Why = 1, held.stopped
+	}
+	return d.termStep(planned, compiled, state, before, d.options.ByTerm(planned, before, seen))
+}
+
+// termStep writes a plan's progress, and with it what follows from it.
+func (d *Duty) termStep(planned *setup.Release, compiled *setup.Setup, state setup.State, before, after setup.Progress) (*Step, error) {
+	moved := before.State != after.State || before.Weight != after.Weight || before.Reason != after.Reason
+	if !moved && after.Elapsed-before.Elapsed < int64(planned.Over)/writtenParts {
+		return nil, nil
+	}
+	after.Set, after.Holder = identity(planned), d.seat
+	// Another seat's progress is taken over under a higher epoch, which shuts that seat out.
+	if before.Holder != d.seat {
+		after.Duty++
+	}
+	step := &Step{Name: planned.Name}
+	put := func(kind, name string, body any) error {
+		text, err := json.Marshal(body)
+		step.Items = append(step.Items, &schema.Item{Kind: kind, Name: name, Body: text})
+		return defect.Wrap(err, defect.Internal, kind+" "+name)
+	}
+	if !moved || after.State == Done {
+		return step, put("progress", planned.Name, after)
+	}
+	// An operator's own flag keeps its targets and rules.
+	if !stands(compiled, planned.Service) {
+		items, err := stepItems(planned, compiled, state, after)
+		return &Step{Name: planned.Name, Items: items}, err
+	}
+	fallback, version, decider := after.From, planned.Version, rollout(compiled, planned.Service, after.From, planned.Version, after.Weight)
+	switch after.State {
+	case Back:
+		decider.On = false
+	case Settle:
+		fallback, decider = version, rollout(compiled, planned.Service, version, version, 0)
+	}
+	if err := put("flag", setup.FlagOf(planned.Service), decider); err != nil {
+		return nil, err
+	}
+	if standing := standingOf(fallback, version); compiled.Standing[planned.Service].Fallback != fallback {
+		if err := put(standingKind, planned.Service, standing); err != nil {
+			return nil, err
+		}
+	}
+	return step, put("progress", planned.Name, after)
+}
+
+// standSteps state what stands for services of which no versions are stated: the version that
+// their workers told, or most of them, before any plan.
+func standSteps(compiled *setup.Setup, workers map[[2]string]Pool) []Step {
+	var steps []Step
+	for _, name := range slices.Sorted(maps.Keys(compiled.Services)) {
+		if service := compiled.Services[name]; service.Versions != nil || service.Fallback != "" || compiled.Standing[name] != nil {
+			continue
+		}
+		first, most := "", 0
+		for key, pool := range workers {
+			if key[0] == name && (pool.Workers > most || pool.Workers == most && key[1] < first) {
+				first, most = key[1], pool.Workers
+			}
+		}
+		if first == "" {
+			continue
+		}
+		step := Step{Name: "standing-" + name}
+		for _, one := range []struct {
+			kind, name string
+			body       any
+		}{{standingKind, name, standingOf(first, first)}, {"flag", setup.FlagOf(name), rollout(compiled, name, first, first, 0)}} {
+			body, err := json.Marshal(one.body)
+			// A flag that an operator wrote before stays.
+			if err == nil && (one.kind != "flag" || compiled.Flags.Flags[one.name] == nil) {
+				step.Items = append(step.Items, &schema.Item{Kind: one.kind, Name: one.name, Body: body})
+			}
+		}
+		steps = append(steps, step)
+	}
+	return steps
 }
 
 // steer makes a plan's next step, if one is due and worth a change.
--- a/internal/release/order.go
+++ b/internal/release/order.go
@@ -19,28 +19,9 @@
 	Over    time.Duration
 }
 
-// Standing is an item that says which versions a service has that leaves them out itself: the
-// release duty writes it, by what workers tell and by what comes of orders.
-const Standing = "standing"
-
-// Stood is the body of a standing item.
-type Stood struct {
-	Versions []string `json:"versions"`
-	Fallback string   `json:"fallback"`
-}
-
-// stoodOf reads what stands for a service, nil for nothing.
-func stoodOf(state setup.State, service string) *Stood {
-	item := state[setup.Key(Standing, service)]
-	if item == nil || item.Deleted {
-		return nil
-	}
-	stood := &Stood{}
-	if json.Unmarshal(item.Body, stood) != nil {
-		return nil
-	}
-	return stood
-}
+// standingKind names the items that say which versions a service has that leaves them out itself:
+// the release duty writes them, by what workers tell and by what comes of plans.
+const standingKind = "standing"
 
 // Place turns an order into the step that states it: the version is allowed, the flag can give
 // it, and the plan says how. An order that is under way already, or done, needs no step.
@@ -52,11 +33,7 @@
 	case order.Version == "" || order.Over <= 0:
 		return nil, defect.New(defect.BadSetup, "an order needs a version and a time")
 	}
-	fallback, versions := service.Fallback, service.Versions
-	stood := stoodOf(state, order.Service)
-	if stood != nil {
-		fallback, versions = stood.Fallback, stood.Versions
-	}
+	fallback := service.Fallback
 	if fallback == "" {
 		return nil, defect.New(defect.NoMajority, fmt.Sprintf("no version of %q is known yet", order.Service))
 	}
@@ -83,27 +60,19 @@
 	}
 	drop("progress", order.Service)
 	drop("stop", setup.StopName(order.Service, order.Version))
-	if !slices.Contains(versions, order.Version) {
-		if stood == nil {
-			return nil, defect.New(defect.BadSetup, fmt.Sprintf("service %q does not list version %q", order.Service, order.Version))
-		}
-		if err := put(Standing, order.Service, Stood{Versions: []string{fallback, order.Version}, Fallback: fallback}); err != nil {
-			return nil, err
-		}
+	if !service.Allows(order.Version) && !stands(compiled, order.Service) {
+		return nil, defect.New(defect.BadSetup, fmt.Sprintf("service %q does not list version %q", order.Service, order.Version))
 	}
-	if order.Version != fallback {
-		key := setup.FlagOf(order.Service)
-		decider := flag.Flag{On: true, Salt: order.Service, Variations: []string{fallback, order.Version}}
-		if held := compiled.Flags.Flags[key]; held != nil {
-			decider.Salt = held.Salt
-		}
-		// No call yet: the duty's first step gives the version its trial.
-		decider.Fallthrough.Rollout = &flag.Rollout{Variations: []flag.Weighted{{Variation: 1, Weight: 0}, {Variation: 0, Weight: flag.Whole}}}
-		if err := put("flag", key, decider); err != nil {
+	if stands(compiled, order.Service) {
+		if err := put(standingKind, order.Service, standingOf(fallback, order.Version)); err != nil {
 			return nil, err
 		}
 	}
-	err := put("release", order.Service, setup.Release{Service: order.Service, Version: order.Version, Target: 100, OverIn: order.Over.String(), Pace: "go"})
+	// No call yet: the duty's first step gives the version its trial.
+	if err := put("flag", setup.FlagOf(order.Service), rollout(compiled, order.Service, fallback, order.Version, 0)); err != nil {
+		return nil, err
+	}
+	err := put("release", order.Service, setup.Release{Service: order.Service, Version: order.Version, Target: 100, OverIn: order.Over.String(), Pace: "go", By: setup.ByTerm})
 	return step, err
 }
 
@@ -116,7 +85,7 @@
 		}
 		progress := compiled.Progress[name]
 		switch {
-		case planned.Version == compiled.FallbackOf(service):
+		case progress == nil && planned.Version == compiled.FallbackOf(service):
 			return planned.Version, Done
 		case progress == nil || progress.Set != identity(planned):
 			return planned.Version, Trial
@@ -126,5 +95,36 @@
 	return "", ""
 }
 
+// rollout is the flag that gives a version so many of a service's calls, in a hundred thousand.
+func rollout(compiled *setup.Setup, service, fallback, version string, weight int) *flag.Flag {
+	key := setup.FlagOf(service)
+	decider := &flag.Flag{On: true, Salt: service, Variations: []string{fallback}}
+	if held := compiled.Flags.Flags[key]; held != nil {
+		decider.Salt = held.Salt
+	}
+	if version == fallback {
+		decider.Fallthrough.Variation = new(int)
+		return decider
+	}
+	decider.Variations = append(decider.Variations, version)
+	decider.Fallthrough.Rollout = &flag.Rollout{Variations: []flag.Weighted{{Variation: 1, Weight: weight}, {Variation: 0, Weight: flag.Whole - weight}}}
+	return decider
+}
+
+// stands tells whether a service's versions are what stands for it, and not an operator's word.
+func stands(compiled *setup.Setup, service string) bool {
+	held, standing := compiled.Services[service], compiled.Standing[service]
+	return held != nil && standing != nil && slices.Equal(held.Versions, standing.Versions) && held.Fallback == standing.Fallback
+}
+
+// standingOf is the fallback version and one more, if it is another.
+func standingOf(fallback, version string) setup.Standing {
+	versions := []string{fallback}
+	if version != fallback {
+		versions = append(versions, version)
+	}
+	return setup.Standing{Versions: versions, Fallback: fallback}
+}
+
 // identity is the plan that a progress is of.
 func identity(planned *setup.Release) string { return planned.Service + " " + planned.Version }
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -33,19 +33,26 @@
 	Certain      float64 // standard errors by which it must exceed the old version's, or it may be chance
 	SlowTimes    float64 // mean time as a multiple of the old version's that counts as failing
 	Steps        int     // that a ramp is made in
+	Sure         float64 // logarithm of how much likelier than not a version must be bad to be stopped
+	FinishAt     float64 // part of its time after which a plan by its term leaves the trial
 }
 
 // Defaults are the settings' presets.
-var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20}
+var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20, Sure: 12, FinishAt: 0.75}
 
 // Count is what was seen of a version on a route.
 type Count struct {
 	Calls, Failures uint64
 	Spent           time.Duration
+	Times           [TimeSteps]uint64 // calls that did not fail, by how long they took
+	Open            uint64            // under way now
 }
 
 func (c *Count) add(other Count) {
-	c.Calls, c.Failures, c.Spent = c.Calls+other.Calls, c.Failures+other.Failures, c.Spent+other.Spent
+	c.Calls, c.Failures, c.Spent, c.Open = c.Calls+other.Calls, c.Failures+other.Failures, c.Spent+other.Spent, c.Open+other.Open
+	for step, count := range other.Times {
+		c.Times[step] += count
+	}
 }
 
 func (c Count) rate() float64 {
@@ -82,21 +89,33 @@
 	Rest     Count
 }
 
-// Gather sorts counts of a service into evidence of one version.
-func Gather(counts []*schema.SourceCounts, service, version, fallback string) Evidence {
+// openFor is how long what a proxy told to be under way counts: a dead one says no more of it.
+const openFor = time.Second
+
+// Gather sorts what proxies saw of the workers beside them into evidence of one version, as it
+// was stated, against another.
+func Gather(counts []*schema.SourceCounts, service, version string, plan uint64, fallback string) Evidence {
 	evidence := Evidence{Old: map[string]Count{}, New: map[string]Count{}}
 	for _, source := range counts {
-		for _, line := range source.Counts {
-			// What did not run says nothing of a version.
-			if line.Service != service || line.Outcome == "not-run" {
+		for _, line := range source.Works {
+			if line.Service != service {
 				continue
 			}
-			one := Count{line.Calls, line.Failures, time.Duration(line.Nanos)}
+			one := Count{Calls: line.Calls, Failures: line.Failures, Spent: time.Duration(line.Nanos)}
+			for step, count := range line.Times {
+				one.Times[min(step, TimeSteps-1)] += uint64(count)
+			}
+			if time.Duration(source.AgoNanos) <= openFor {
+				one.Open = uint64(line.Open)
+			}
 			var side map[string]Count
-			switch line.Variation {
-			case version:
+			switch {
+			case line.Version == version && line.Plan == plan:
 				side = evidence.New
-			case fallback:
+			// What was learned of a version under another statement says nothing under this one.
+			case line.Version == version:
+				continue
+			case line.Version == fallback:
 				side = evidence.Old
 			default:
 				evidence.Rest.add(one)
@@ -113,7 +132,11 @@
 // less is a count less what it was before. A proxy's counts can vanish with it; what is left is
 // then not less than nothing.
 func (c Count) less(was Count) Count {
-	return Count{c.Calls - min(was.Calls, c.Calls), c.Failures - min(was.Failures, c.Failures), c.Spent - min(was.Spent, c.Spent)}
+	left := Count{Calls: c.Calls - min(was.Calls, c.Calls), Failures: c.Failures - min(was.Failures, c.Failures), Spent: c.Spent - min(was.Spent, c.Spent), Open: c.Open}
+	for step, count := range c.Times {
+		left.Times[step] = count - min(was.Times[step], count)
+	}
+	return left
 }
 
 // Since is the evidence that came after an earlier gathering.
@@ -155,7 +178,7 @@
 		return c
 	}
 	part := float64(most) / float64(c.Calls)
-	return Count{most, uint64(part * float64(c.Failures)), time.Duration(part * float64(c.Spent))}
+	return Count{Calls: most, Failures: uint64(part * float64(c.Failures)), Spent: time.Duration(part * float64(c.Spent))}
 }
 
 // Bad tells whether the new version fails, over all or on one route, and in what way. What
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -10,7 +10,7 @@
 var shop = &setup.Release{Name: "r", Service: "shop", Version: "2", Target: 50, Over: 100 * time.Second, Pace: "go"}
 
 func counted(calls, failures uint64, mean time.Duration) Count {
-	return Count{calls, failures, mean * time.Duration(calls)}
+	return Count{Calls: calls, Failures: failures, Spent: mean * time.Duration(calls)}
 }
 
 func both(old, new Count) Evidence {
--- a/internal/setup/compile.go
+++ b/internal/setup/compile.go
@@ -460,7 +460,8 @@
 		}
 	}
 	for _, key := range names(s.Flags.Flags) {
-		if service, decides := strings.CutPrefix(key, FlagOf("")); decides && s.Services[service] == nil {
+		// What the release duty wrote of a service outlasts it: an operator may drop it and bring it again.
+		if service, decides := strings.CutPrefix(key, FlagOf("")); decides && s.Services[service] == nil && s.Standing[service] == nil {
 			add("flag."+key, "service %q does not exist", service)
 		}
 	}
@@ -483,7 +484,10 @@
 	for _, name := range names(s.Releases) {
 		release := s.Releases[name]
 		path := "release." + name
-		service := s.Services[release.Service]
+		service, stands := s.Services[release.Service], s.Standing[release.Service] != nil
+		if service == nil && stands {
+			continue
+		}
 		if service == nil {
 			add(path+".service", "service %q does not exist", release.Service)
 		} else if !service.Allows(release.Version) {
@@ -491,7 +495,8 @@
 		}
 		if decider := s.Flags.Flags[FlagOf(release.Service)]; decider == nil || !slices.Contains(decider.Variations, release.Version) {
 			add(path, "flag %q does not have the variation %q", FlagOf(release.Service), release.Version)
-		} else if service != nil && release.Version == service.Fallback {
+		} else if service != nil && release.Version == service.Fallback && !stands {
+			// What stands may be what this very plan made of it.
 			add(path+".version", "is the fallback version, which has no other to be weighed against")
 		}
 		if other, found := planned[release.Service]; found {
--- a/internal/setup/schema.cue
+++ b/internal/setup/schema.cue
@@ -76,6 +76,7 @@
 	target:  number & >=0 & <=100
 	over:    #Span
 	pace:    "go" | "hold" | "back" | *"go"
+	by?:     "ramp" | "term"
 }
 
 #Policy: expression: string
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -147,22 +147,31 @@
 	Target  float64 `json:"target"`
 	OverIn  string  `json:"over"`
 	Pace    string  `json:"pace"`
+	By      string  `json:"by,omitempty"` // in what way the share rises: ByRamp if left out
 
 	Over     time.Duration `json:"-"`
 	Sequence uint64        `json:"-"` // in which it was stated
 }
 
+// The ways in which a plan's share rises.
+const (
+	ByRamp = "ramp" // over the plan's time, from when the version is known
+	ByTerm = "term" // it stays on trial for most of the plan's time, and moves before that is over
+)
+
 // Progress is how far a release plan has come; the release duty writes it with each step, so
 // that whoever has the duty next goes on from there.
 type Progress struct {
-	Duty    uint64  `json:"duty"`    // the epoch of the release duty that wrote it; it never goes down
-	Holder  string  `json:"holder"`  // the seat that had the duty
-	Set     string  `json:"set"`     // the plan this is the progress of, as it was stated
-	State   string  `json:"state"`   // trial, ramp, hold, done, back
-	Reason  string  `json:"reason"`  // why it is so
-	Share   float64 `json:"share"`   // set point now, in percent
-	Weight  int     `json:"weight"`  // of the new version, as written to the flag
-	Elapsed int64   `json:"elapsed"` // of the ramp, in nanoseconds
+	Duty    uint64  `json:"duty"`            // the epoch of the release duty that wrote it; it never goes down
+	Holder  string  `json:"holder"`          // the seat that had the duty
+	Set     string  `json:"set"`             // the plan this is the progress of, as it was stated
+	State   string  `json:"state"`           // trial, ramp, hold, done, back
+	Reason  string  `json:"reason"`          // why it is so
+	Share   float64 `json:"share"`           // set point now, in percent
+	Weight  int     `json:"weight"`          // of the new version, as written to the flag
+	Elapsed int64   `json:"elapsed"`         // of the ramp, or by the term since the plan was stated, in nanoseconds
+	From    string  `json:"from,omitempty"`  // the version that calls move away from
+	Since   int64   `json:"since,omitempty"` // by the term: Elapsed when this state or share began
 }
 
 // Stop keeps every call from a version, until it is lifted. The brake states it where no plan
@@ -206,6 +215,11 @@
 	return s.statements[[2]string{service, version}], true
 }
 
+// Stated is the sequence of what was stated of a version last, guarded or not, 0 for nothing.
+func (s *Setup) Stated(service, version string) uint64 {
+	return s.statements[[2]string{service, version}]
+}
+
 // StopOn gives the stop that stands against a version, if one does.
 func (s *Setup) StopOn(service, version string) *Stop {
 	if len(s.Stops) == 0 {
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -272,14 +272,15 @@
 // steer does the release duty whenever it falls on a registry.
 func (w *World) steer(node *registryNode) {
 	compiled, state := node.setup, node.state
-	if len(compiled.Guards)+len(compiled.Releases)+len(compiled.Progress) == 0 || !w.hasDuty(node) {
+	workers := registry.PoolsOf(node.table.Feed(w.ageOf(node), nil))
+	if !release.Due(compiled, workers) || !w.hasDuty(node) {
 		node.duty = nil
 		return
 	}
 	if node.duty == nil {
 		options := release.Defaults
 		if w.plant == PlantDeaf {
-			options.FailuresMost, options.SlowTimes = 1<<40, 1e9
+			options.FailuresMost, options.SlowTimes, options.Sure = 1<<40, 1e9, 1e9
 		}
 		if w.plant == PlantHairTrigger {
 			options.FailuresMost, options.Excess, options.Certain = 2, 0, 0
@@ -299,7 +300,7 @@
 		if other != node {
 			w.deliver(&node.machine, &other.machine, func() {
 				other.table.TakeTrials(w.ageOf(other), trials)
-				back := other.table.Counts(w.ageOf(other))
+				back := other.table.Counts(w.ageOf(other), true)
 				w.deliver(&other.machine, &node.machine, func() { answers = append(answers, back) })
 			})
 		}
@@ -309,12 +310,13 @@
 		if node.duty != duty {
 			return
 		}
-		answers = append(answers, node.table.Counts(w.ageOf(node)))
+		answers = append(answers, node.table.Counts(w.ageOf(node), true))
 		telling := 0
 		for _, answer := range answers {
 			telling += int(answer.Telling)
 		}
-		steps, err := duty.Look(w.ageOf(node), compiled, state, registry.MostOf(answers), float64(telling)/float64(len(w.proxies)))
+		steps, err := duty.Look(w.ageOf(node), compiled, state, release.Sight{Counts: registry.MostOf(answers), Heard: float64(telling) / float64(len(w.proxies)), Workers: workers,
+			Known: func(sequence uint64) time.Duration { return node.table.KnownFor(w.ageOf(node), sequence) }})
 		if err != nil {
 			w.History.breach(RuleRecovery, "%v: a step could not be made: %v", w.now, err)
 		}
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -19,6 +19,7 @@
 	"meadowhinge/internal/plan"
 	"meadowhinge/internal/proxy"
 	"meadowhinge/internal/registry"
+	"meadowhinge/internal/release"
 	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
 	"meadowhinge/internal/standin"
@@ -124,7 +125,7 @@
 	}
 	w.feed(node)
 	w.every(&node.machine, lease/(4*registry.LeaseParts), func() {
-		if len(view().Setup.Guards) > 0 {
+		if _, any := release.Judged(view().Setup); any {
 			w.tell(node, false)
 		}
 	})
@@ -271,8 +272,13 @@
 		picture := node.journal.Append(proxy.Event{At: node.clockOf(w.now), Sources: []*schema.Source{report.Source}, Sweep: lease / 4})
 		node.facts.Keep(picture.Known())
 	}
-	for _, count := range node.tally.Counts(node.journal.View().Sequence()) {
-		report.Counts = append(report.Counts, proto.Clone(count).(*schema.Count))
+	setup := node.journal.View().View().Setup
+	judged, _ := release.Judged(setup)
+	report.Works, report.Applied = node.runner.Works.Tell(judged), setup.Sequence
+	if whole {
+		for _, count := range node.tally.Counts(setup.Sequence) {
+			report.Counts = append(report.Counts, proto.Clone(count).(*schema.Count))
+		}
 	}
 	asked := node.clockOf(w.now)
 	target := w.regs[node.feedAt%len(w.regs)]
