--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -66,6 +66,7 @@
 	seed   uint64
 	cold   int     // so many workers start anew in the middle
 	swing  float64 // of the traffic, as a part of it
+	times  int     // proxies, as a multiple of the usual number, and how much longer calls take
 	silent bool    // workers tell no load with their answers
 }
 
@@ -94,6 +95,10 @@
 	simWarmup  = 5 * time.Second
 )
 
+// proxies and work are how many proxies there are, and how long a call takes in the mean.
+func (o *simOptions) proxies() int        { return simProxies * max(1, o.times) }
+func (o *simOptions) work() time.Duration { return simWork * time.Duration(max(1, o.times)) }
+
 func (w *simWorld) after(span time.Duration, run func()) {
 	w.seq++
 	heap.Push(&w.events, simEvent{w.now + span, run, w.seq})
@@ -102,7 +107,7 @@
 func zoneOf(proxy int) int { return proxy % 3 }
 
 func simulate(options simOptions) *simWorld {
-	w := &simWorld{simOptions: options, dice: rand.New(rand.NewPCG(options.seed, 1)), aim: simAim}
+	w := &simWorld{simOptions: options, dice: rand.New(rand.NewPCG(options.seed, 1)), aim: simAim * time.Duration(max(1, options.times))}
 	for zone, count := range options.zones {
 		for range count {
 			w.workers = append(w.workers, &simWorker{zone: zone, slots: simSlots, speed: options.speeds[len(w.workers)%len(options.speeds)]})
@@ -111,12 +116,12 @@
 	w.byWorker = make([]int, len(w.workers))
 	capacity := 0.0
 	for _, one := range w.workers {
-		capacity += float64(one.slots) * one.speed / simWork.Seconds()
+		capacity += float64(one.slots) * one.speed / options.work().Seconds()
 	}
 	compiled, _ := setup.Compile(setup.State{}.With([]*schema.Item{
 		{Kind: "service", Name: "s", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"versions":["1"],"fallback":"1"}`)},
-		{Kind: "route", Name: "r", Version: &schema.Version{Sequence: 1}, Body: []byte(`{"service":"s","prefix":"/","aim":"500ms","horizon":"1200ms"}`)}}), 1)
-	for range simProxies {
+		{Kind: "route", Name: "r", Version: &schema.Version{Sequence: 1}, Body: fmt.Appendf(nil, `{"service":"s","prefix":"/","aim":"%v"}`, w.aim)}}), 1)
+	for range options.proxies() {
 		w.facts = append(w.facts, NewSoundness(5, 5*time.Second))
 		w.views = append(w.views, &plan.View{Setup: compiled, Directory: plan.Directory{"s": {"1": make([]plan.Candidate, len(w.workers))}}})
 	}
@@ -147,7 +152,7 @@
 			// Traffic swings, each zone by itself.
 			swung := rate * (1 + options.swing*math.Sin(2*math.Pi*(w.now.Seconds()/11+float64(zone)/3)))
 			w.after(time.Duration(w.dice.ExpFloat64()/swung*1e9), arrive)
-			w.take(zone + 3*w.dice.IntN(simProxies/3))
+			w.take(zone + 3*w.dice.IntN(options.proxies()/3))
 		}
 		w.after(0, arrive)
 	}
@@ -169,8 +174,8 @@
 // take begins a call at a proxy.
 func (w *simWorld) take(from int) {
 	const spread = 0.8
-	work := math.Exp(w.dice.NormFloat64()*spread-spread*spread/2) * float64(simWork)
-	call := &queuedCall{from: from, began: w.now, work: time.Duration(min(work, 6*float64(simWork)))}
+	work := math.Exp(w.dice.NormFloat64()*spread-spread*spread/2) * float64(w.work())
+	call := &queuedCall{from: from, began: w.now, work: time.Duration(min(work, 6*float64(w.work())))}
 	w.send(call)
 }
 
@@ -321,11 +326,12 @@
 		{zones: []int{4, 4, 4}, speeds: []float64{0.6, 1.0, 1.0, 1.5}},
 		{zones: []int{2, 2, 1}, speeds: []float64{0.6, 1.0, 1.4}, silent: true},
 		{zones: []int{2, 2, 1}, speeds: []float64{0.6, 1.0, 1.4}, cold: 2},
+		{zones: []int{9, 11, 9}, speeds: []float64{0.7, 0.7, 1.6}, times: 3},
 	}
 	for _, layout := range layouts {
 		for _, use := range []float64{0.5, 0.7, 0.95} {
 			played := map[string]*simWorld{}
-			text := fmt.Sprintf("%v %v used %.2f, silent %v, cold %d:", layout.zones, layout.speeds, use, layout.silent, layout.cold)
+			text := fmt.Sprintf("%v %v used %.2f, silent %v, cold %d, times %d:", layout.zones, layout.speeds, use, layout.silent, layout.cold, layout.times)
 			for _, name := range []string{"planned", "random", "own zone", "least in flight"} {
 				options := layout
 				options.use, options.place, options.length, options.shares, options.swing = use, simPlacers[name], 20*time.Second, []float64{.31, .36, .33}, 0.15
