Let those go first at a worker who must start earliest, and count the work before them

Cause: in the order of arrival, calls that are wanted within 60 ms waited behind others that had 250, so nearly all of them were refused under load; and each call that a worker makes for a request of its own fails that request too. Ruled out: a rank for calls between services, which no setup tells; room kept free for the short. Conclusion: within a rank, by the latest start in time; a request's wait is the work before it; what is short by the measure of the others is served late rather than turned away.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -20,7 +19,7 @@
 	narrow  int // handed over at once since the worker turned something away, 0 for no such bound
 	eased   int // answers since then
 	running int
-	waiting []*Waiter // by rank, then by arrival
+	waiting []*Waiter // by rank, then by when each must start
 	shut    defect.Kind
 	all     pace
 	routes  map[string]*pace
@@ -42,9 +41,20 @@
 
 // Waiter is a request that waits for its turn.
 type Waiter struct {
-	Turn chan Turn // has room, so that nobody waits to tell it
-	ask  Ask
-	came time.Duration
+	Turn  chan Turn // has room, so that nobody waits to tell it
+	ask   Ask
+	came  time.Duration
+	work  time.Duration // that it is likely to take
+	start time.Duration // when it must start at the latest to be answered in time
+}
+
+// before tells who goes first: a higher rank, then whoever must start earlier. So those whose
+// answer is wanted soon are not turned away for the sake of those who can wait.
+func (w *Waiter) before(other *Waiter) bool {
+	if w.ask.Rank != other.ask.Rank {
+		return w.ask.Rank < other.ask.Rank
+	}
+	return w.start <= other.start
 }
 
 // pace is how long requests take, of late.
@@ -61,6 +71,7 @@
 	heldParts    = 4  // of the time to its aim, after which a request that waits is not sent elsewhere any more
 	easeTimes    = 2  // answers, as a multiple of what is handed over, after which one more is tried
 	unknownTimes = 2  // requests that may wait for each that runs, while it is not known how long they take
+	shortTimes   = 2  // a request is short that takes this part of the mean
 	routesMost   = 1024
 )
 
@@ -89,22 +100,27 @@
 	return b.all.mean
 }
 
-// waitAt is how long the request at a place in the order has to wait.
-func (b *Buffer) waitAt(place int) time.Duration {
-	return time.Duration(place+1) * b.all.mean / time.Duration(b.limit())
+// waitOf is how long a request has to wait before which there is so much work.
+func (b *Buffer) waitOf(work time.Duration) time.Duration {
+	return (b.all.mean + work) / time.Duration(b.limit())
 }
 
-// until is by when a request should be answered.
-func (a *Ask) until() time.Duration {
+// by is when a request should be answered.
+func (a *Ask) by() time.Duration {
 	if a.Aim != 0 {
 		return min(a.Aim, a.Horizon)
 	}
 	return a.Horizon
 }
 
-// over is how much too late a request would be answered that had to wait so long.
-func (b *Buffer) over(now time.Duration, ask *Ask, wait time.Duration) time.Duration {
-	return now + wait + workTimes*b.work(ask.Route) - ask.until()
+// over is how much too late a request would be answered that had to wait so long. What is short
+// by the measure of the others is better served late: little room is won by turning it away.
+func (b *Buffer) over(now time.Duration, one *Waiter, wait time.Duration) time.Duration {
+	by := one.ask.by()
+	if one.work*shortTimes <= b.all.mean {
+		by = one.ask.Horizon
+	}
+	return now + wait + workTimes*one.work - by
 }
 
 // Arrive gives a request its turn, lets it wait, or refuses it.
@@ -120,33 +136,39 @@
 		b.running++
 		return Turn{}, nil
 	}
-	place := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].ask.Rank > ask.Rank })
+	fresh := &Waiter{ask: ask, came: now, work: b.work(ask.Route)}
+	fresh.start = ask.by() - workTimes*fresh.work
+	place, ahead := 0, time.Duration(0)
+	for place < len(b.waiting) && b.waiting[place].before(fresh) {
+		ahead += b.waiting[place].work
+		place++
+	}
 	if !b.all.known {
 		if b.slots == 0 || place >= unknownTimes*b.limit() {
 			return Turn{Kind: defect.BufferFull}, nil
 		}
-	} else if over := b.over(now, &ask, b.waitAt(place)); over > 0 || b.slots == 0 {
-		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitAt(0))}, nil
+	} else if over := b.over(now, fresh, b.waitOf(ahead)); over > 0 || b.slots == 0 {
+		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}, nil
 	}
-	fresh := &Waiter{Turn: make(chan Turn, 1), ask: ask, came: now}
+	fresh.Turn = make(chan Turn, 1)
 	b.waiting = append(b.waiting, nil)
 	copy(b.waiting[place+1:], b.waiting[place:])
 	b.waiting[place] = fresh
-	b.displace(now, place+1)
+	b.displace(now, place+1, ahead+fresh.work)
 	return Turn{}, fresh
 }
 
 // displace refuses those from a place on that now would come too late, for as long as they can
 // well go elsewhere: who has waited long is better served late than not at all.
-func (b *Buffer) displace(now time.Duration, from int) {
+func (b *Buffer) displace(now time.Duration, from int, ahead time.Duration) {
 	kept := b.waiting[:from]
 	for _, one := range b.waiting[from:] {
-		over := b.over(now, &one.ask, b.waitAt(len(kept)))
-		if over > 0 && now-one.came <= (one.ask.until()-one.came)/heldParts {
-			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitAt(0))}
+		over := b.over(now, one, b.waitOf(ahead))
+		if over > 0 && now-one.came <= (one.ask.by()-one.came)/heldParts {
+			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}
 			continue
 		}
-		kept = append(kept, one)
+		kept, ahead = append(kept, one), ahead+one.work
 	}
 	clear(b.waiting[len(kept):])
 	b.waiting = kept
--- a/internal/dispatch/buffer_test.go
+++ b/internal/dispatch/buffer_test.go
@@ -23,10 +23,11 @@
 	waiters map[string]*Waiter
 	told    []string
 	now     time.Duration
+	route   string
 }
 
 func newPlay(t *testing.T) *play {
-	p := &play{t: t, buffer: NewBuffer(2, 8), waiters: map[string]*Waiter{}}
+	p := &play{t: t, buffer: NewBuffer(2, 8), waiters: map[string]*Waiter{}, route: "r"}
 	p.buffer.learn("r", 10*ms)
 	return p
 }
@@ -40,7 +41,7 @@
 }
 
 func (p *play) arrive(name string, rank uint32, aim, horizon time.Duration) {
-	turn, waiter := p.buffer.Arrive(p.now, Ask{Route: "r", Rank: rank, Aim: aim, Horizon: horizon})
+	turn, waiter := p.buffer.Arrive(p.now, Ask{Route: p.route, Rank: rank, Aim: aim, Horizon: horizon})
 	if waiter == nil {
 		p.tell(name, turn)
 		return
@@ -100,6 +101,21 @@
 			p.arrive("c", 0, 0, 24*ms)
 			p.arrive("d", 0, 0, 25*ms)
 		}, "a goes, b goes, c BUFFER_FULL 5ms"},
+		"who must start earlier": {func(p *play) {
+			p.buffer.learn("short", 2*ms)
+			p.buffer.learn("r", 10*ms)
+			p.arrive("a", 0, 0, time.Second)
+			p.arrive("b", 0, 0, time.Second)
+			p.arrive("c", 0, 100*ms, time.Second)
+			p.arrive("d", 0, 60*ms, time.Second)
+			p.route = "short"
+			p.arrive("e", 0, 70*ms, time.Second) // must start at 66 ms, d at 40
+			p.arrive("f", 0, 1*ms, time.Second)  // too late, but soon over
+			p.end(Answered)
+			p.end(Answered)
+			p.end(Answered)
+			p.end(Answered)
+		}, "a goes, b goes, f goes, d goes, e goes, c goes"},
 		"free slots are for all": {func(p *play) {
 			p.arrive("a", 0, -1, time.Second)
 			p.arrive("b", 0, 1*ms, 2*ms)
