--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -11,25 +11,26 @@
 
 // Traffic is what has gone over this process's links since it started.
 type Traffic struct {
-	In     uint64            `json:"in"`     // bytes, as the sockets carried them
-	Out    uint64            `json:"out"`    // the same
-	Opened uint64            `json:"opened"` // links that this process opened
-	Served map[string]uint64 `json:"served"` // calls taken, by what was called
+	In       uint64            `json:"in"`       // bytes, as the sockets carried them
+	Out      uint64            `json:"out"`      // the same
+	Opened   uint64            `json:"opened"`   // links that this process opened
+	Served   map[string]uint64 `json:"served"`   // calls taken, by what was called
+	Messages map[string]uint64 `json:"messages"` // that went either way in them
 }
 
 // meter counts what goes over links.
 type meter struct {
 	in, out, opened atomic.Uint64
 
-	lock   sync.Mutex
-	served map[string]uint64
+	lock             sync.Mutex
+	served, messages map[string]uint64
 }
 
 // Traffic tells what has gone over this process's links.
 func (e *Ends) Traffic() Traffic {
 	e.meter.lock.Lock()
 	defer e.meter.lock.Unlock()
-	return Traffic{In: e.meter.in.Load(), Out: e.meter.out.Load(), Opened: e.meter.opened.Load(), Served: maps.Clone(e.meter.served)}
+	return Traffic{In: e.meter.in.Load(), Out: e.meter.out.Load(), Opened: e.meter.opened.Load(), Served: maps.Clone(e.meter.served), Messages: maps.Clone(e.meter.messages)}
 }
 
 // metered counts the bytes of one link.
@@ -57,11 +58,36 @@
 }
 
 func (c counting) HandleRPC(stream drpc.Stream, rpc string) error {
-	c.meter.lock.Lock()
-	if c.meter.served == nil {
-		c.meter.served = map[string]uint64{}
+	c.meter.note(&c.meter.served, rpc)
+	return c.Handler.HandleRPC(heard{stream, c.meter, rpc}, rpc)
+}
+
+// note counts one by its name.
+func (m *meter) note(counts *map[string]uint64, rpc string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if *counts == nil {
+		*counts = map[string]uint64{}
+	}
+	(*counts)[rpc]++
+}
+
+// heard counts the messages of one call.
+type heard struct {
+	drpc.Stream
+	meter *meter
+	rpc   string
+}
+
+func (h heard) MsgSend(message drpc.Message, encoding drpc.Encoding) error {
+	h.meter.note(&h.meter.messages, h.rpc)
+	return h.Stream.MsgSend(message, encoding)
+}
+
+func (h heard) MsgRecv(message drpc.Message, encoding drpc.Encoding) error {
+	err := h.Stream.MsgRecv(message, encoding)
+	if err == nil {
+		h.meter.note(&h.meter.messages, h.rpc)
 	}
-	c.meter.served[rpc]++
-	c.meter.lock.Unlock()
-	return c.Handler.HandleRPC(stream, rpc)
+	return err
 }
--- a/internal/link/traffic_test.go
+++ b/internal/link/traffic_test.go
@@ -41,7 +41,8 @@
 			t.Errorf("%d bytes counted of %d sent in bodies", bytes, calls*body)
 		}
 	}
-	if sent.Opened != 1 || taken.Served["/meadowhinge.Hop/Run"] != calls {
-		t.Errorf("opened %d links, served %v", sent.Opened, taken.Served)
+	// Each call is a message there and one back.
+	if sent.Opened != 1 || taken.Served["/meadowhinge.Hop/Run"] != calls || taken.Messages["/meadowhinge.Hop/Run"] != 2*calls {
+		t.Errorf("opened %d links, served %v, messages %v", sent.Opened, taken.Served, taken.Messages)
 	}
 }
--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -26,20 +26,19 @@
 
 // RoleCost is what the processes of a role cost: means of one process unless it says largest.
 type RoleCost struct {
-	Role         string  `json:"role"`
-	Processes    int     `json:"processes"`
-	CPU          float64 `json:"cpuMsPerSecond"`        // of one core, in thousandths
-	CPULargest   float64 `json:"cpuMsPerSecondLargest"` // of the processes
-	In           float64 `json:"bytesInPerSecond"`
-	Out          float64 `json:"bytesOutPerSecond"`
-	Calls        float64 `json:"callsPerSecond"` // asked by a member, served by the core
-	Memory       float64 `json:"memoryMB"`       // resident at the end; of a member, its part of the heap and stacks
-	Heap         float64 `json:"heapMB"`
-	Disk         float64 `json:"diskKB"`
-	Written      float64 `json:"writtenBytesPerSecond"`
-	LinksOpened  float64 `json:"linksOpenedPerSecond"`
-	Served       Rates   `json:"servedPerSecond,omitempty"`
-	memoryKBMost int
+	Role        string  `json:"role"`
+	Processes   int     `json:"processes"`
+	CPU         float64 `json:"cpuMsPerSecond"`        // of one core, in thousandths
+	CPULargest  float64 `json:"cpuMsPerSecondLargest"` // of the processes
+	In          float64 `json:"bytesInPerSecond"`
+	Out         float64 `json:"bytesOutPerSecond"`
+	Messages    float64 `json:"messagesPerSecond"` // with the core, either way; of the core, with whoever calls it
+	Memory      float64 `json:"memoryMB"`          // resident at the end; of a member, its part of the heap and stacks
+	Heap        float64 `json:"heapMB"`
+	Disk        float64 `json:"diskKB"`
+	Written     float64 `json:"writtenBytesPerSecond"`
+	LinksOpened float64 `json:"linksOpenedPerSecond"`
+	Served      Rates   `json:"messagesPerSecondByCall,omitempty"`
 }
 
 // Rates are numbers a second by name.
@@ -70,7 +69,8 @@
 	Acknowledge Spans          `json:"acknowledge"` // from stated to acknowledged
 	Apply       Spans          `json:"apply"`       // from acknowledged to in use, at each member
 	Everywhere  Spans          `json:"everywhere"`  // from stated to in use at every member
-	Stale       Spans          `json:"stale"`       // age of what members know of each other
+	Stale       Spans          `json:"stale"`       // since a member last knew its picture to be the newest
+	News        Spans          `json:"news"`        // from a change of a member's workers to its being known, at each other member
 	Back        Spans          `json:"back"`        // from a restart to a setup in use
 	Unapplied   int            `json:"unapplied"`   // changes that some member had not taken into use at the end
 	Rulings     map[string]int `json:"rulings"`
@@ -339,15 +339,15 @@
 		row.Memory += float64(after.memoryKB) / 1024
 		row.Heap += float64(after.heapKB) / 1024
 		row.Disk += float64(after.diskKB)
-		for call, count := range after.traffic.Served {
-			row.Served[call] += rate(before.traffic.Served[call], count)
-			row.Calls += rate(before.traffic.Served[call], count)
+		for call, count := range after.traffic.Messages {
+			row.Served[call] += rate(before.traffic.Messages[call], count)
+			row.Messages += rate(before.traffic.Messages[call], count)
 		}
 	}
 	for _, role := range slices.Sorted(maps.Keys(byRole)) {
 		row := byRole[role]
 		processes := float64(row.Processes)
-		for _, figure := range []*float64{&row.CPU, &row.In, &row.Out, &row.Calls, &row.LinksOpened, &row.Written, &row.Memory, &row.Heap, &row.Disk} {
+		for _, figure := range []*float64{&row.CPU, &row.In, &row.Out, &row.Messages, &row.LinksOpened, &row.Written, &row.Memory, &row.Heap, &row.Disk} {
 			*figure /= processes
 		}
 		for call := range row.Served {
@@ -356,15 +356,16 @@
 		rows = append(rows, *row)
 		if role == "registry" {
 			for _, call := range callsOfMembers {
-				rows[0].Calls += row.Served[call] * processes / members
+				rows[0].Messages += row.Served[call] * processes / members
 			}
 		}
 	}
 	return rows
 }
 
-// callsOfMembers are what proxies ask of registries.
-var callsOfMembers = []string{"/meadowhinge.Registry/Lease", "/meadowhinge.Registry/Feed", "/meadowhinge.Registry/Tell", "/meadowhinge.Registry/Claim"}
+// callsOfMembers are what proxies ask of registries; of the sessions a few are registries' own.
+var callsOfMembers = []string{"/meadowhinge.Registry/Lease", "/meadowhinge.Registry/Feed", "/meadowhinge.Registry/Tell", "/meadowhinge.Registry/Claim",
+	"/meadowhinge.Registry/Greet", "/meadowhinge.Registry/Attend"}
 
 // take fills in what became of the changes.
 func (r *HollowReport) take(operator *hollowOperator, fleet *hollowFleet) {
@@ -397,10 +398,10 @@
 		}
 	}
 	r.Acknowledge, r.Apply, r.Everywhere = spansOf(acknowledge), spansOf(apply), spansOf(everywhere)
-	r.Stale, r.Back = spansOf(fleet.staleness), spansOf(fleet.backs)
+	r.Stale, r.News, r.Back = spansOf(fleet.staleness), spansOf(fleet.news), spansOf(fleet.backs)
 	r.Rulings, r.Restarts = maps.Clone(operator.rulings), fleet.restarts
 	r.histograms = map[string]*hdrhistogram.Histogram{"stated to acknowledged": acknowledge, "acknowledged to in use, each member": apply,
-		"stated to in use everywhere": everywhere, "age of what members know": fleet.staleness}
+		"stated to in use everywhere": everywhere, "age of members' pictures": fleet.staleness, "news of workers, each member": fleet.news}
 }
 
 type shownState struct{ items, bytes int }
@@ -431,9 +432,9 @@
 	fmt.Fprintf(out, "%s: %d members, %d workers, %d services, %d routes, %d seats, %g changes and %g restarts a minute, %d releases, %.0f s, commit %s\n",
 		g.Mode, g.Members, max(g.Workers, g.Members), g.Services, g.Routes, g.Seats, g.Changes, g.Restarts, g.Releases, r.Seconds, r.Commit)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "role\tprocesses\tcpu ms/s\tlargest\tbytes in/s\tbytes out/s\tcalls/s\tlinks opened/s\tMB\theap MB\tdisk KB\twritten B/s\t")
+	fmt.Fprintln(table, "role\tprocesses\tcpu ms/s\tlargest\tbytes in/s\tbytes out/s\tmessages/s\tlinks opened/s\tMB\theap MB\tdisk KB\twritten B/s\t")
 	for _, row := range r.Roles {
-		fmt.Fprintf(table, "%s\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t\n", row.Role, row.Processes, row.CPU, row.CPULargest, row.In, row.Out, row.Calls,
+		fmt.Fprintf(table, "%s\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t\n", row.Role, row.Processes, row.CPU, row.CPULargest, row.In, row.Out, row.Messages,
 			row.LinksOpened, row.Memory, row.Heap, row.Disk, row.Written)
 	}
 	table.Flush()
@@ -443,7 +444,7 @@
 			for _, call := range slices.Sorted(maps.Keys(row.Served)) {
 				parts = append(parts, fmt.Sprintf("%s %.2f", filepath.Base(call), row.Served[call]))
 			}
-			fmt.Fprintf(out, "%s serves, calls a second: %s\n", row.Role, strings.Join(parts, ", "))
+			fmt.Fprintf(out, "%s, messages a second by call: %s\n", row.Role, strings.Join(parts, ", "))
 		}
 	}
 	fmt.Fprintf(out, "setup: %d items of %d bytes; changes %v, %d not in use everywhere at the end; %d restarts\n", r.Items, r.ItemBytes, r.Rulings, r.Unapplied, r.Restarts)
@@ -451,7 +452,7 @@
 		name  string
 		spans Spans
 	}{{"stated to acknowledged", r.Acknowledge}, {"acknowledged to in use, each member", r.Apply}, {"stated to in use everywhere", r.Everywhere},
-		{"age of what members know", r.Stale}, {"restarted to setup in use", r.Back}} {
+		{"age of members' pictures", r.Stale}, {"news of workers, each member", r.News}, {"restarted to setup in use", r.Back}} {
 		fmt.Fprintf(out, "%-36s ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f (%d)\n", one.name, one.spans.P50, one.spans.P90, one.spans.P99, one.spans.Max, one.spans.Count)
 	}
 }
--- a/internal/rehearsal/hollow_core.go
+++ b/internal/rehearsal/hollow_core.go
@@ -46,19 +46,18 @@
 		if given.Mode == open {
 			shared["links"] = "plain"
 		}
-		// More seats than a process can be told of know each other by an order.
-		if given.Mode != open || len(seats) > seedsMost {
-			shared["order"] = strings.Join(seats, ",")
-		}
-		forStore := map[string]string{"listen": fmt.Sprintf("%s:%d", f.core(i), portStore), "seeds": f.coreSeeds(portStore, i)}
-		if given.Mode == open && len(seats) <= seedsMost {
-			forStore["founding"], forStore["seeds"] = "true", f.coreSeeds(portStore, -1)
+		forStore := map[string]string{"listen": fmt.Sprintf("%s:%d", f.core(i), portStore), "seeds": f.coreSeeds(portStore, -1)}
+		// Without an order the seeds found the core, and further seats join it.
+		if given.Mode == open {
+			forStore["founding"] = "true"
+		} else {
+			shared["order"], forStore["seeds"] = strings.Join(seats, ","), f.coreSeeds(portStore, i)
 		}
 		forRegistry := map[string]string{"listen": fmt.Sprintf("%s:%d", f.core(i), portRegistry), "seeds": f.coreSeeds(portRegistry, i),
 			"store": fmt.Sprintf("%s:%d", f.core(i), portStore), "operator-listen": f.Operator(i), "lease": f.lease.String(),
 			"key-window": (f.lease * keyWindowLeases).String(), "sources-most": fmt.Sprint(max(sourcesLeast, 2*given.Members))}
 		if given.Mode == open {
-			forRegistry["acknowledge-after"] = "stable"
+			forRegistry["acknowledge-after"], forRegistry["area"], forRegistry["seeds"] = "stable", f.area(i), f.coreSeeds(portRegistry, -1)
 		}
 		for key, value := range shared {
 			forStore[key], forRegistry[key] = value, value
--- a/internal/rehearsal/hollow_members.go
+++ b/internal/rehearsal/hollow_members.go
@@ -61,8 +61,10 @@
 	now     func() time.Duration
 	dice    *rand.Rand
 
+	named     map[string]*hollowMember
 	lock      sync.Mutex // of the histograms
 	staleness *hdrhistogram.Histogram
+	news      *hdrhistogram.Histogram
 	backs     *hdrhistogram.Histogram
 	restarts  int
 	measuring atomic.Bool
@@ -85,7 +87,7 @@
 // newHollowFleet lays out the members; none has joined yet.
 func newHollowFleet(given *schema.HollowOptions, core *Fleet, now func() time.Duration) (*hollowFleet, error) {
 	f := &hollowFleet{given: given, core: core, now: now, dice: rand.New(rand.NewPCG(uint64(given.Seed), 2)),
-		frame: &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}}, staleness: newSpans(), backs: newSpans()}
+		frame: &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}}, staleness: newSpans(), news: newSpans(), backs: newSpans(), named: map[string]*hollowMember{}}
 	for i := range int(given.Members) {
 		settings, err := core.hollowSettings(given, i)
 		if err != nil {
@@ -96,6 +98,7 @@
 			member.reach = append(member.reach, reachedBy(given, i, j))
 		}
 		f.members = append(f.members, member)
+		f.named[settings.Name] = member
 	}
 	workers := int(given.Workers)
 	if workers == 0 {
@@ -147,7 +150,6 @@
 func (f *hollowFleet) seen(m *hollowMember, seen proxy.Seen) {
 	now := f.now()
 	m.lock.Lock()
-	defer m.lock.Unlock()
 	for _, source := range seen.Sources {
 		if source.Name == m.settings.Name {
 			m.life = source.Stamp.GetIncarnation()
@@ -155,20 +157,46 @@
 			delete(m.told, source.Stamp.GetCounter()-toldKept)
 		}
 	}
-	if seen.Setup == 0 {
+	backed := m.backed || seen.Setup == 0
+	if seen.Setup > 0 {
+		m.applied, m.backed = append(m.applied, applied{seen.Setup, now}), true
+	}
+	joined := m.joined
+	m.lock.Unlock()
+	if !f.measuring.Load() {
 		return
 	}
-	m.applied = append(m.applied, applied{seen.Setup, now})
-	if !m.backed {
-		m.backed = true
-		if f.measuring.Load() {
-			f.lock.Lock()
-			record(f.backs, time.Since(m.joined))
-			f.lock.Unlock()
+	if !backed {
+		f.note(f.backs, time.Since(joined))
+	}
+	for _, source := range seen.Sources {
+		// What a restarted member is told at first is no news.
+		if source.Name != m.settings.Name && time.Since(joined) > f.core.lease {
+			if made, known := f.named[source.Name].madeAt(source.Stamp); known {
+				f.note(f.news, now-made)
+			}
 		}
 	}
 }
 
+// madeAt is when a member told what bears a stamp.
+func (m *hollowMember) madeAt(stamp *schema.Stamp) (time.Duration, bool) {
+	if m == nil {
+		return 0, false
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	made, known := m.told[stamp.GetCounter()]
+	return made, known && m.life == stamp.GetIncarnation()
+}
+
+// note records a time in one of the fleet's histograms.
+func (f *hollowFleet) note(into *hdrhistogram.Histogram, took time.Duration) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	record(into, took)
+}
+
 // beat lets a member's workers describe themselves.
 func (f *hollowFleet) beat(m *hollowMember) error {
 	for _, worker := range m.workers {
@@ -247,15 +275,12 @@
 	staleAt    = 8
 )
 
-// keepLooking notes, of some members at a time, how old what they know of each other one is.
+// keepLooking notes how old some members' pictures are: in sessions as they say themselves, else
+// by what they know of each other one.
 func (f *hollowFleet) keepLooking(stop <-chan struct{}) {
 	ticker := time.NewTicker(staleEvery)
 	defer ticker.Stop()
 	dice := rand.New(rand.NewPCG(uint64(f.given.Seed), 3))
-	named := map[string]*hollowMember{}
-	for _, m := range f.members {
-		named[m.settings.Name] = m
-	}
 	for {
 		select {
 		case <-stop:
@@ -263,21 +288,16 @@
 		case <-ticker.C:
 		}
 		for range staleAt {
-			vector := f.members[dice.IntN(len(f.members))].held().Vector()
-			now := f.now()
-			for name, stamp := range vector {
-				source := named[name]
-				if source == nil {
-					continue
+			held := f.members[dice.IntN(len(f.members))].held()
+			if f.given.Mode == open {
+				if status := held.Status(); status.Vouched {
+					f.note(f.staleness, time.Duration(status.AgeMS)*time.Millisecond)
 				}
-				source.lock.Lock()
-				made, known := source.told[stamp.GetCounter()]
-				known = known && source.life == stamp.GetIncarnation()
-				source.lock.Unlock()
-				if known {
-					f.lock.Lock()
-					record(f.staleness, now-made)
-					f.lock.Unlock()
+				continue
+			}
+			for name, stamp := range held.Vector() {
+				if made, known := f.named[name].madeAt(stamp); known {
+					f.note(f.staleness, f.now()-made)
 				}
 			}
 		}
--- a/internal/rehearsal/hollow_test.go
+++ b/internal/rehearsal/hollow_test.go
@@ -86,7 +86,7 @@
 		t.Fatalf("%d roles", rows)
 	}
 	for _, row := range report.Roles {
-		if row.In == 0 || row.Out == 0 || row.Calls == 0 || row.Memory == 0 {
+		if row.In == 0 || row.Out == 0 || row.Messages == 0 || row.Memory == 0 {
 			t.Errorf("not counted: %+v", row)
 		}
 	}
--- a/internal/rehearsal/plots.go
+++ b/internal/rehearsal/plots.go
@@ -80,7 +80,7 @@
 // Draw writes the run's plots beside its report.
 func (r *HollowReport) Draw(folder, form string) error {
 	var spans []series
-	for _, name := range []string{"stated to acknowledged", "acknowledged to in use, each member", "stated to in use everywhere", "age of what members know"} {
+	for _, name := range []string{"stated to acknowledged", "acknowledged to in use, each member", "stated to in use everywhere", "age of members' pictures", "news of workers, each member"} {
 		if held := r.histograms[name]; held != nil && held.TotalCount() > 0 {
 			spans = append(spans, series{name: name, points: quantileLine(held)})
 		}
