Let a proxy tell of itself above what its own picture has

Found by hollow members in strict mode: with 16 of them each picture lacked one to three, for as long as it was watched. A worker that beat before the proxy's incarnation was settled came into the proxy's own picture under one drawn at random; the settled one was lower for half of the proxies, so their own news no longer counted there, and other registries, told by the vector of the old stamp, refused theirs too. Sessions healed by going beyond it, polls did not. A machine too busy to beat was ruled out: all workers were listed at their own proxies.

Until it is settled the incarnation is now 0, below any.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,7 +49,7 @@
 	schema.DRPCHopUnimplementedServer
 	options     *schema.ProxyOptions
 	life        uint64 // tells this life from others; settled before any session
-	incarnation uint64 // of what is told of this proxy, above all that was seen of it; guarded by lock
+	incarnation uint64 // of what is told of this proxy, above all that was seen of it; 0 until it is settled; guarded by lock
 	address     string
 	lease       time.Duration
 	ends        *link.Ends
@@ -165,7 +165,6 @@
 	s := &Server{options: given, address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
 		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
 	s.life = session.NextIncarnation(0)
-	s.incarnation = s.life
 	if s.address == "" {
 		s.address = given.Listen
 	}
