--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,7 @@
 	renewParts  = registry.LeaseParts
 	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
 	countParts  = 2                       // counts of verdicts are for operators to read
+	countLeases = 2                       // and so seldom where a proxy serves in doubt
 	pollParts   = 2
 	sweepParts  = 4 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -254,21 +254,28 @@
 func (s *Server) tell(ctx context.Context) {
 	changed := true
 	looked, any, judged := uint64(0), false, func(string) bool { return false }
+	pause, countedAt := s.lease/countParts, time.Duration(0)
+	if serving(s.options) {
+		pause = countLeases * s.lease
+	}
 	for turn := 0; ; turn++ {
 		// Loads and liveness are told every renewParts-th of a lease, a change at once; what was
 		// seen of workers oftener, but only while some version is to be judged by it; counts of
 		// verdicts, which nothing waits for, more seldom. In a session the registry sees that this
-		// proxy lives, and nothing is told while nothing changes.
+		// proxy lives, and hardly anything is told while nothing changes.
 		due := changed || (!serving(s.options) && turn%(tellParts/renewParts) == 0)
 		if setup := s.view().Setup; setup.Sequence != looked {
 			judged, any = release.Judged(setup)
 			looked = setup.Sequence
 		}
+		counts := s.now()-countedAt >= pause
 		told := true
-		if any || due {
-			told = s.tellOnce(ctx, due, turn%(tellParts/countParts) == 0, judged)
+		if any || due || counts {
+			if told = s.tellOnce(ctx, due, counts, judged); told && counts {
+				countedAt = s.now()
+			}
 		}
-		var wait <-chan time.Time
+		wait := time.After(pause)
 		switch {
 		case !told && due && serving(s.options):
 			wait = time.After(s.lease / retryParts)
