--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -78,6 +78,9 @@
 		// A stop goes out with the next answers, before it is written to the setup.
 		s.takeTrials(duty.Trials(compiled))
 		for _, step := range steps {
+			if step.Says != "" {
+				s.log.Info("release step", "plan", step.Name, "says", step.Says)
+			}
 			s.write(ctx, step.Change(s.options.Seat, s.born, serial, state))
 		}
 	}
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -80,6 +80,7 @@
 type Step struct {
 	Name  string
 	Items []*schema.Item
+	Says  string // what is worth a line in the log
 }
 
 // Due tells whether there is anything for a duty to look at.
@@ -313,6 +314,10 @@
 		after.Duty++
 	}
 	step := &Step{Name: planned.Name}
+	if moved {
+		step.Says = fmt.Sprintf("%s of %s: %s at %g %%, %v after it was stated: %s", planned.Version, planned.Service, after.State, after.Share,
+			time.Duration(after.Elapsed).Round(time.Millisecond), after.Reason)
+	}
 	put := func(kind, name string, body any) error {
 		text, err := json.Marshal(body)
 		step.Items = append(step.Items, &schema.Item{Kind: kind, Name: name, Body: text})
@@ -324,7 +329,8 @@
 	// An operator's own flag keeps its targets and rules.
 	if !stands(compiled, planned.Service) {
 		items, err := stepItems(planned, compiled, state, after)
-		return &Step{Name: planned.Name, Items: items}, err
+		step.Items = items
+		return step, err
 	}
 	fallback, version, decider := after.From, planned.Version, rollout(compiled, planned.Service, after.From, planned.Version, after.Weight)
 	switch after.State {
@@ -361,7 +367,7 @@
 		if first == "" {
 			continue
 		}
-		step := Step{Name: "standing-" + name}
+		step := Step{Name: "standing-" + name, Says: name + " has version " + first + " by what its workers tell"}
 		for _, one := range []struct {
 			kind, name string
 			body       any
