Size the trial of a plan by its term so that a bad version stays within its bound however late it shows

Cause: a version that is bad only under load shows with all calls only; with 7.5 % on trial until then, half and all for half a second each, it came to 10.6 % of the calls of its term. The share follows from the calls a second that are seen, the plan's time, what a bad version may get of it and the calls that half and all of them cost until it is turned back; all calls are had for a second before the version takes the old one's place.

--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"sort"
 	"time"
 
@@ -90,7 +92,8 @@
 func (s *Server) steering() release.Options {
 	given := s.options
 	return release.Options{TrialShare: 100 * given.TrialShare, CallsEnough: uint64(given.CallsEnough), FailuresMost: uint64(given.BrakeFailures), Excess: given.BrakeExcess,
-		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps), Sure: given.BrakeSure, FinishAt: given.FinishAt}
+		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps), Sure: given.BrakeSure, FinishAt: given.FinishAt,
+		BadShare: given.BadShare, BadMargin: float64(given.BadMargin)}
 }
 
 // pools counts the workers that live, by service and version.
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -44,6 +44,7 @@
 	firstAt time.Duration // of first, from which it is measured what is needed
 	step    uint64        // the sequence of its last step; lately is the evidence then
 	needed  float64       // calls under way at all the service's workers
+	rate    float64       // calls a second
 }
 
 // Sight is what a duty sees of the fleet.
@@ -291,11 +292,11 @@
 		all := total(lately.Old)
 		all.add(total(lately.New))
 		all.add(lately.Rest)
-		taken.needed, taken.first, taken.firstAt = underWay(all, passed), evidence, now
+		taken.needed, taken.rate, taken.first, taken.firstAt = underWay(all, passed), float64(all.Calls)/passed.Seconds(), evidence, now
 	}
 	pool := sight.Workers[key]
 	seen := Term{Elapsed: elapsed, Turn: d.least, Suspicion: held.strength, Why: held.why, Calls: total(evidence.New).Calls, Lately: total(evidence.Since(taken.lately).New).Calls,
-		Needed: taken.needed, Slots: float64(pool.Slots), Workers: pool.Workers, Behind: sight.behind(sequence), Open: total(evidence.Old).Open, Stands: stands(compiled, planned.Service)}
+		Rate: taken.rate, Needed: taken.needed, Slots: float64(pool.Slots), Workers: pool.Workers, Behind: sight.behind(sequence), Open: total(evidence.Old).Open, Stands: stands(compiled, planned.Service)}
 	if held.stopped != "" {
 		seen.Suspicion, seen.Why = 1, held.stopped
 	}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -34,11 +34,13 @@
 	SlowTimes    float64 // mean time as a multiple of the old version's that counts as failing
 	Steps        int     // that a ramp is made in
 	Sure         float64 // logarithm of how much likelier than not a version must be bad to be stopped
+	BadShare     float64 // part of a service's calls that a bad version may get in a plan's time, 0 for no such bound
+	BadMargin    float64 // and calls beyond it
 	FinishAt     float64 // part of its time after which a plan by its term leaves the trial
 }
 
 // Defaults are the settings' presets.
-var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20, Sure: 12, FinishAt: 0.75}
+var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20, Sure: 12, FinishAt: 0.7}
 
 // Count is what was seen of a version on a route.
 type Count struct {
--- a/internal/release/term.go
+++ b/internal/release/term.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"math"
 	"time"
 
 	"meadowhinge/internal/setup"
@@ -16,7 +17,11 @@
 	doubtful   = 0.3 // a suspicion from which a plan does not go on
 	knownParts = 3   // of the calls that make a version known, so many must have been seen of late
 	carries    = 0.75
-	settleMost = 3 // in turns, how long calls may take to end at the old version before the plan is done all the same
+	backTurns  = 1.25 // that a version has half or all calls until it is turned back, or goes on
+	wholeTurns = 2    // that a version has all calls before it takes the old one's place: load shows only then
+	trialFloor = 0.25 // of the trial's share that a version gets at the least
+	resizeFrom = 0.2  // a share on trial that is wrong by this part is set anew
+	settleMost = 3    // in turns, how long calls may take to end at the old version before the plan is done all the same
 )
 
 // Term is what a plan by its term goes by, beside what is counted.
@@ -27,6 +32,7 @@
 	Why       string
 	Calls     uint64  // of the new version that ended since it was stated
 	Lately    uint64  // and in this step
+	Rate      float64 // calls a second of all the service's versions, 0 for not known
 	Needed    float64 // calls under way at all the service's workers on average
 	Slots     float64 // of the new version's workers together, 0 for not told
 	Workers   int     // of the new version
@@ -35,6 +41,22 @@
 	Stands    bool    // the plan may make its version the fallback
 }
 
+// onTrial is the reason of a plan that waits for its term.
+const onTrial = "on trial until shortly before the term"
+
+// trialShare is the share on trial, in percent. A version that shows only with all calls that it
+// is bad has by then had its trial, and gets half and then all calls until it is turned back; all
+// that together must stay within what a bad version may get.
+func (o Options) trialShare(over time.Duration, seen Term) float64 {
+	if o.BadShare == 0 || seen.Rate == 0 {
+		return o.TrialShare
+	}
+	turn := seen.Turn.Seconds()
+	reserve := (halfShare/100.0*backTurns + backTurns) * turn
+	calls := o.BadShare*over.Seconds()*seen.Rate + o.BadMargin - reserve*seen.Rate
+	return max(trialFloor*o.TrialShare, min(o.TrialShare, 100*calls/(seen.Rate*o.FinishAt*over.Seconds())))
+}
+
 // ByTerm decides the next progress of a plan that goes by its term: a share on trial for most of
 // its time, then half, then all, and done before the term. What a version can get that turns bad
 // however late is so bounded over the whole of the plan's time.
@@ -46,7 +68,7 @@
 		return after
 	}
 	inStep := time.Duration(after.Elapsed - before.Since)
-	trial := min(o.TrialShare, plan.Target)
+	trial := min(o.trialShare(plan.Over, seen), plan.Target)
 	resumes := before.State == Back && before.Reason == operatorsWord && plan.Pace != "back"
 	switch {
 	case before.State == Done, before.State == Back && !resumes:
@@ -56,13 +78,15 @@
 	case seen.Suspicion >= 1:
 		return move(Back, "the version "+seen.Why, 0)
 	case before.State == "" || resumes:
-		return move(Trial, "on trial until shortly before the term", trial)
+		return move(Trial, onTrial, trial)
 	case before.State == Settle:
 		idle := seen.Behind == 0 && seen.Open == 0
 		if inStep >= seen.Turn && idle || inStep >= settleMost*seen.Turn {
 			return move(Done, "the version has all calls", plan.Target)
 		}
 		return after
+	case before.State == Trial && seen.Rate > 0 && math.Abs(trial-before.Share) > resizeFrom*before.Share:
+		return move(Trial, onTrial, trial)
 	case plan.Pace == "hold", time.Duration(after.Elapsed) < time.Duration(o.FinishAt*float64(plan.Over)):
 		return after
 	// What looks bad, can't be judged or can't carry all calls stays where it is.
@@ -70,7 +94,7 @@
 		return after
 	case before.Share < min(halfShare, plan.Target):
 		return move(Ramp, "no worse than the old version", min(halfShare, plan.Target))
-	case inStep < seen.Turn || seen.Lately < o.CallsEnough/knownParts:
+	case inStep < seen.Turn || before.Share >= plan.Target && inStep < wholeTurns*seen.Turn || seen.Lately < o.CallsEnough/knownParts:
 		return after
 	case before.Share < plan.Target:
 		return move(Ramp, "no worse than the old version", plan.Target)
