--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"sort"
 	"time"
 
