--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -201,7 +201,12 @@
 		return reason, true
 	}
 	for route, after := range evidence.New {
-		if reason, bad := judge(evidence.Old[route], after, usual[route], "on route "+route); bad {
+		before := evidence.Old[route]
+		// Where the old version had no call of late, how it fares elsewhere is all there is to go by.
+		if before.Calls == 0 {
+			before = total(evidence.Old)
+		}
+		if reason, bad := judge(before, after, usual[route], "on route "+route); bad {
 			return reason, true
 		}
 	}
--- a/internal/release/suspicion.go
+++ b/internal/release/suspicion.go
@@ -96,31 +96,39 @@
 	lately := evidence.Since(s.last)
 	s.last = evidence
 	var fresh, usual, recent ended
-	weigh := func(route string, fresh, usual, recent ended) {
-		held := s.routes[route]
-		if held == nil {
-			held = &doubt{}
-			s.routes[route] = held
-		}
-		if one := held.look(fresh, usual, recent) / options.Sure; one > strength {
-			strength, reason = one, "fails or is slow "+where(route)
+	look := func(route string, fresh, usual, recent ended) *doubt {
+		if s.routes[route] == nil {
+			s.routes[route] = &doubt{}
 		}
+		s.routes[route].look(fresh, usual, recent)
+		return s.routes[route]
 	}
 	for route, count := range lately.New {
 		slowFrom := limit(evidence.Old[route])
 		now, ever, late := endedOf(count, slowFrom), endedOf(evidence.Old[route], slowFrom), endedOf(lately.Old[route], slowFrom)
-		weigh(route, now, ever, late)
+		look(route, now, ever, late)
 		fresh.add(now)
 		usual.add(ever)
 		recent.add(late)
 	}
-	weigh(wholeOfRoute, fresh, usual, recent)
+	whole := look(wholeOfRoute, fresh, usual, recent)
+	// Where the old version hardly gets calls any more, only what it used to be can be known.
+	gone := whole.old.all*hardly < whole.new.all
+	for route, held := range s.routes {
+		seen := held.old
+		if seen.all < 1 {
+			seen = whole.old
+		}
+		// What the old version, of late, may do just as well is held against nobody.
+		if one := held.sum / options.Sure; one > strength && (gone || atMost(seen, held.new.rate()) <= alike) {
+			strength, reason = one, "fails or is slow "+where(route)
+		}
+	}
 	return strength, reason
 }
 
 // look weighs fresh calls of the new version against what the old one is usually and of late.
-// What the old version, of late, may do just as well is held against nobody.
-func (d *doubt) look(fresh, usual, recent ended) float64 {
+func (d *doubt) look(fresh, usual, recent ended) {
 	d.old = ended{recentKeeps*d.old.all + recent.all, recentKeeps*d.old.bad + recent.bad}
 	d.new = ended{recentKeeps*d.new.all + fresh.all, recentKeeps*d.new.bad + fresh.bad}
 	rate := usual.rate()
@@ -130,11 +138,6 @@
 	sound := min(0.5, max(soundAtMost, soundTimes*rate+soundBeyond))
 	bad := min(rateMost, max(sound+badBeyond, badTimes*sound))
 	d.sum = max(0, d.sum+fresh.bad*math.Log(bad/sound)+(fresh.all-fresh.bad)*math.Log((1-bad)/(1-sound)))
-	// Where the old version hardly gets calls any more, only what it used to be can be known.
-	if d.old.all*hardly >= d.new.all && atMost(d.old, d.new.rate()) > alike {
-		return 0
-	}
-	return d.sum
 }
 
 // atMost is how likely no more than so many of calls end badly, if each does at a rate.
