Play worlds whose proxies serve in doubt; leave lagging registries in time

The simulator gets worlds in which proxies hold sessions in place of leases and a change is acknowledged once stable. What binds then binds machines in touch: in force within two seconds of the yes where nothing troubled the proxy for three and the core is settled, never back within one life, and never what no setup allowed.

--- a/internal/registry/attend.go
+++ b/internal/registry/attend.go
@@ -12,7 +12,7 @@
 const (
 	BeatParts    = LeaseParts // how often a registry says something in a session at the least
 	SilenceParts = 4          // a registry silent for this part of a lease is left
-	LagParts     = 1.6        // and one whose setup may be so old
+	LagParts     = 8. / 3     // and one whose setup may be so old: a change is to be in force within half a lease
 	peerBeats    = 4          // beats of a session between registries: bytes between zones are dear
 	youngParts   = 2          // how long a registry that has just started may keep its setup to itself
 )
--- a/internal/session/tie.go
+++ b/internal/session/tie.go
@@ -105,10 +105,8 @@
 		return nil
 	}
 	held.heard, held.heardAt, held.aged, held.freshAt, held.failed = true, now, vouched, now-age, false
-	if !t.lags(now, held) {
-		held.lagged = false
-	} else if !held.lagged {
-		held.lagged, held.laggedAt = true, now
+	if held.lagged = t.lags(now, held); held.lagged {
+		held.laggedAt = now
 	}
 	return t.Tick(now)
 }
@@ -147,23 +145,33 @@
 	return held.begun
 }
 
+// triedAt is when a registry was last found wanting.
+func (held *place) triedAt() time.Duration { return max(held.failedAt, held.laggedAt) }
+
+// laggedBeats is for how many beats one that lagged is not tried again, if all do.
+const laggedBeats = 2
+
 // Classes of registries, the better ones first.
 const (
-	classSound   = iota
-	classAway    // in another zone
-	classLagging // not in touch with the core, or silent for a moment
-	classFailed
+	classSound    = iota
+	classAway     // in another zone
+	classDoubtful // failed or lagged not long ago: tried again only if there is nothing better than a lagging one
+	classLagging  // not in touch with the core, or silent for a moment
+	classFailed   // just now
 )
 
 // class tells how good a registry is, as far as it is known.
 func (t *Tie) class(now time.Duration, held *place) int {
 	recent := func(at time.Duration) bool { return now-at < t.options.Back }
+	failed, lagged := !held.open && held.failed, !held.open && held.lagged
 	silent := held.open && now-held.lastHeard() > time.Duration(suspectTimes*float64(t.options.Beat))
 	switch {
-	case !held.open && held.failed && recent(held.failedAt), !held.open && !held.listed && t.known:
+	case failed && now-held.failedAt < t.options.Beat:
 		return classFailed
-	case silent, held.open && held.heard && t.lags(now, held), !held.open && held.lagged && recent(held.laggedAt):
+	case silent, held.open && held.heard && t.lags(now, held), lagged && now-held.laggedAt < laggedBeats*t.options.Beat:
 		return classLagging
+	case failed && recent(held.failedAt), lagged && recent(held.laggedAt), !held.open && !held.listed && t.known:
+		return classDoubtful
 	case held.area != "" && t.options.Area != "" && held.area != t.options.Area:
 		return classAway
 	}
@@ -192,8 +200,8 @@
 		switch {
 		case first != second:
 			return first - second
-		case first == classFailed && a.failedAt != b.failedAt:
-			return int(a.failedAt - b.failedAt)
+		case (first == classFailed || first == classDoubtful) && a.triedAt() != b.triedAt():
+			return int(a.triedAt() - b.triedAt())
 		case a.address == t.current || b.address == t.current:
 			if a.address == t.current {
 				return -1
@@ -259,7 +267,7 @@
 	return append(acts, TieAct{Open: true, Address: best.address, Why: why})
 }
 
-var classNames = map[int]string{classSound: "sound", classAway: "in another zone", classLagging: "lags", classFailed: "failed"}
+var classNames = map[int]string{classSound: "sound", classAway: "in another zone", classLagging: "lags", classDoubtful: "failed before", classFailed: "failed"}
 
 func (t *Tie) sorted() []string {
 	addresses := make([]string, 0, len(t.places))
@@ -277,7 +285,7 @@
 		if !held.open {
 			continue
 		}
-		for _, at := range []time.Duration{held.lastHeard() + time.Duration(suspectTimes*float64(t.options.Beat)) + 1, held.lastHeard() + t.options.Silence} {
+		for _, at := range []time.Duration{held.lastHeard() + time.Duration(suspectTimes*float64(t.options.Beat)) + 1, held.lastHeard() + t.options.Silence, held.freshAt + t.options.Lag + 1} {
 			if at > now {
 				next = min(next, at)
 			}
--- /dev/null
+++ b/internal/simulator/serving.go
@@ -0,0 +1,373 @@
+package simulator
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"meadowhinge/internal/proxy"
+	"meadowhinge/internal/registry"
+	"meadowhinge/internal/session"
+	"meadowhinge/schema"
+)
+
+// A serving world is one whose proxies serve in doubt: they hold sessions in place of leases, and
+// a change is acknowledged once it is stable. What is promised then binds machines in touch.
+
+// servingLease is what the ratios of sessions refer to.
+const servingLease = 4 * time.Second
+
+// inTouchFor is how long nothing may have troubled a machine, or the core, for it to be in touch.
+const inTouchFor = 3 * time.Second
+
+// sitting is a session with a registry as the world carries it: what the registry sends comes in
+// order, or not at all any more.
+type sitting struct {
+	server     *registryNode
+	serverLife int
+	client     *machine
+	clientLife int
+	position   *registry.Position
+	peer       bool
+	setup      uint64
+	members    uint32
+	begun      bool
+	cores      bool
+	sent       time.Duration  // last
+	arrives    time.Duration  // what was sent last
+	came       []*schema.News // and not taken yet, as by a frozen client
+	over       bool           // nothing goes through it any more
+	take       func(*schema.News)
+}
+
+// areaOfSeat is where a core machine stands.
+func (w *World) areaOfSeat(i int) string { return w.areaOf(i) }
+
+// coresOf is what registries tell of themselves.
+func (w *World) coresOf() []*schema.Core {
+	var cores []*schema.Core
+	for i, node := range w.regs {
+		cores = append(cores, &schema.Core{Seat: seatName(i), Address: node.name, Area: w.areaOfSeat(i)})
+	}
+	return cores
+}
+
+func (w *World) regCalled(name string) *registryNode {
+	for _, node := range w.regs {
+		if node.name == name {
+			return node
+		}
+	}
+	return nil
+}
+
+// cutEither tells whether a link is cut in one direction or the other: no session stands on it.
+func (w *World) cutEither(a, b *machine) bool { return w.isCut(a, b) || w.isCut(b, a) }
+
+// sit opens a session; asked runs at the registry once it is reached.
+func (w *World) sit(one *sitting, asked func()) {
+	one.clientLife = one.client.life
+	w.deliver(one.client, &one.server.machine, func() {
+		if one.over {
+			return
+		}
+		one.serverLife = one.server.life
+		asked()
+		w.serveSitting(one)
+	})
+}
+
+// broken tells whether the registry's side of a session finds it ended.
+func (one *sitting) broken() bool {
+	return one.over || !one.client.up || one.client.life != one.clientLife
+}
+
+// serveSitting sends what is new, and a sign of life now and then.
+func (w *World) serveSitting(one *sitting) {
+	server := one.server
+	if one.broken() {
+		one.over = true
+		if !one.peer {
+			server.table.Depart(w.ageOf(server), one.client.name)
+		}
+		return
+	}
+	news, worth := w.newsFor(one)
+	beats := time.Duration(1)
+	if one.peer {
+		beats = 4
+	}
+	if worth || w.now-one.sent >= beats*servingLease/registry.BeatParts {
+		one.sent = w.now
+		delay, lost := w.passes(&server.machine, one.client, w.dice)
+		if lost || w.cutEither(&server.machine, one.client) {
+			// A link on which nothing is acknowledged is ended after a while.
+			w.on(&server.machine, servingLease/8, func() { one.over = true; w.serveSitting(one) })
+			return
+		}
+		one.arrives = max(one.arrives+1, w.now+delay)
+		w.after(one.arrives-w.now, func() {
+			if !w.isCut(&server.machine, one.client) && one.client.life == one.clientLife {
+				one.came = append(one.came, news)
+				w.on(one.client, 0, func() {
+					first := one.came[0]
+					one.came = one.came[1:]
+					if !one.over {
+						one.take(first)
+					}
+				})
+			} else {
+				one.over = true
+			}
+		})
+	}
+	w.on(&server.machine, poll, func() { w.serveSitting(one) })
+}
+
+// newsFor is what a registry's daemon makes for a session.
+func (w *World) newsFor(one *sitting) (news *schema.News, worth bool) {
+	node := one.server
+	now := w.ageOf(node)
+	news = &schema.News{}
+	for _, source := range node.table.News(now, one.position) {
+		news.Sources = append(news.Sources, proto.Clone(source).(*schema.Source))
+	}
+	age, known := node.table.Age(now)
+	news.Vouched, news.AgeNanos = known, int64(age)
+	if node.table.Grants(now) || now >= servingLease/2 {
+		if news.Setup = node.table.Stable(); !one.peer && news.Setup > one.setup {
+			news.Items, news.Whole = node.state.After(one.setup)
+			one.setup, worth = news.Setup, true
+		}
+	} else {
+		news.Vouched = false
+	}
+	if !one.cores {
+		one.cores, news.Cores, worth = true, w.coresOf(), true
+	}
+	if members := uint32(node.table.Members(now)); !one.peer && members != one.members {
+		one.members, news.Members, worth = members, members, true
+	}
+	if one.peer {
+		news.Reached = node.table.Reached(now)
+	}
+	worth = worth || !one.begun || len(news.Sources) > 0
+	one.begun = true
+	return news, worth
+}
+
+// ---- registries ----
+
+// serveCore starts the part of a registry's life that is about sessions.
+func (w *World) serveCore(node *registryNode) {
+	node.table.Among(seatCount)
+	node.sits = map[string]*sitting{}
+	w.every(&node.machine, poll, func() {
+		if beside := node.beside; w.standing(&beside.machine) {
+			if stable, _ := beside.seat.Stable(); stable >= node.table.Stable() {
+				if age, known := beside.seat.Fresh(beside.clock.at(w.now)); known {
+					node.table.Vouch(w.ageOf(node) - age)
+				}
+			}
+		}
+	})
+	for _, other := range w.regs {
+		if other == node {
+			continue
+		}
+		heard := time.Duration(0)
+		w.every(&node.machine, poll, func() {
+			held := node.sits[other.name]
+			silent := w.now-heard > servingLease
+			if held != nil && !held.over && !silent && (other.life == held.serverLife || held.serverLife == 0) {
+				return
+			}
+			if held != nil {
+				held.over = true
+			}
+			heard = w.now
+			vector, seat := node.table.Vector(), node.table.Seat()
+			one := &sitting{server: other, client: &node.machine, peer: true}
+			one.take = func(news *schema.News) {
+				heard = w.now
+				for _, source := range news.Sources {
+					node.table.Merge(w.ageOf(node), source)
+				}
+				node.table.Reach(w.ageOf(node), other.table.Seat(), news.Reached)
+			}
+			node.sits[other.name] = one
+			w.sit(one, func() {
+				other.table.Learn(w.ageOf(other), vector)
+				one.position = registry.NewPosition(node.name, seat, vector)
+			})
+		})
+	}
+}
+
+// ---- proxies ----
+
+// nextIncarnation is one above all seen, with bits of the world's own.
+func (w *World) nextIncarnation(seen uint64) uint64 {
+	const shift = 32
+	return (seen>>shift+1)<<shift | uint64(w.next())
+}
+
+// serveEdge starts the part of a proxy's life that is about sessions.
+func (w *World) serveEdge(node *proxyNode) {
+	node.incarnation, node.told = w.nextIncarnation(0), 0
+	lag := float64(servingLease) / registry.LagParts
+	if w.plant == PlantStays {
+		lag = float64(time.Hour)
+	}
+	var seeds []string
+	for _, reg := range w.regs {
+		seeds = append(seeds, reg.name)
+	}
+	node.tie = session.NewTie(session.TieOptions{Name: node.name, Area: w.areaOf(node.index), Beat: servingLease / registry.BeatParts,
+		Silence: servingLease / registry.SilenceParts, Lag: time.Duration(lag), Back: servingLease}, seeds)
+	node.sits, node.untold = map[string]*sitting{}, false
+	w.every(&node.machine, poll, func() {
+		now := node.clockOf(w.now)
+		for _, reg := range w.regs {
+			held := node.sits[reg.name]
+			// A dead process's links are reset, as soon as that gets through.
+			if held != nil && (held.over || !reg.up || (held.serverLife != 0 && reg.life != held.serverLife)) && !w.cutEither(&node.machine, &reg.machine) {
+				held.over = true
+				delete(node.sits, reg.name)
+				w.heed(node, node.tie.Ended(now, reg.name))
+			}
+		}
+		w.heed(node, node.tie.Tick(now))
+		if node.untold && node.tie.Current() != "" && w.now-node.toldAt > servingLease/registry.LeaseParts {
+			w.tell(node, true)
+		}
+	})
+	w.every(&node.machine, servingLease/registry.BeatParts, node.workers.Sweep)
+}
+
+// heed carries out what a proxy's tie wants.
+func (w *World) heed(node *proxyNode, acts []session.TieAct) {
+	for _, act := range acts {
+		if held := node.sits[act.Address]; held != nil {
+			held.over = true
+			delete(node.sits, act.Address)
+		}
+		if !act.Open {
+			continue
+		}
+		reg := w.regCalled(act.Address)
+		source := node.source(w.areaOf(node.index))
+		held := node.journal.Append(proxy.Event{At: node.clockOf(w.now), Sources: []*schema.Source{source}})
+		vector := held.Vector()
+		one := &sitting{server: reg, client: &node.machine, setup: held.Sequence()}
+		one.take = func(news *schema.News) { w.takeNews(node, act.Address, news) }
+		node.sits[act.Address] = one
+		told := proto.Clone(source).(*schema.Source)
+		w.sit(one, func() {
+			reg.table.Learn(w.ageOf(reg), vector)
+			one.position = registry.NewPosition(node.name, "", vector)
+			reg.table.Arrive(w.ageOf(reg), told)
+		})
+	}
+}
+
+// takeNews does what a proxy's daemon does with what a session brings.
+func (w *World) takeNews(node *proxyNode, address string, news *schema.News) {
+	now := node.clockOf(w.now)
+	before := node.journal.View().Sequence()
+	if news.Setup > before || len(news.Sources) > 0 {
+		event := proxy.Event{At: now, Setup: news.Setup, Items: news.Items, Whole: news.Whole, Sources: news.Sources}
+		if w.plant == PlantRevives {
+			event.Whole = false
+		}
+		picture := node.journal.Append(event)
+		node.facts.Keep(picture.Known())
+		if picture.Sequence() > before {
+			w.History.applied(w.now, node)
+		}
+	}
+	for _, source := range news.Sources {
+		if source.Name == node.name && session.Overtaken(node.incarnation, source.Stamp.GetIncarnation(), source.Stamp.GetEnded()) {
+			node.incarnation = w.nextIncarnation(source.Stamp.GetIncarnation())
+			w.tell(node, true)
+		}
+	}
+	if news.Members > 0 {
+		node.told = int64(news.Members)
+	}
+	node.members.Store(node.fleet.Note(now, node.told))
+	node.tie.Cores(news.Cores)
+	w.heed(node, node.tie.Heard(now, address, news.Vouched, time.Duration(news.AgeNanos)))
+}
+
+// tellSitting tells a registry in session what is new; it is told again if no word of it comes.
+func (w *World) tellSitting(node *proxyNode, report *schema.Report, answered func(told []*schema.Trial)) {
+	target := w.regCalled(node.tie.Current())
+	if report.Source != nil {
+		node.untold, node.toldAt = true, w.now
+	}
+	if target == nil {
+		return
+	}
+	life, counter := node.life, node.counter
+	sent := proto.Clone(report).(*schema.Report)
+	w.deliver(&node.machine, &target.machine, func() {
+		target.table.Tell(w.ageOf(target), sent)
+		told := target.table.Trials(w.ageOf(target))
+		w.deliver(&target.machine, &node.machine, func() {
+			if node.life == life {
+				if node.counter == counter && report.Source != nil {
+					node.untold = false
+				}
+				answered(told)
+			}
+		})
+	})
+}
+
+// ---- who is in touch ----
+
+// disturb notes that something was done to a site.
+func (w *World) disturb(until time.Duration, sites ...string) {
+	for _, one := range sites {
+		w.disturbed[one] = max(w.disturbed[one], until)
+	}
+}
+
+// inTouch tells whether what is promised binds a proxy: nothing troubled it for a while, the core
+// is settled, and it reaches every core machine that itself reaches most of the core.
+func (w *World) inTouch(node *proxyNode) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	now := w.time()
+	calm := func(site string) bool { at, known := w.disturbed[site]; return !known || now-at >= inTouchFor }
+	if w.loss > 0 || w.slow > 0 || !calm(everySite) || !calm(node.name) || !node.up {
+		return false
+	}
+	runs, reaches := [seatCount]bool{}, [seatCount]int{}
+	for i, seat := range w.seats {
+		if !calm(site(seat.name)) || seat.slowBy > 0 || now-seat.stalledTo < inTouchFor {
+			return false
+		}
+		runs[i] = seat.up && w.regs[i].up
+	}
+	whole := func(a, b string) bool { return !w.cuts[[2]string{a, b}] && !w.cuts[[2]string{b, a}] }
+	settled := false
+	for i := range seatCount {
+		for j := range seatCount {
+			if runs[i] && runs[j] && whole("core-"+seatName(i), "core-"+seatName(j)) {
+				reaches[i]++
+			}
+		}
+		if reaches[i] > seatCount/2 {
+			settled = true
+			if !whole("core-"+seatName(i), node.name) {
+				return false
+			}
+		}
+	}
+	return settled
+}
+
+// everySite is disturbed when all links are.
+const everySite = "every site"
