--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -27,6 +27,7 @@
 	"meadowhinge/internal/options"
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 )
 
 // Exit codes: what a script can tell apart.
@@ -171,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	items, faults := setup.Read(text)
+	items, faults := statement.Read(text)
 	if len(faults) > 0 {
 		for _, fault := range faults {
 			fmt.Fprintf(c.complaint, "%s: %s\n", fault.Path, fault.Reason)
--- a/internal/dispatch/stage_test.go
+++ b/internal/dispatch/stage_test.go
@@ -16,6 +16,7 @@
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/plan"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 	"meadowhinge/schema"
 )
 
@@ -27,7 +28,7 @@
 `
 
 // stageItems is read once: reading CUE takes longer than most of what is tried with it.
-var stageItems, stageFaults = setup.Read([]byte(stageSetup))
+var stageItems, stageFaults = statement.Read([]byte(stageSetup))
 
 func compiled(t testing.TB, sequence uint64) *setup.Setup {
 	t.Helper()
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -10,6 +10,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/flag"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 	"meadowhinge/schema"
 )
 
@@ -28,7 +29,7 @@
 
 func viewOf(t *testing.T, directory Directory, more string) *View {
 	t.Helper()
-	items, faults := setup.Read([]byte(`
+	items, faults := statement.Read([]byte(`
 service: shop: {versions: ["1", "2"], fallback: "1", callers: ["client"]}
 route: buy: {service: "shop", prefix: "/shop/buy", methods: ["POST"], horizon: "2s", key: "X-User"}
 route: look: {service: "shop", prefix: "/shop", horizon: "3s", key: "X-User", attributes: country: "X-Country"}
--- a/internal/proxy/attend.go
+++ b/internal/proxy/attend.go
@@ -6,7 +6,6 @@
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/options"
-	"meadowhinge/internal/registry"
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
 )
@@ -79,8 +78,8 @@
 
 // newTie makes the tie of this proxy as its settings have it.
 func (s *Server) newTie() *session.Tie {
-	return session.NewTie(session.TieOptions{Name: s.options.Name, Area: s.options.Area, Beat: s.lease / registry.BeatParts, Silence: s.lease / registry.SilenceParts,
-		Lag: time.Duration(float64(s.lease) / registry.LagParts), Back: s.lease}, options.List(s.options.Seeds))
+	return session.NewTie(session.TieOptions{Name: s.options.Name, Area: s.options.Area, Beat: s.lease / session.BeatParts, Silence: s.lease / session.SilenceParts,
+		Lag: time.Duration(float64(s.lease) / session.LagParts), Back: s.lease}, options.List(s.options.Seeds))
 }
 
 // keepTie keeps a session with a registry.
@@ -151,7 +150,7 @@
 	source := s.source()
 	held := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}})
 	stream, err := schema.NewDRPCRegistryClient(s.ends.To(ctx, sitting.address)).Attend(ctx, &schema.Attending{Node: s.options.Name, Vector: held.Vector(),
-		Setup: held.setup.Sequence, Source: source, BeatNanos: int64(s.lease / registry.BeatParts), LeaseNanos: int64(s.lease)})
+		Setup: held.setup.Sequence, Source: source, BeatNanos: int64(s.lease / session.BeatParts), LeaseNanos: int64(s.lease)})
 	for err == nil {
 		var news *schema.News
 		if news, err = stream.Recv(); err == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,25 +21,24 @@
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/options"
 	"meadowhinge/internal/plan"
-	"meadowhinge/internal/registry"
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
 )
 
 // Ratios to the lease.
 const (
-	renewParts  = registry.LeaseParts
-	tellParts   = 4 * registry.LeaseParts // counts must come in well before a bad version has done much harm
-	countParts  = 2                       // counts of verdicts are for operators to read
-	countLeases = 2                       // and so seldom where a proxy serves in doubt
+	renewParts  = session.LeaseParts
+	tellParts   = 4 * session.LeaseParts // counts must come in well before a bad version has done much harm
+	countParts  = 2                      // counts of verdicts are for operators to read
+	countLeases = 2                      // and so seldom where a proxy serves in doubt
 	pollParts   = 2
 	sweepParts  = 4 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
 	drainNotice = 8 // part of the drain time in which callers are told to close their connections
 	retryParts  = 40
-	gapParts    = registry.LeaseParts     // how long after its end a lease is still waited for
-	lagParts    = 2 * registry.LeaseParts // a feed this far behind is left for another
-	claimPause  = 64                      // how long a refusal waits for its claim to be let go
+	gapParts    = session.LeaseParts     // how long after its end a lease is still waited for
+	lagParts    = 2 * session.LeaseParts // a feed this far behind is left for another
+	claimPause  = 64                     // how long a refusal waits for its claim to be let go
 	tallyLines  = 4096
 	eventsKept  = 256
 	workersMost = 256
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -16,6 +16,7 @@
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/proxy"
 	"meadowhinge/internal/registry"
+	"meadowhinge/internal/session"
 	"meadowhinge/internal/store"
 	"meadowhinge/schema"
 )
@@ -165,7 +166,7 @@
 	patience := time.NewTimer(20 * time.Second)
 	defer patience.Stop()
 	// What a status tells beside the picture moves with the registry's signs of life.
-	beat := time.NewTicker(coreLease / registry.BeatParts)
+	beat := time.NewTicker(coreLease / session.BeatParts)
 	defer beat.Stop()
 	for !ready(m.Status()) {
 		select {
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"meadowhinge/internal/plan"
-	"meadowhinge/internal/registry"
 	"meadowhinge/internal/setup"
 	"meadowhinge/schema"
 )
@@ -118,7 +117,7 @@
 		list = append(list, held.source)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	after.view = &plan.View{Setup: after.setup, Directory: registry.DirectoryOf(list,
+	after.view = &plan.View{Setup: after.setup, Directory: plan.DirectoryOf(list,
 		func(instance string) time.Duration { return after.since[instance] }, func(source string) time.Duration { return after.sources[source].at })}
 	return after
 }
--- a/internal/registry/attend.go
+++ b/internal/registry/attend.go
@@ -5,22 +5,20 @@
 	"time"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/session"
 	"meadowhinge/schema"
 )
 
 // Ratios to the lease.
 const (
-	BeatParts    = LeaseParts // how often a registry says something in a session at the least
-	SilenceParts = 4          // a registry silent for this part of a lease is left
-	LagParts     = 8. / 3     // and one whose setup may be so old: a change is to be in force within half a lease
-	peerBeats    = 4          // beats of a session between registries: bytes between zones are dear
-	youngParts   = 2          // how long a registry that has just started may keep its setup to itself
+	peerBeats  = 4 // beats of a session between registries: bytes between zones are dear
+	youngParts = 2 // how long a registry that has just started may keep its setup to itself
 )
 
 // beats lets all sessions send their signs of life in one go, so that an idle registry wakes once
 // for all of them, and has a look at the roster.
 func (s *Server) beats(ctx context.Context) {
-	ticker := time.NewTicker(s.lease / BeatParts)
+	ticker := time.NewTicker(s.lease / session.BeatParts)
 	defer ticker.Stop()
 	for {
 		select {
@@ -168,7 +166,7 @@
 	defer watch.Stop()
 	s.lock.Lock()
 	asked := &schema.Attending{Node: "registry/" + s.options.Seat, Vector: s.table.Vector(), Core: s.cores[s.options.Seat], LeaseNanos: int64(s.lease),
-		BeatNanos: int64(peerBeats * s.lease / BeatParts)}
+		BeatNanos: int64(peerBeats * s.lease / session.BeatParts)}
 	s.lock.Unlock()
 	stream, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Attend(bounded, asked)
 	if err != nil {
--- a/internal/registry/claims.go
+++ b/internal/registry/claims.go
@@ -66,7 +66,7 @@
 // ReadsFrom is when the others may be read: by then every round has ended in which a claim
 // given in an earlier life may still have been counted.
 func (c *Claims) ReadsFrom() time.Duration {
-	return session.ClaimBound(c.options.Lease) + session.ClaimBound(c.options.Lease)/LeaseParts
+	return session.ClaimBound(c.options.Lease) + session.ClaimBound(c.options.Lease)/session.LeaseParts
 }
 
 func (c *Claims) sweep(now time.Duration) {
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -189,7 +189,7 @@
 		after := s.table.stable
 		s.lock.Unlock()
 		bounded, cancel := context.WithTimeout(ctx, s.lease)
-		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / BeatParts)})
+		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / session.BeatParts)})
 		cancel()
 		if err != nil {
 			s.pause(ctx, retryParts)
@@ -224,7 +224,7 @@
 // catchUp learns what was stable when this registry started; until then it grants nothing.
 func (s *Server) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, s.lease/LeaseParts)
+		bounded, cancel := context.WithTimeout(ctx, s.lease/session.LeaseParts)
 		back, err := s.store.Stand(bounded, &schema.Nothing{})
 		cancel()
 		if err == nil && !back.Undecided {
@@ -675,7 +675,7 @@
 		answers := []*schema.Fenced{s.table.Bar(s.now(), sequence)}
 		moved := s.moved
 		s.lock.Unlock()
-		answers = append(answers, others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.Fenced, error) {
+		answers = append(answers, others(ctx, s, s.lease/session.LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.Fenced, error) {
 			return peer.Bar(ctx, &schema.Fence{Setup: sequence})
 		})...)
 		for _, answer := range answers {
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -14,7 +14,9 @@
 	"meadowhinge/internal/daemon"
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/plan"
+	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 	"meadowhinge/schema"
 )
 
@@ -104,7 +106,7 @@
 			page(call)
 			// What no majority answers now may be answered once a lease has been renewed again.
 			if call.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
-				call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(max(1, int64(s.lease/LeaseParts/time.Second)), 10))
+				call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(max(1, int64(s.lease/session.LeaseParts/time.Second)), 10))
 			}
 		},
 		ErrorHandler: func(call *fasthttp.RequestCtx, err error) {
@@ -130,7 +132,7 @@
 		daemon.Refuse(call, defect.New(defect.Malformed, "a change needs an id of 1 to 128 bytes"), "", nil)
 		return
 	}
-	items, faults := setup.Read([]byte(submission.Setup))
+	items, faults := statement.Read([]byte(submission.Setup))
 	if len(faults) > 0 {
 		daemon.Answer(call, fasthttp.StatusBadRequest, &Answer{ID: submission.ID, Ruling: "invalid", Defect: defect.BadSetup, Faults: faults})
 		return
@@ -185,7 +187,7 @@
 }
 
 func (s *Server) pageOutcome(call *fasthttp.RequestCtx, id string) {
-	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/session.LeaseParts)
 	defer cancel()
 	submitted, err := s.store.Inquire(bounded, &schema.Ask{ChangeId: id})
 	if err != nil {
@@ -224,7 +226,7 @@
 
 // pageTrace tells what this core machine saw of a change.
 func (s *Server) pageTrace(call *fasthttp.RequestCtx, id string) {
-	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/session.LeaseParts)
 	defer cancel()
 	shown := Trace{Seat: s.options.Seat, Applied: map[string]time.Time{}}
 	traced, err := s.store.Trace(bounded, &schema.Ask{ChangeId: id})
@@ -306,7 +308,7 @@
 
 // allCounts gathers the counts of all registries, each proxy's once.
 func (s *Server) allCounts(ctx context.Context) []*schema.SourceCounts {
-	answers := others(ctx, s, s.lease/LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
+	answers := others(ctx, s, s.lease/session.LeaseParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
 		return peer.Counts(ctx, &schema.CountsAsk{})
 	})
 	return MostOf(append(answers, s.countsHere(false)))
@@ -434,10 +436,10 @@
 }
 
 func (s *Server) pageStatus(call *fasthttp.RequestCtx) {
-	bounded, cancel := context.WithTimeout(context.Background(), s.lease/LeaseParts)
+	bounded, cancel := context.WithTimeout(context.Background(), s.lease/session.LeaseParts)
 	defer cancel()
 	here, _ := s.Look(bounded, nil)
-	status := &Status{Registries: append([]*schema.RegistryStatus{here}, others(bounded, s, s.lease/LeaseParts,
+	status := &Status{Registries: append([]*schema.RegistryStatus{here}, others(bounded, s, s.lease/session.LeaseParts,
 		func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.RegistryStatus, error) {
 			return peer.Look(ctx, &schema.Nothing{})
 		})...)}
@@ -490,7 +492,7 @@
 	}
 	compiled := s.compiled()
 	s.lock.Lock()
-	view := &plan.View{Setup: compiled, Directory: DirectoryOf(s.table.Feed(s.now(), nil), nil, nil)}
+	view := &plan.View{Setup: compiled, Directory: plan.DirectoryOf(s.table.Feed(s.now(), nil), nil, nil)}
 	s.lock.Unlock()
 	headers := map[string]string{}
 	for name, value := range question.Headers {
@@ -515,32 +517,3 @@
 	}
 	daemon.Answer(call, fasthttp.StatusOK, explained)
 }
-
-// DirectoryOf folds sources into a directory; since tells when each worker was first known, and
-// told when a source was heard.
-func DirectoryOf(sources []*schema.Source, since, told func(name string) time.Duration) plan.Directory {
-	directory := plan.Directory{}
-	for _, source := range sources {
-		for _, worker := range source.Workers {
-			if worker.Leaving || worker.Gone {
-				continue
-			}
-			byVersion := directory[worker.Service]
-			if byVersion == nil {
-				byVersion = map[string][]plan.Candidate{}
-				directory[worker.Service] = byVersion
-			}
-			candidate := plan.Candidate{Instance: worker.Instance, Proxy: source.Name, Address: source.Address, Area: worker.Area, Load: worker.Load,
-				Slots: int(worker.Slots), Running: int(worker.Running), Waiting: int(worker.Waiting), Pace: time.Duration(worker.PaceNanos)}
-			if since != nil {
-				candidate.Since = since(worker.Instance)
-			}
-			if told != nil {
-				candidate.Told = told(source.Name)
-				candidate.Warm = candidate.Told + time.Duration(worker.WarmNanos)
-			}
-			byVersion[worker.Version] = append(byVersion[worker.Version], candidate)
-		}
-	}
-	return directory
-}
--- a/internal/registry/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -45,7 +45,7 @@
 	since       time.Duration // in session without a break with a registry that was in touch
 }
 
-const fleetBeat = span / LeaseParts
+const fleetBeat = span / session.LeaseParts
 
 func newFleet(t *testing.T, seed uint64, proxies int) *fleet {
 	f := &fleet{t: t, seed: seed, dice: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]string]bool{}, peers: map[[2]int]*seated{}}
@@ -272,7 +272,7 @@
 				f.startTable(i)
 			}
 		}
-		for range 8 * LeaseParts {
+		for range 8 * session.LeaseParts {
 			f.step()
 		}
 		for _, p := range f.proxies {
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -9,13 +9,14 @@
 
 	"meadowhinge/internal/daemon"
 	"meadowhinge/internal/release"
+	"meadowhinge/internal/session"
 	"meadowhinge/schema"
 )
 
 // Ratios to the lease.
 const (
-	steerParts = 4 * LeaseParts // how often counts are gathered and trials granted
-	stepParts  = LeaseParts     // the shortest time between two steps of a plan
+	steerParts = 4 * session.LeaseParts // how often counts are gathered and trials granted
+	stepParts  = session.LeaseParts     // the shortest time between two steps of a plan
 )
 
 func (s *Server) takeTrials(trials []*schema.Trial) {
@@ -148,7 +149,7 @@
 
 // write states a step as an ordinary change.
 func (s *Server) write(ctx context.Context, change *schema.Change) {
-	bounded, cancel := context.WithTimeout(ctx, s.lease/LeaseParts)
+	bounded, cancel := context.WithTimeout(ctx, s.lease/session.LeaseParts)
 	defer cancel()
 	submitted, err := s.store.Offer(bounded, &schema.Submit{Change: change})
 	if err == nil && !submitted.Undecided && submitted.Outcome.Ruling == schema.Ruling_RULING_STALE {
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -9,12 +9,12 @@
 	"sort"
 	"time"
 
+	"meadowhinge/internal/session"
 	"meadowhinge/schema"
 )
 
-// leaseParts are ratios to the lease: how often it is renewed and how far a proxy may lag.
+// Ratios to the lease.
 const (
-	LeaseParts  = 8 // renewals in one lease, and the part of it that a proxy may lag behind
 	keptSources = 2 // leases that a silent proxy's workers stay listed here
 )
 
@@ -118,7 +118,7 @@
 
 // sweep drops what has run out and raises the bar for lagging proxies.
 func (t *Table) sweep(now time.Duration) {
-	for len(t.marks) > 0 && now-t.marks[0].at > t.options.Lease/LeaseParts {
+	for len(t.marks) > 0 && now-t.marks[0].at > t.options.Lease/session.LeaseParts {
 		t.required = max(t.required, t.marks[0].setup)
 		t.marks = t.marks[1:]
 	}
@@ -269,7 +269,7 @@
 func (t *Table) telling(now time.Duration) int {
 	count := 0
 	for key, at := range t.toldAt {
-		if now-at <= t.options.Lease/LeaseParts {
+		if now-at <= t.options.Lease/session.LeaseParts {
 			count++
 		} else if now-at > keptSources*t.options.Lease {
 			delete(t.toldAt, key)
@@ -333,7 +333,7 @@
 }
 
 // trialParts is the part of a lease for which what the release duty handed out is passed on.
-const trialParts = 2 * LeaseParts
+const trialParts = 2 * session.LeaseParts
 
 // TakeTrials takes what the release duty hands out.
 func (t *Table) TakeTrials(now time.Duration, trials []*schema.Trial) {
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -111,11 +111,11 @@
 	}
 	// A stable change may be lagged behind for an eighth of a lease, and no longer.
 	young.SetStable(span, 6)
-	if !young.Renew(span+span/LeaseParts, renew).Granted || young.Renew(span+span/LeaseParts+1, renew).Granted {
+	if !young.Renew(span+span/session.LeaseParts, renew).Granted || young.Renew(span+span/session.LeaseParts+1, renew).Granted {
 		t.Error("the bound on lagging is not kept")
 	}
 	// The lease granted last still stands, so a fence names it until it runs out.
-	if len(young.Bar(span+span/LeaseParts+1, 6).Laggards) != 1 || len(young.Bar(2*span+span/LeaseParts, 6).Laggards) != 0 {
+	if len(young.Bar(span+span/session.LeaseParts+1, 6).Laggards) != 1 || len(young.Bar(2*span+span/session.LeaseParts, 6).Laggards) != 0 {
 		t.Error("a laggard is listed too short or too long")
 	}
 }
--- a/internal/rehearsal/hollow_operator.go
+++ b/internal/rehearsal/hollow_operator.go
@@ -14,6 +14,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 	"meadowhinge/schema"
 )
 
@@ -48,7 +49,7 @@
 
 // change states one change at a core machine.
 func (o *hollowOperator) change(core int, text string) (*registry.Answer, error) {
-	items, faults := setup.Read([]byte(text))
+	items, faults := statement.Read([]byte(text))
 	if len(faults) > 0 {
 		return nil, defect.New(defect.BadSetup, fmt.Sprint(faults[0]))
 	}
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -11,6 +11,7 @@
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 )
 
 // Operator is a stand-in operator: it states changes and writes down what it was told.
@@ -67,7 +68,7 @@
 	entry := ChangeEntry{ID: fmt.Sprintf("%s-%d", o.name, o.serial), Invalid: marker != "", Marker: marker}
 	submission := registry.Submission{ID: entry.ID, Setup: text, Expected: map[string]uint64{}}
 	if shown, err := o.Shown(core); err == nil {
-		items, _ := setup.Read([]byte(text))
+		items, _ := statement.Read([]byte(text))
 		for _, item := range items {
 			for _, held := range shown.Items {
 				if held.Kind == item.Kind && held.Name == item.Name {
--- a/internal/setup/compile.go
+++ b/internal/setup/compile.go
@@ -49,13 +49,10 @@
 	}
 }
 
-// LimitsName is the one name that an item of limits may have.
-const LimitsName = "limits"
-
 // The kinds that are named elsewhere than in the table.
 const (
 	routeKind  = "route"
-	limitsKind = "limits"
+	limitsKind = schema.LimitsKind
 )
 
 // kinds are all kinds of item. Routes have no place here: they are kept in order from setup to setup.
@@ -181,8 +178,8 @@
 // finishLimits puts the usual limits where none are stated.
 func finishLimits(item *schema.Item, limits *Limits, add adder) {
 	const path = limitsKind
-	if item.Name != LimitsName {
-		add(path+"."+item.Name, "must be named %q", LimitsName)
+	if item.Name != schema.LimitsName {
+		add(path+"."+item.Name, "must be named %q", schema.LimitsName)
 	}
 	if limits.HeaderMost < 0 {
 		add(path+".headerMost", "must not be below zero")
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -271,7 +271,7 @@
 }
 
 // Key joins kind and name.
-func Key(kind, name string) string { return kind + "/" + name }
+func Key(kind, name string) string { return schema.Key(kind, name) }
 
 // State is the items by key, tombstones included.
 type State map[string]*schema.Item
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -8,6 +8,7 @@
 
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/release"
+	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
 	"meadowhinge/internal/store"
 	"meadowhinge/schema"
@@ -208,7 +209,7 @@
 		}
 		w.every(&node.machine, lease/16, func() { w.readClaims(node, other) })
 	}
-	w.every(&node.machine, lease/(4*registry.LeaseParts), func() { w.steer(node) })
+	w.every(&node.machine, lease/(4*session.LeaseParts), func() { w.steer(node) })
 	if w.Options.Serving {
 		w.serveCore(node)
 	}
@@ -299,7 +300,7 @@
 		if w.plant == PlantHairTrigger {
 			options.FailuresMost, options.Excess, options.Certain = 2, 0, 0
 		}
-		node.duty = release.NewDuty(options, node.table.Seat(), lease/registry.LeaseParts)
+		node.duty = release.NewDuty(options, node.table.Seat(), lease/session.LeaseParts)
 	}
 	duty := node.duty
 	trials := duty.Trials(compiled)
@@ -320,7 +321,7 @@
 		}
 	}
 	// Whoever has not answered by then is not heard this time.
-	w.on(&node.machine, lease/(8*registry.LeaseParts), func() {
+	w.on(&node.machine, lease/(8*session.LeaseParts), func() {
 		if node.duty != duty {
 			return
 		}
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -18,7 +18,6 @@
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/plan"
 	"meadowhinge/internal/proxy"
-	"meadowhinge/internal/registry"
 	"meadowhinge/internal/release"
 	"meadowhinge/internal/session"
 	"meadowhinge/internal/setup"
@@ -110,7 +109,7 @@
 			}
 		},
 		Outdated: func(sequence uint64) bool {
-			return !w.Options.Serving && held.View().Outdated(sequence, now(), lease/registry.LeaseParts)
+			return !w.Options.Serving && held.View().Outdated(sequence, now(), lease/session.LeaseParts)
 		}}, map[bool]int{true: 1, false: remembered}[w.plant == PlantNoSeen])
 	floor := w.Options.Floor
 	if w.plant == PlantNoBudget {
@@ -138,12 +137,12 @@
 		w.serveEdge(node)
 	} else {
 		for i := range w.regs {
-			w.every(&node.machine, lease/registry.LeaseParts, func() { w.renew(node, i, 0, nil) })
+			w.every(&node.machine, lease/session.LeaseParts, func() { w.renew(node, i, 0, nil) })
 		}
 		w.feed(node)
-		w.every(&node.machine, lease/registry.LeaseParts, func() { w.tell(node, true) })
+		w.every(&node.machine, lease/session.LeaseParts, func() { w.tell(node, true) })
 	}
-	w.every(&node.machine, lease/(4*registry.LeaseParts), func() {
+	w.every(&node.machine, lease/(4*session.LeaseParts), func() {
 		if _, any := release.Judged(view().Setup); any {
 			w.tell(node, false)
 		}
@@ -181,7 +180,7 @@
 		if busy != 0 {
 			node.feedAt++
 		}
-		busy = w.now + lease/(2*registry.LeaseParts)
+		busy = w.now + lease/(2*session.LeaseParts)
 		target := w.regs[node.feedAt%len(w.regs)]
 		held := node.journal.View()
 		vector, sequence := held.Vector(), held.Sequence()
--- a/internal/simulator/play.go
+++ b/internal/simulator/play.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"meadowhinge/internal/setup"
+	"meadowhinge/internal/statement"
 	"meadowhinge/schema"
 )
 
@@ -503,7 +504,7 @@
 // begin waits until the fleet serves its first setup.
 func (w *World) begin() {
 	w.Run(lease + 2*time.Second)
-	items, _ := setup.Read([]byte(firstSetup))
+	items, _ := statement.Read([]byte(firstSetup))
 	w.insist(func() {}, items...)
 	w.Run(settled)
 	w.callers()
--- a/internal/simulator/serving.go
+++ b/internal/simulator/serving.go
@@ -97,7 +97,7 @@
 	if one.peer {
 		beats = 4
 	}
-	if worth || w.now-one.sent >= beats*servingLease/registry.BeatParts {
+	if worth || w.now-one.sent >= beats*servingLease/session.BeatParts {
 		one.sent = w.now
 		delay, lost := w.passes(&server.machine, one.client, w.dice)
 		if lost || w.cutEither(&server.machine, one.client) {
@@ -215,7 +215,7 @@
 // serveEdge starts the part of a proxy's life that is about sessions.
 func (w *World) serveEdge(node *proxyNode) {
 	node.incarnation, node.told = w.nextIncarnation(0), 0
-	lag := float64(servingLease) / registry.LagParts
+	lag := float64(servingLease) / session.LagParts
 	if w.plant == PlantStays {
 		lag = float64(time.Hour)
 	}
@@ -223,8 +223,8 @@
 	for _, reg := range w.regs {
 		seeds = append(seeds, reg.name)
 	}
-	node.tie = session.NewTie(session.TieOptions{Name: node.name, Area: w.areaOf(node.index), Beat: servingLease / registry.BeatParts,
-		Silence: servingLease / registry.SilenceParts, Lag: time.Duration(lag), Back: servingLease}, seeds)
+	node.tie = session.NewTie(session.TieOptions{Name: node.name, Area: w.areaOf(node.index), Beat: servingLease / session.BeatParts,
+		Silence: servingLease / session.SilenceParts, Lag: time.Duration(lag), Back: servingLease}, seeds)
 	node.sits, node.untold = map[string]*sitting{}, false
 	w.every(&node.machine, poll, func() {
 		now := node.clockOf(w.now)
@@ -238,11 +238,11 @@
 			}
 		}
 		w.heed(node, node.tie.Tick(now))
-		if node.untold && node.tie.Current() != "" && w.now-node.toldAt > servingLease/registry.LeaseParts {
+		if node.untold && node.tie.Current() != "" && w.now-node.toldAt > servingLease/session.LeaseParts {
 			w.tell(node, true)
 		}
 	})
-	w.every(&node.machine, servingLease/registry.BeatParts, node.workers.Sweep)
+	w.every(&node.machine, servingLease/session.BeatParts, node.workers.Sweep)
 }
 
 // heed carries out what a proxy's tie wants.
--- a/internal/setup/read.go
+++ b/internal/statement/read.go
@@ -1,4 +1,6 @@
-package setup
+// Package statement reads what operators state, in CUE, into the items of a change. It stands apart
+// from the setup so that programs which never read it do not carry its library.
+package statement
 
 import (
 	_ "embed"
@@ -70,12 +72,12 @@
 	var items []*schema.Item
 	for kind, named := range parts {
 		// There is one item of limits, so nobody need name it.
-		if kind == limitsKind {
+		if kind == schema.LimitsKind {
 			limits, err := json.Marshal(named)
 			if err != nil {
 				return nil, []*schema.Fault{{Path: kind, Reason: err.Error()}}
 			}
-			named = map[string]json.RawMessage{LimitsName: limits}
+			named = map[string]json.RawMessage{schema.LimitsName: limits}
 		}
 		for name, part := range named {
 			if kind != "remove" {
@@ -92,10 +94,10 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool {
-		return Key(items[i].Kind, items[i].Name) < Key(items[j].Kind, items[j].Name)
+		return schema.Key(items[i].Kind, items[i].Name) < schema.Key(items[j].Kind, items[j].Name)
 	})
 	for i := 1; i < len(items); i++ {
-		if Key(items[i].Kind, items[i].Name) == Key(items[i-1].Kind, items[i-1].Name) {
+		if schema.Key(items[i].Kind, items[i].Name) == schema.Key(items[i-1].Kind, items[i-1].Name) {
 			return nil, []*schema.Fault{{Path: items[i].Kind + "." + items[i].Name, Reason: "is both written and removed"}}
 		}
 	}
