Hold a worker full only for calls that would have no room there either

Cause: a refusal of a call with a short aim put its worker behind the other zones for all routes, so calls with time to wait crossed zones. Now it counts where the wait that was told with it, and twice the worker's pace, is more than the route's aim.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -69,6 +69,8 @@
 	failAlike  = 0.25 // where the others fail in this part of their calls, a row of failures says nothing
 	failBefore = 4.0  // calls that it is taken to have served well before any was seen
 
+	fullTimes = 2.0 // a worker that was full is for calls that have this many times its pace left beside the wait
+
 	candidatesMost = 8 // a plan has no more; who is through with them makes another
 	nearLooked     = 6 // of a larger pool only so many are looked at
 	farLooked      = 4
@@ -102,6 +104,7 @@
 	facts   Facts
 	now     time.Duration
 	dice    Dice
+	aim     time.Duration
 	looked  []rated
 	groups  [groups][]int // of places among those looked at
 }
@@ -116,7 +119,7 @@
 		return nil
 	}
 	p := placings.Get().(*placing)
-	p.pool, p.options, p.facts, p.now, p.dice = pool, options, facts, now, dice
+	p.pool, p.options, p.facts, p.now, p.dice, p.aim = pool, options, facts, now, dice, aim
 	defer func() {
 		p.pool, p.facts, p.dice = nil, nil, nil
 		placings.Put(p)
@@ -130,7 +133,7 @@
 			p.look(0, len(pool), len(pool))
 		}
 	}
-	if len(p.groups[near]) > 0 && len(p.groups[far]) > 0 && p.spills(aim) {
+	if len(p.groups[near]) > 0 && len(p.groups[far]) > 0 && p.spills() {
 		p.groups[near], p.groups[far] = p.groups[far], p.groups[near]
 	}
 	chosen := make([]Candidate, 0, min(len(p.looked), candidatesMost))
@@ -181,7 +184,7 @@
 		// Beyond the ratio nobody more is passed by: when all fail alike, none is the outlier.
 		case len(p.groups[passed]) < len(p.looked)/ejectedMost && p.fails(&one.seen, calls-one.seen.Calls, failures-one.seen.Failures):
 			one.group = passed
-		case one.seen.Full:
+		case one.seen.Full && p.tooFull(one):
 			one.group = full
 		}
 		p.groups[one.group] = append(p.groups[one.group], i)
@@ -202,6 +205,12 @@
 	return more > failFrom && p.dice() < (more-failFrom)/(failUpTo-failFrom)
 }
 
+// tooFull tells whether a worker that had no room for a call a moment ago has likely none for this
+// one: what one route's aim does not allow, another's may.
+func (p *placing) tooFull(one *rated) bool {
+	return one.seen.Slots == 0 || p.aim <= 0 || one.wait+fullTimes*float64(one.seen.Pace) > float64(p.aim)
+}
+
 // rate says of each worker looked at how long one more call would take there.
 func (p *placing) rate() {
 	sum, known := 0.0, 0.0
@@ -240,7 +249,7 @@
 
 // spills tells whether another zone is tried first this time. The more the wait here would make
 // calls late, the more of them go: by chance, so that proxies don't change over all at once.
-func (p *placing) spills(aim time.Duration) bool {
+func (p *placing) spills() bool {
 	best, blind := &p.looked[p.groups[near][0]], false
 	for _, i := range p.groups[near] {
 		one := &p.looked[i]
@@ -252,14 +261,14 @@
 	away := &p.looked[p.groups[far][p.draw(p.groups[far])]]
 	if blind {
 		// Where it is known at least how long calls take, and that is soon enough, they stay.
-		soon := aim > 0 && best.seen.Pace > 0 && best.seen.Pace < aim/spillSoon
+		soon := p.aim > 0 && best.seen.Pace > 0 && best.seen.Pace < p.aim/spillSoon
 		return !soon && best.time > spillBlind*away.time
 	}
 	if best.wait == 0 || away.time > spillGain*best.time {
 		return false
 	}
 	work := best.time - best.wait
-	spare := max(float64(aim)-work, work)
+	spare := max(float64(p.aim)-work, work)
 	part := best.wait / spare
 	return part > spillFrom && p.dice() < (part-spillFrom)/(spillUpTo-spillFrom)
 }
