--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,7 +26,7 @@
 )
 
 // collectAt is how much the heap may grow, in percent, before it is collected.
-const collectAt = 400
+const collectAt = 100
 
 // Frame is what a running program gets from its surroundings.
 type Frame struct {
@@ -52,8 +52,8 @@
 	folder, lines := ringOf()
 	kept := ring.New(folder, program, int(lines))
 	frame := &Frame{Log: kept.Logger(), Ring: kept, Draining: &atomic.Bool{}, pages: map[string]func() any{}}
-	// The heaps are a few megabytes, so collecting less often costs little memory; an operator
-	// who sets GOGC is obeyed.
+	// Memory at its peak is paid for on every edge machine, and a collection of so small a heap costs
+	// little; an operator who sets GOGC is obeyed.
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectAt)
 	}
