Break off a try of a repeatable call only when there is time left for just one more

Cause: half of the time left was all that a try got, so calls that take long were broken off while they ran and run again, at the cost of the fleet's extra tries. Ruled out: no bound at all, by which a proxy that hangs takes the call with it. Conclusion: a try gets all but twice what its worker takes for a request, where that is known.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -90,8 +90,12 @@
 // roundsMost is how often a plan is made anew within one call before it is given up.
 const roundsMost = 4
 
-// repeatParts is the part of the time left that one try of a repeatable call may take.
-const repeatParts = 2
+// One try of a repeatable call may take this part of the time left, or all but so many times
+// what its worker takes, if that is known.
+const (
+	repeatParts = 2
+	repeatTimes = 2
+)
 
 // newsParts is the part of the time left for which a setup is awaited that another proxy has.
 const newsParts = 2
@@ -398,10 +402,14 @@
 		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
 		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name,
 		Host: call.Request.Host, Identity: call.Request.Identity, Rank: uint32(max(0, ended.Plan.Route.Rank)), AimNanos: aimLeft(ended.Plan, left)}
-	// A call that may be repeated leaves itself time to be, should this proxy hang.
+	// A call that may be repeated leaves itself time to be, should this proxy hang: as much as the
+	// worker takes, for what is broken off while it runs is lost.
 	patience := left
 	if ended.Plan.Class == setup.Repeatable {
 		patience = left / repeatParts
+		if pace := c.Soundness.See(&candidate, c.Now()).Pace; pace > 0 {
+			patience = max(patience, left-repeatTimes*pace)
+		}
 	}
 	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
