Let the release duty go on through cut and dead core machines; finish plans earlier

A registry that was cut off from the core kept the duty, and the one after it asked a dead machine first at each turn; a step waited for the store's answer before anything else was looked at; and where a registry could not be reached, its proxies' counts vanished from the sums, so that a mean of nothing made a good version slow. A registry has the duty only while its store is in touch with a majority; those before it are asked on the side; steps are written on the side, one of a plan at a time, and one that turns back waits for none; sums never fall.

--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -59,6 +59,7 @@
 
 	offerSerial uint64
 	offers      map[string]*offered // changes on their way, by what they ask for
+	steering    steering            // guarded by lock
 	stale       atomic.Uint64       // steps refused because a later epoch had the release duty
 }
 
@@ -108,7 +109,7 @@
 		given.Seat = ipOf(address)
 	}
 	s := &Server{options: given, order: options.List(given.Order), lease: time.Duration(given.Lease), address: address, ends: ends, log: frame.Log,
-		started: time.Now(), born: session.NextIncarnation(0), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{}), beat: make(chan struct{}), offers: map[string]*offered{}}
+		started: time.Now(), born: session.NextIncarnation(0), state: setup.State{}, cores: map[string]*schema.Core{}, moved: make(chan struct{}), beat: make(chan struct{}), offers: map[string]*offered{}, steering: steering{rivals: map[string]*rival{}, writing: map[string]bool{}}}
 	for _, change := range changes {
 		change(s)
 	}
@@ -557,7 +558,7 @@
 	defer s.lock.Unlock()
 	now := s.now()
 	age, known := s.table.Age(now)
-	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Stable: s.table.stable, Leases: s.table.Leases(now),
+	return &schema.RegistryStatus{Seat: s.options.Seat, Grants: s.table.Grants(now), Steers: s.steers(), Stable: s.table.stable, Leases: s.table.Leases(now),
 		Sessions: uint32(s.table.Sessions()), Members: uint32(s.table.Members(now)), Vouched: known, AgeNanos: int64(age), Reached: s.table.Reached(now),
 		StaleSteps: s.stale.Load(), RefusedPeers: s.ends.Refused.Load(),
 		Claims: uint64(s.claims.Held()), ClaimsCount: s.claims.Counts(now), RefusedClaims: s.claims.Refused, Odd: s.table.Odd()}, nil
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"time"
 
@@ -10,6 +11,7 @@
 	"meadowhinge/internal/daemon"
 	"meadowhinge/internal/release"
 	"meadowhinge/internal/session"
+	"meadowhinge/internal/setup"
 	"meadowhinge/schema"
 )
 
@@ -17,6 +19,9 @@
 const (
 	steerParts = 4 * session.LeaseParts // how often counts are gathered and trials granted
 	stepParts  = session.LeaseParts     // the shortest time between two steps of a plan
+	touchParts = session.LeaseParts / 2 // how long a store may not have heard a majority for its registry to steer
+	rivalParts = session.LeaseParts     // how long a registry that steered is taken to go on
+	writeParts = session.LeaseParts / 4 // how long a step may be on its way
 )
 
 func (s *Server) takeTrials(trials []*schema.Trial) {
@@ -25,28 +30,83 @@
 	s.table.TakeTrials(s.now(), trials)
 }
 
-// hasDuty tells whether no registry before this one in the order can have the release duty.
-func (s *Server) hasDuty(ctx context.Context) bool {
+// steering is what the loop of the release duty keeps. All but ticks is guarded by the server's lock.
+type steering struct {
+	touchedAt time.Duration     // when the store beside last knew that a majority is with it
+	touched   bool              // whether it ever did
+	rivals    map[string]*rival // by seat: those before this one in the order
+	writing   map[string]bool   // steps on their way to the store
+}
+
+// rival is a registry that has the duty before this one, while it steers.
+type rival struct {
+	at     time.Duration // when it last said so, or was first asked
+	asking bool
+}
+
+// steers tells whether this registry may have the release duty; the caller holds the lock. Where
+// nothing rests on leases, one that is cut off from the core has no part in it: it could neither
+// see enough nor write.
+func (s *Server) steers() bool {
+	now := s.now()
+	return s.table.Grants(now) && (!s.stableIsEnough() || s.steering.touched && now-s.steering.touchedAt <= s.lease/touchParts)
+}
+
+// touch asks the store beside whether it is in touch with the core.
+func (s *Server) touch(ctx context.Context) {
+	if !s.stableIsEnough() {
+		return
+	}
 	s.lock.Lock()
-	seats := s.seats()
+	after := s.table.stable
 	s.lock.Unlock()
-	for _, core := range seats {
+	bounded, cancel := context.WithTimeout(ctx, s.lease/steerParts)
+	defer cancel()
+	back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: 0})
+	if err != nil || !back.Vouched {
+		return
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.steering.touched, s.steering.touchedAt = true, s.now()-time.Duration(back.AgeNanos)
+}
+
+// hasDuty tells whether no registry before this one in the order steers. They are asked on the
+// side, so that a dead one holds nobody up; one that was not asked yet is taken to steer.
+func (s *Server) hasDuty(ctx context.Context) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	has, now := s.steers(), s.now()
+	for _, core := range s.seats() {
 		if core.Seat == s.options.Seat {
 			break
 		}
 		if core.Address == "" {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, s.lease/trialParts)
-		status, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, core.Address)).Look(bounded, &schema.Nothing{})
-		cancel()
-		if err == nil && status.Grants {
-			return false
+		held := s.steering.rivals[core.Seat]
+		if held == nil {
+			held = &rival{at: now}
+			s.steering.rivals[core.Seat] = held
+		}
+		has = has && now-held.at > s.lease/rivalParts
+		if !held.asking {
+			held.asking = true
+			go s.askRival(ctx, held, core.Address)
 		}
 	}
+	return has
+}
+
+func (s *Server) askRival(ctx context.Context, held *rival, address string) {
+	bounded, cancel := context.WithTimeout(ctx, s.lease/trialParts)
+	defer cancel()
+	status, err := schema.NewDRPCRegistryClient(s.ends.To(bounded, address)).Look(bounded, &schema.Nothing{})
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.table.Grants(s.now())
+	if held.asking = false; err == nil && status.Steers {
+		held.at = s.now()
+	}
 }
 
 // steer does the release duty whenever it falls on this registry.
@@ -62,12 +122,17 @@
 		}
 		compiled, state := s.compiledState()
 		workers := s.pools()
-		if !release.Due(compiled, workers) || !s.hasDuty(ctx) {
+		if !release.Due(compiled, workers) {
+			s.idle()
+			duty = nil
+			continue
+		}
+		if s.touch(ctx); !s.hasDuty(ctx) {
 			duty = nil
 			continue
 		}
 		if duty == nil {
-			duty = release.NewDuty(s.steering(), s.options.Seat, s.lease/stepParts)
+			duty = release.NewDuty(s.release(), s.options.Seat, s.lease/stepParts)
 		}
 		trials := duty.Trials(compiled)
 		s.takeTrials(trials)
@@ -79,16 +144,42 @@
 		// A stop goes out with the next answers, before it is written to the setup.
 		s.takeTrials(duty.Trials(compiled))
 		for _, step := range steps {
-			if step.Says != "" {
-				s.log.Info("release step", "plan", step.Name, "says", step.Says)
-			}
-			s.write(ctx, step.Change(s.options.Seat, s.born, serial, state))
+			s.put(ctx, step, serial, state)
 		}
 	}
 }
 
-// steering is the duty's options as the settings have them.
-func (s *Server) steering() release.Options {
+// idle forgets who steered: there is nothing to steer.
+func (s *Server) idle() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	clear(s.steering.rivals)
+}
+
+// put writes a step on the side, unless the one before it is still on its way. One that turns a
+// version back waits for none.
+func (s *Server) put(ctx context.Context, step release.Step, serial uint64, state setup.State) {
+	key := fmt.Sprint(step.Name, step.Urgent)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.steering.writing[key] {
+		return
+	}
+	s.steering.writing[key] = true
+	if step.Says != "" {
+		s.log.Info("release step", "plan", step.Name, "says", step.Says)
+	}
+	change := step.Change(s.options.Seat, s.born, serial, state)
+	go func() {
+		s.write(ctx, change)
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		delete(s.steering.writing, key)
+	}()
+}
+
+// release is the duty's options as the settings have them.
+func (s *Server) release() release.Options {
 	given := s.options
 	return release.Options{TrialShare: 100 * given.TrialShare, CallsEnough: uint64(given.CallsEnough), FailuresMost: uint64(given.BrakeFailures), Excess: given.BrakeExcess,
 		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps), Sure: given.BrakeSure, FinishAt: given.FinishAt,
@@ -134,7 +225,7 @@
 // gather collects the counts of all registries reached, handing out trials with the call. It
 // tells of what part of the fleet they are.
 func (s *Server) gather(ctx context.Context, trials []*schema.Trial) ([]*schema.SourceCounts, float64) {
-	answers := append(others(ctx, s, s.lease/trialParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
+	answers := append(others(ctx, s, s.lease/steerParts, func(ctx context.Context, peer schema.DRPCRegistryClient) (*schema.CountsBack, error) {
 		return peer.Counts(ctx, &schema.CountsAsk{Duty: s.options.Seat, Trials: trials, Works: true})
 	}), s.countsHere(true))
 	telling := 0
@@ -147,27 +238,25 @@
 	return MostOf(answers), float64(telling) / float64(members)
 }
 
-// write states a step as an ordinary change.
+// write states a step as an ordinary change, and waits until it is seen in this registry's own
+// setup, so that the next step is thought of after it.
 func (s *Server) write(ctx context.Context, change *schema.Change) {
-	bounded, cancel := context.WithTimeout(ctx, s.lease/session.LeaseParts)
+	bounded, cancel := context.WithTimeout(ctx, s.lease/writeParts)
 	defer cancel()
-	submitted, err := s.store.Offer(bounded, &schema.Submit{Change: change})
-	if err == nil && !submitted.Undecided && submitted.Outcome.Ruling == schema.Ruling_RULING_STALE {
+	submitted := s.offer(bounded, change)
+	if submitted.GetOutcome().GetRuling() == schema.Ruling_RULING_STALE {
 		s.stale.Add(1)
 	}
-	// The step is seen in this registry's own setup before the next one is thought of.
-	if err == nil && submitted.Outcome.GetRuling() == schema.Ruling_RULING_ACCEPTED {
-		for bounded.Err() == nil {
-			s.lock.Lock()
-			reached, moved := s.table.stable >= submitted.Outcome.Version.Sequence, s.moved
-			s.lock.Unlock()
-			if reached {
-				return
-			}
-			select {
-			case <-moved:
-			case <-bounded.Done():
-			}
+	for submitted.GetOutcome().GetRuling() == schema.Ruling_RULING_ACCEPTED && bounded.Err() == nil {
+		s.lock.Lock()
+		reached, moved := s.table.stable >= submitted.Outcome.Version.Sequence, s.moved
+		s.lock.Unlock()
+		if reached {
+			return
+		}
+		select {
+		case <-moved:
+		case <-bounded.Done():
 		}
 	}
 }
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,13 @@
 	least   time.Duration // between two steps of a plan
 	guards  map[[2]string]*guard
 	courses map[string]*course
+	sources map[sourceKey]*schema.SourceCounts
+}
+
+// sourceKey is a life of a proxy.
+type sourceKey struct {
+	proxy       string
+	incarnation uint64
 }
 
 // guard is what is known of one version under one statement of it.
@@ -82,6 +90,8 @@
 	Name  string
 	Items []*schema.Item
 	Says  string // what is worth a line in the log
+	// Urgent steps turn a version back; they wait for no other.
+	Urgent bool
 }
 
 // Due tells whether there is anything for a duty to look at.
@@ -126,7 +136,7 @@
 
 // NewDuty begins the duty anew at a seat; a plan makes at most one step in least.
 func NewDuty(options Options, seat string, least time.Duration) *Duty {
-	return &Duty{options: options, seat: seat, least: least, guards: map[[2]string]*guard{}, courses: map[string]*course{}}
+	return &Duty{options: options, seat: seat, least: least, guards: map[[2]string]*guard{}, courses: map[string]*course{}, sources: map[sourceKey]*schema.SourceCounts{}}
 }
 
 // planFor finds the plan for a version.
@@ -164,6 +174,7 @@
 // Look judges every guarded version and steers every plan by what was seen.
 func (d *Duty) Look(now time.Duration, compiled *setup.Setup, state setup.State, sight Sight) ([]Step, error) {
 	steps := standSteps(compiled, sight.Workers)
+	sight.Counts = d.remember(sight.Counts)
 	var failed error
 	for key := range d.guards {
 		if _, guarded := compiled.Statement(key[0], key[1]); !guarded && !settling(compiled, key[0], key[1]) {
@@ -219,6 +230,35 @@
 	return steps, failed
 }
 
+// remember gives what was told with what was told before of sources that nobody tells of now, so
+// that no sum falls: a registry that can't be reached takes its proxies' counts with it.
+func (d *Duty) remember(counts []*schema.SourceCounts) []*schema.SourceCounts {
+	told := map[sourceKey]bool{}
+	for i, source := range counts {
+		key := sourceKey{source.Proxy, source.Incarnation}
+		told[key] = true
+		if held := d.sources[key]; held != nil && callsOf(held) > callsOf(source) {
+			source = &schema.SourceCounts{Proxy: source.Proxy, Incarnation: source.Incarnation, Works: held.Works, Applied: source.Applied, AgoNanos: source.AgoNanos}
+			counts[i] = source
+		}
+		d.sources[key] = source
+	}
+	for key, held := range d.sources {
+		if !told[key] {
+			// What it had under way, and which setup it goes by, is not known any more.
+			counts = append(counts, &schema.SourceCounts{Proxy: held.Proxy, Incarnation: held.Incarnation, Works: held.Works, AgoNanos: math.MaxInt64})
+		}
+	}
+	return counts
+}
+
+func callsOf(source *schema.SourceCounts) (calls uint64) {
+	for _, line := range source.Works {
+		calls += line.Calls
+	}
+	return calls
+}
+
 // judge looks at one version's evidence.
 func (d *Duty) judge(held *guard, evidence Evidence, heard float64) {
 	if reason, bad := held.brake.Look(d.options, evidence, heard); bad && held.stopped == "" {
@@ -314,7 +354,7 @@
 	if before.Holder != d.seat {
 		after.Duty++
 	}
-	step := &Step{Name: planned.Name}
+	step := &Step{Name: planned.Name, Urgent: after.State == Back}
 	if moved {
 		step.Says = fmt.Sprintf("%s of %s: %s at %g %%, %v after it was stated: %s", planned.Version, planned.Service, after.State, after.Share,
 			time.Duration(after.Elapsed).Round(time.Millisecond), after.Reason)
@@ -423,7 +463,7 @@
 		after.Duty++
 	}
 	items, err := stepItems(planned, compiled, state, after)
-	return &Step{Name: planned.Name, Items: items}, err
+	return &Step{Name: planned.Name, Items: items, Urgent: after.State == Back}, err
 }
 
 // stopStep states that a version gets no calls any more.
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -40,7 +40,7 @@
 }
 
 // Defaults are the settings' presets.
-var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20, Sure: 12, FinishAt: 0.7}
+var Defaults = Options{TrialShare: 10, CallsEnough: 30, FailuresMost: 15, Excess: 0.02, Times: 2, Certain: 5, SlowTimes: 5, Steps: 20, Sure: 12, FinishAt: 0.6}
 
 // Count is what was seen of a version on a route.
 type Count struct {
