Serve first what takes least of a worker's time for its rank

Cause: with two of three workers left, calls by which other work waits (15 ms) stood behind new saves (78 ms) of the same rank: half of all pages failed after their own work was done. And a request was counted on to take twice its mean, so that slow workers turned away all that could not start at once. Now a rank is worth twice the one below, the least cost for its rank goes first, who goes first later is reckoned with by its part of the worker's time, and work counts with its own learnt spread.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -41,37 +42,60 @@
 
 // Waiter is a request that waits for its turn.
 type Waiter struct {
-	Turn  chan Turn // has room, so that nobody waits to tell it
-	ask   Ask
-	came  time.Duration
-	work  time.Duration // that it is likely to take
-	start time.Duration // when it must start at the latest to be answered in time
+	Turn   chan Turn // has room, so that nobody waits to tell it
+	ask    Ask
+	came   time.Duration
+	work   time.Duration // that it is likely to take
+	spread time.Duration // by which it may well take longer
+	start  time.Duration // when it must start at the latest to be answered in time
 }
 
-// before tells who goes first: a higher rank, then whoever must start earlier. So those whose
-// answer is wanted soon are not turned away for the sake of those who can wait.
+// cost is the worker's time that a request takes, against what its rank is worth.
+func (w *Waiter) cost() float64 { return costOf(w.work, w.ask.Rank) }
+
+func costOf(work time.Duration, rank uint32) float64 {
+	return float64(work) * math.Pow(rankTimes, float64(rank))
+}
+
+// before tells who goes first: whoever costs less of the worker's time for its rank, so that where
+// not all can be served the most are, and what other work waits for is not turned away; of a
+// kind, whoever must start earlier.
 func (w *Waiter) before(other *Waiter) bool {
-	if w.ask.Rank != other.ask.Rank {
-		return w.ask.Rank < other.ask.Rank
+	if mine, theirs := w.cost(), other.cost(); mine != theirs && (w.ask.Route != other.ask.Route || w.ask.Rank != other.ask.Rank) {
+		return mine < theirs
 	}
 	return w.start <= other.start
 }
 
-// pace is how long requests take, of late.
+// pace is how long requests take, of late, and which part of the worker's time is theirs.
 type pace struct {
-	mean  time.Duration
-	known bool
+	mean   time.Duration
+	spread time.Duration // how far from the mean they commonly are
+	known  bool
+	rank   uint32
+	part   float64
+	at     time.Duration // as of when
+}
+
+// partAt is the part of the worker's time at a moment; it fades over a span.
+func (p *pace) partAt(now, span time.Duration) float64 {
+	if span <= 0 || now <= p.at {
+		return p.part
+	}
+	return p.part * math.Exp(-float64(now-p.at)/float64(span))
 }
 
 // Ratios of the buffer.
 const (
-	overlapParts = 16 // besides one, this part of the slots is handed over ahead, to hide the way there
-	meanParts    = 8  // each answer moves the mean by this part
-	workTimes    = 2  // a request is counted on to take this many times the mean: half of them take longer than that
-	heldParts    = 4  // of the time to its aim, after which a request that waits is not sent elsewhere any more
-	easeTimes    = 2  // answers, as a multiple of what is handed over, after which one more is tried
-	unknownTimes = 2  // requests that may wait for each that runs, while it is not known how long they take
-	shortTimes   = 2  // a request is short that takes this part of the mean
+	overlapParts = 16   // besides one, this part of the slots is handed over ahead, to hide the way there
+	meanParts    = 8    // each answer moves the mean by this part
+	heldParts    = 4    // of the time to its aim, after which a request that waits is not sent elsewhere any more
+	easeTimes    = 2    // answers, as a multiple of what is handed over, after which one more is tried
+	unknownTimes = 2    // requests that may wait for each that runs, while it is not known how long they take
+	shortTimes   = 2    // a request is short that takes this part of the mean
+	rankTimes    = 2    // a rank is worth this many times the one below it
+	spanTimes    = 32   // the mean, over which it is reckoned whose the worker's time is
+	takenMost    = 0.95 // of its time that those who go first are reckoned with at the most
 	routesMost   = 1024
 )
 
@@ -92,12 +116,12 @@
 	return max(1, limit)
 }
 
-// work is how long a request of a route takes.
-func (b *Buffer) work(route string) time.Duration {
+// work is how long a request of a route takes, and by how much it may well be longer.
+func (b *Buffer) work(route string) (mean, spread time.Duration) {
 	if known := b.routes[route]; known != nil {
-		return known.mean
+		return known.mean, known.spread
 	}
-	return b.all.mean
+	return b.all.mean, b.all.spread
 }
 
 // waitOf is how long a request has to wait before which there is so much work.
@@ -105,6 +129,18 @@
 	return (b.all.mean + work) / time.Duration(b.limit())
 }
 
+// waitFor is how long a request has to wait that goes behind so much work, and behind whoever
+// comes meanwhile and goes first.
+func (b *Buffer) waitFor(now time.Duration, one *Waiter, work time.Duration) time.Duration {
+	taken, cost := 0.0, one.cost()
+	for route, known := range b.routes {
+		if route != one.ask.Route && costOf(known.mean, known.rank) < cost {
+			taken += known.partAt(now, spanTimes*b.all.mean)
+		}
+	}
+	return time.Duration(float64(b.waitOf(work)) / (1 - min(taken, takenMost)))
+}
+
 // by is when a request should be answered.
 func (a *Ask) by() time.Duration {
 	if a.Aim != 0 {
@@ -120,7 +156,7 @@
 	if one.work*shortTimes <= b.all.mean {
 		by = one.ask.Horizon
 	}
-	return now + wait + workTimes*one.work - by
+	return now + wait + one.work + one.spread - by
 }
 
 // Arrive gives a request its turn, lets it wait, or refuses it.
@@ -136,8 +172,12 @@
 		b.running++
 		return Turn{}, nil
 	}
-	fresh := &Waiter{ask: ask, came: now, work: b.work(ask.Route)}
-	fresh.start = ask.by() - workTimes*fresh.work
+	fresh := &Waiter{ask: ask, came: now}
+	fresh.work, fresh.spread = b.work(ask.Route)
+	if known := b.routes[ask.Route]; known != nil {
+		known.rank = ask.Rank
+	}
+	fresh.start = ask.by() - (fresh.work + fresh.spread)
 	place, ahead := 0, time.Duration(0)
 	for place < len(b.waiting) && b.waiting[place].before(fresh) {
 		ahead += b.waiting[place].work
@@ -147,7 +187,7 @@
 		if b.slots == 0 || place >= unknownTimes*b.limit() {
 			return Turn{Kind: defect.BufferFull}, nil
 		}
-	} else if over := b.over(now, fresh, b.waitOf(ahead)); over > 0 || b.slots == 0 {
+	} else if over := b.over(now, fresh, b.waitFor(now, fresh, ahead)); over > 0 || b.slots == 0 {
 		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}, nil
 	}
 	fresh.Turn = make(chan Turn, 1)
@@ -163,7 +203,7 @@
 func (b *Buffer) displace(now time.Duration, from int, ahead time.Duration) {
 	kept := b.waiting[:from]
 	for _, one := range b.waiting[from:] {
-		over := b.over(now, one, b.waitOf(ahead))
+		over := b.over(now, one, b.waitFor(now, one, ahead))
 		if over > 0 && now-one.came <= (one.ask.by()-one.came)/heldParts {
 			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}
 			continue
@@ -221,7 +261,7 @@
 	b.running--
 	switch result {
 	case Answered:
-		b.learn(route, took)
+		b.learn(now, route, took)
 		// After it turned something away, the worker gets one more at a time until it is full again.
 		if b.eased++; b.narrow > 0 && b.eased >= easeTimes*b.narrow {
 			b.eased = 0
@@ -235,7 +275,7 @@
 	b.next(now)
 }
 
-func (b *Buffer) learn(route string, took time.Duration) {
+func (b *Buffer) learn(now time.Duration, route string, took time.Duration) {
 	if len(b.routes) >= routesMost {
 		clear(b.routes)
 	}
@@ -248,8 +288,11 @@
 		if !one.known {
 			one.mean, one.known = took, true
 		}
+		one.spread += ((took - one.mean).Abs() - one.spread) / meanParts
 		one.mean += (took - one.mean) / meanParts
 	}
+	span := spanTimes * b.all.mean
+	own.part, own.at = own.partAt(now, span)+float64(took)/float64(b.limit())/float64(span), now
 }
 
 // next gives turns as far as there is room.
