Spare proxies news that say nothing new, and bear a stall of the own process

Where two hundred hollow proxies shared a machine that was four times overcommitted, sessions were left for silence that was the proxies' own, and each change of registry told every other proxy a source that said what the last one had said. A tie now sees by how late it is asked that its process stalled, and gives registries that time; a source's new word is passed to proxies only if it differs in more than its home and its loads.

--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -125,12 +125,28 @@
 // put takes a source's news and gives them a place in the order of all news taken here.
 func (t *Table) put(now time.Duration, source *schema.Source) {
 	t.roster.place++
-	t.sources[source.Name] = &heldSource{source: source, at: now, place: t.roster.place}
+	fresh := &heldSource{source: source, at: now, place: t.roster.place, shown: t.roster.place}
+	// A proxy that only changed its registry says nothing new to other proxies.
+	if held := t.sources[source.Name]; held != nil && sameWord(held.source, source) {
+		fresh.shown = held.shown
+	}
+	t.sources[source.Name] = fresh
 	if bare := t.roster.bare[source.Name]; bare != nil && !newerStamp(bare.source.Stamp, source.Stamp) {
 		delete(t.roster.bare, source.Name)
 	}
 }
 
+// sameWord tells whether two words of one life say the same, but for loads, which proxies learn
+// from answers.
+func sameWord(a, b *schema.Source) bool {
+	if a.Stamp.GetIncarnation() != b.Stamp.GetIncarnation() || a.Stamp.GetEnded() || b.Stamp.GetEnded() || a.Ended != b.Ended || a.Address != b.Address || a.Area != b.Area {
+		return false
+	}
+	return slices.EqualFunc(a.Workers, b.Workers, func(a, b *schema.Worker) bool {
+		return a.Instance == b.Instance && a.Service == b.Service && a.Version == b.Version && a.Area == b.Area && a.Leaving == b.Leaving && a.Gone == b.Gone && a.Slots == b.Slots
+	})
+}
+
 // Learn takes from a vector what others saw that is unknown here. A proxy that is restarted must
 // go beyond it, or whoever has it would not believe the proxy.
 func (t *Table) Learn(now time.Duration, vector map[string]*schema.Stamp) {
@@ -206,7 +222,11 @@
 	var news []*schema.Source
 	for name, held := range t.sources {
 		// A proxy knows of itself; it is told only what was said of it since, or in an earlier life.
-		if held.place > position.place && newerStamp(held.source.Stamp, position.vector[name]) && t.passesOn(position, held.source.Home) {
+		place := held.place
+		if position.peer == "" {
+			place = held.shown
+		}
+		if place > position.place && newerStamp(held.source.Stamp, position.vector[name]) && t.passesOn(position, held.source.Home) {
 			news = append(news, held.source)
 		}
 	}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -41,6 +41,7 @@
 	source *schema.Source
 	at     time.Duration
 	place  uint64 // in the order in which news were taken here
+	shown  uint64 // place from which proxies have to be told of it
 }
 
 type stableMark struct {
--- a/internal/session/tie.go
+++ b/internal/session/tie.go
@@ -33,9 +33,11 @@
 	options TieOptions
 	seeds   []string
 	places  map[string]*place
-	known   bool   // the registries told who they are
-	current string // the session that counts, empty for none
-	opening string // one that was opened to take its place
+	known   bool          // the registries told who they are
+	current string        // the session that counts, empty for none
+	opening string        // one that was opened to take its place
+	due     time.Duration // when Tick was to be called at the latest; 0 for not said
+	grace   time.Duration // until when nobody is taken to be silent or to lag, after a stall of this process
 }
 
 // place is an address where a registry is, or may be.
@@ -98,11 +100,27 @@
 // Current is the address of the session that counts, empty for none.
 func (t *Tie) Current() string { return t.current }
 
+// stallParts is the part of a beat by which a call that is late shows that this process stalled.
+const stallParts = 2
+
+// wake finds out whether this process was stalled: what came meanwhile has not been looked at
+// yet, so its own silence must not be taken for that of registries.
+func (t *Tie) wake(now time.Duration) {
+	if late := now - t.due; t.due > 0 && late > t.options.Beat/stallParts {
+		for _, held := range t.places {
+			held.begun, held.heardAt = held.begun+late, held.heardAt+late
+		}
+		t.grace = now + t.options.Beat
+	}
+	t.due = 0
+}
+
 // Heard takes a sign of life in a session, and how old the registry's setup may be.
 func (t *Tie) Heard(now time.Duration, address string, vouched bool, age time.Duration) []TieAct {
+	t.wake(now)
 	held := t.places[address]
 	if held == nil || !held.open {
-		return nil
+		return t.Tick(now)
 	}
 	held.heard, held.heardAt, held.aged, held.freshAt, held.failed = true, now, vouched, now-age, false
 	if held.lagged = t.lags(now, held); held.lagged {
@@ -113,6 +131,7 @@
 
 // Ended takes the end of a session, or that it could not be opened.
 func (t *Tie) Ended(now time.Duration, address string) []TieAct {
+	t.wake(now)
 	if held := t.places[address]; held != nil && held.open {
 		t.fail(now, held)
 	}
@@ -131,7 +150,7 @@
 
 // lags tells whether a registry's setup may be too old.
 func (t *Tie) lags(now time.Duration, held *place) bool {
-	return !held.aged || now-held.freshAt > t.options.Lag
+	return now >= t.grace && (!held.aged || now-held.freshAt > t.options.Lag)
 }
 
 // suspectTimes is how many beats may be missed before another registry is tried beside a silent one.
@@ -164,7 +183,7 @@
 func (t *Tie) class(now time.Duration, held *place) int {
 	recent := func(at time.Duration) bool { return now-at < t.options.Back }
 	failed, lagged := !held.open && held.failed, !held.open && held.lagged
-	silent := held.open && now-held.lastHeard() > time.Duration(suspectTimes*float64(t.options.Beat))
+	silent := now >= t.grace && held.open && now-held.lastHeard() > time.Duration(suspectTimes*float64(t.options.Beat))
 	switch {
 	case failed && now-held.failedAt < t.options.Beat:
 		return classFailed
@@ -224,9 +243,10 @@
 
 // Tick looks at the sessions and tells what to do.
 func (t *Tie) Tick(now time.Duration) []TieAct {
+	t.wake(now)
 	var acts []TieAct
 	for _, address := range t.sorted() {
-		if held := t.places[address]; held.open && now-held.lastHeard() >= t.options.Silence {
+		if held := t.places[address]; held.open && now >= t.grace && now-held.lastHeard() >= t.options.Silence {
 			t.fail(now, held)
 			acts = append(acts, TieAct{Address: address, Why: "silent"})
 		}
@@ -291,8 +311,12 @@
 			}
 		}
 	}
+	if t.grace > now {
+		next = min(next, t.grace)
+	}
 	if t.current == "" && t.opening == "" {
 		next = min(next, now+t.options.Beat)
 	}
+	t.due = next
 	return next
 }
--- a/internal/session/tie_test.go
+++ b/internal/session/tie_test.go
@@ -124,6 +124,15 @@
 			w.stale["b"], w.stale["c"] = 0, 0
 			w.until(45 + 3*tieOptions.Beat)
 		}, "b,c", 0},
+		"the process is stalled": {threeCores, nil, func(w *tied) {
+			w.until(21)
+			w.now = 51
+			w.until(53)
+			if len(w.open) != 1 {
+				w.log = append(w.log, "too many sessions")
+			}
+			w.until(80)
+		}, "a", 0},
 		"a dead seed is not called while others answer": {threeCores, []string{"d"}, func(w *tied) {
 			w.dead["d"] = true
 			w.until(21)
