Give the planted forgetting of claims longer worlds to be seen in

Cause: the plant shows only where a call's link is lost, a registry restarts and the key comes again, in this order.

--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -220,7 +220,7 @@
 		{PlantHasty, []string{RuleFallback, RuleOlder}, Options{}},
 		{PlantNoRecovery, []string{RuleRecovery}, Options{}},
 		{PlantNoClaims, []string{RuleTwice}, Options{Only: edges}},
-		{PlantForgets, []string{RuleTwice}, Options{Only: append([]string{"registry restarts"}, edges...), Rate: 60}},
+		{PlantForgets, []string{RuleTwice}, Options{Only: append([]string{"registry restarts"}, edges...), Rate: 60, Length: 3 * time.Minute}},
 		{PlantFalseNo, []string{RuleNotRun}, Options{Only: edges}},
 		{PlantNoSeen, []string{RuleTwice}, Options{Only: []string{"links that repeat"}}},
 		{PlantRevives, []string{RuleForked}, Options{Only: []string{"edge machine frozen", "edge machine cut off", "core cut off from some proxies"}, Changes: 300 * time.Millisecond}},
