Let callers in until they must have noticed that a proxy ends

Cause: a proxy that was told to end closed its listener after an eighth of its drain time. After it the proxy goes on while calls come, for three fourths of drain at most; then it refuses dispatches as not run, brings what it took to its end and leaves. The stages are a step function, with its test. What counts calls in flight is now one count for callers and one for dispatches, in place of a wait group added to while waited for. Ruled out: staying for the whole drain time, for while a proxy is told to end and not up again its workers are out of reach.

--- /dev/null
+++ b/internal/proxy/leave_test.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// Whoever is told to end takes calls until callers must have noticed, and longer if they go on
+// coming; then it brings what it took to its end, but never overstays.
+func TestLeavingInStages(t *testing.T) {
+	const ms = time.Millisecond
+	way := leavingOf(2000*ms, 4000*ms)
+	for name, one := range map[string]struct {
+		from     stage
+		at, last time.Duration
+		inFlight int64
+		want     stage
+	}{
+		"idle from the start":              {taking, 100 * ms, -10000 * ms, 0, taking},
+		"idle once noticed":                {taking, 2000 * ms, 500 * ms, 0, closing},
+		"a call is in flight once noticed": {taking, 2000 * ms, 500 * ms, 1, taking},
+		"one came just now":                {taking, 2000 * ms, 1900 * ms, 0, taking},
+		"the last came a while ago":        {taking, 2300 * ms, 2000 * ms, 0, closing},
+		"calls come all the time":          {taking, 2990 * ms, 2980 * ms, 5, taking},
+		"and must be stopped":              {taking, 3000 * ms, 2980 * ms, 5, closing},
+		"those taken are in flight":        {closing, 3500 * ms, 2980 * ms, 1, closing},
+		"they have ended":                  {closing, 3500 * ms, 2980 * ms, 0, over},
+		"they have not":                    {closing, 4000 * ms, 2980 * ms, 1, over},
+		"time ran out":                     {taking, 4000 * ms, 3980 * ms, 1, over},
+	} {
+		if got := way.next(one.from, one.at, one.last, one.inFlight); got != one.want {
+			t.Errorf("%s: stage %d, want %d", name, got, one.want)
+		}
+	}
+	// A notice longer than the time there is does not eat it all up.
+	if short := leavingOf(5000*ms, 4000*ms); short.next(taking, 3000*ms, 0, 0) != closing {
+		t.Error("a long notice leaves no time to close")
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,7 +34,6 @@
 	pollParts   = 2
 	sweepParts  = 4 // a proxy silent for this part of a lease, while others are heard, is dropped
 	dialParts   = 16
-	drainNotice = 8 // part of the drain time in which callers are told to close their connections
 	retryParts  = 40
 	gapParts    = session.LeaseParts     // how long after its end a lease is still waited for
 	lagParts    = 2 * session.LeaseParts // a feed this far behind is left for another
@@ -85,7 +84,8 @@
 	lookNow  chan struct{}                // the setup is another
 	asking   map[string]chan *claimTicket // claims on their way, by registry; guarded by lock
 	linked   context.Context              // ends with this proxy's links
-	inFlight sync.WaitGroup
+	lastCame atomic.Int64                 // when the last call came, since this proxy was told to end
+	closing  atomic.Bool                  // no dispatch is taken any more
 	draining *atomic.Bool
 }
 
@@ -200,37 +200,6 @@
 	}()
 }
 
-// drain stops taking calls and waits for those in flight, as long as settings allow.
-func (s *Server) drain(outward []*front, beside *fasthttp.Server) error {
-	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.Drain))
-	defer cancel()
-	// Workers here are told as leaving first, so that other proxies send elsewhere.
-	s.workers.LeaveAll()
-	// For a moment all is served as before, but each connection is given back with its answer.
-	select {
-	case <-draining.Done():
-	case <-time.After(time.Duration(s.options.Drain) / drainNotice):
-	}
-	var first error
-	for _, one := range outward {
-		if !one.finish(draining.Done()) && first == nil {
-			first = defect.New(defect.Draining, "calls still in flight at the end of the drain time")
-		}
-	}
-	_ = beside.ShutdownWithContext(draining)
-	done := make(chan struct{})
-	go func() {
-		s.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-draining.Done():
-	}
-	s.farewell()
-	return first
-}
-
 func (s *Server) now() time.Duration { return time.Since(s.started) }
 
 func (s *Server) view() *plan.View { return s.journal.View().view }
@@ -276,14 +245,15 @@
 
 // Run serves a dispatch from another proxy.
 func (s *Server) Run(ctx context.Context, carry *schema.Carry) (*schema.Carried, error) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Done()
-	// Beyond the bound a dispatch is refused unrun.
-	if s.hops.Add(1) > s.options.Buffer {
-		s.hops.Add(-1)
+	s.came()
+	defer s.hops.Add(-1)
+	switch inFlight := s.hops.Add(1); {
+	// Beyond the bound a dispatch is refused unrun, and so it is once this proxy is about to end.
+	case inFlight > s.options.Buffer:
 		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.BufferFull)}, nil
+	case s.closing.Load():
+		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.Draining)}, nil
 	}
-	defer s.hops.Add(-1)
 	return s.runner.Run(ctx, link.PeerOf(ctx), carry), nil
 }
 
@@ -439,8 +409,7 @@
 	if taken.Request.Asked > 0 {
 		taken.Request.Asked = max(1, taken.Request.Asked-time.Since(came))
 	}
-	s.inFlight.Add(1)
-	defer s.inFlight.Done()
+	s.came()
 	defer s.calls.Add(-1)
 	if s.calls.Add(1) > s.options.Buffer {
 		s.refuse(head, defect.New(defect.BufferFull, "too many calls in flight"), notRun, reply)
