Play the core alone: seats that join, give way and come back empty, by given versions

It found: a seat that was taken out while it had promised an epoch no holder has could never be kept level, so no place was filled by it. Its promise must not be dropped (with five seats, a vote it gave could be counted beside what it acknowledges later), so it becomes another seat, empty. And a seat was taken out although another was being lost unnoticed; now as many as are needed must have been heard just now. Seats tick when they want to, as under the daemon.

A place taken by the seats made a new mesh look used, and its keys were refused for a key window: a barrier now tells whether anything was ever stated.

--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -229,7 +229,7 @@
 		back, err := s.store.Stand(bounded, &schema.Nothing{})
 		cancel()
 		if err == nil && !back.Undecided {
-			if back.Stable == 0 {
+			if back.Unused {
 				s.lock.Lock()
 				s.claims.Unused()
 				s.lock.Unlock()
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -17,12 +17,16 @@
 type seatNode struct {
 	machine
 	seat        *store.Seat
+	options     store.Options
 	incarnation uint64
 	disk        []*schema.Record // synced
 	writing     []store.Persist
 	stalledTo   time.Duration
+	refusesTo   time.Duration
 	slowBy      time.Duration // added to every sync at most
+	wakesAt     time.Duration // by its own clock
 	tickets     map[string]func(any)
+	lost, gone  bool // of a core alone: taken by a fault, or away for good
 }
 
 type registryNode struct {
@@ -43,23 +47,57 @@
 
 // ---- stores ----
 
+func seatOptions(name string, order []string, losses int) store.Options {
+	return store.Options{Name: name, Order: order, Address: name, Losses: losses, Silence: silence, Stall: stall,
+		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64, DroppedMost: 64}
+}
+
 func (w *World) startSeat(node *seatNode) {
 	w.rise(&node.machine)
-	node.writing, node.tickets = nil, map[string]func(any){}
-	name := node.name[len("store-"):]
-	options := store.Options{Name: name, Order: []string{"a", "b", "c"}, Address: name, Losses: 1, Silence: silence, Stall: stall,
-		EntriesMost: 16, OutcomesMost: 4096, BufferMost: 64, DroppedMost: 64}
+	node.writing, node.tickets, node.wakesAt = nil, map[string]func(any){}, 0
+	node.options.Draw = func() uint64 { return uint64(w.next()) }
+	options := node.options
 	if len(node.disk) == 0 {
 		// The planted fault lets an empty folder pass for the one that was lost.
 		if w.plant != PlantAmnesia || node.incarnation == 0 {
 			node.incarnation = uint64(w.next())
 		} else {
-			options.Founders = options.Order
+			options.Founders, options.Raise = seatsOf(node.seat), false
 		}
 		node.disk = []*schema.Record{store.Birth(options, node.incarnation)}
+		// Only the first start of all founds anything.
+		node.options.Founders, node.options.Raise = nil, false
 	}
 	node.seat = store.NewSeat(options, node.incarnation, node.disk)
-	w.every(&node.machine, tick, func() { w.act(node, node.seat.Tick(node.clock.at(w.now))) })
+	w.on(&node.machine, 0, func() { w.tick(node) })
+}
+
+// seatsOf names the seats as one of them knows them.
+func seatsOf(seat *store.Seat) (names []string) {
+	for _, one := range seat.Status().Seats.GetSeats() {
+		names = append(names, one.Seat)
+	}
+	return names
+}
+
+func (w *World) tick(node *seatNode) {
+	node.wakesAt = 0
+	w.act(node, node.seat.Tick(node.clock.at(w.now)))
+}
+
+// rouse lets a seat tick when it wants to, as its daemon does.
+func (w *World) rouse(node *seatNode) {
+	at := node.seat.Wakes()
+	if node.wakesAt != 0 && at >= node.wakesAt {
+		return
+	}
+	node.wakesAt = at
+	left := time.Duration(float64(at-node.clock.at(w.now)) / node.clock.rate)
+	w.on(&node.machine, max(left, time.Microsecond), func() {
+		if node.wakesAt == at {
+			w.tick(node)
+		}
+	})
 }
 
 func (w *World) seatCalled(name string) *seatNode {
@@ -76,6 +114,9 @@
 		switch one := action.(type) {
 		case store.Send:
 			to := w.seatCalled(one.Letter.To)
+			if to == nil {
+				continue
+			}
 			letter := proto.Clone(one.Letter).(*schema.SeatLetter)
 			w.deliver(&node.machine, &to.machine, func() { w.act(to, to.seat.Deliver(to.clock.at(w.now), letter)) })
 		case store.Persist:
@@ -90,6 +131,7 @@
 			w.end(node, one.Back.Ticket, one.Back)
 		}
 	}
+	w.rouse(node)
 	w.observeSeat(node)
 }
 
@@ -111,6 +153,10 @@
 			w.sync(node)
 			return
 		}
+		if node.refusesTo > w.now {
+			w.refuse(node)
+			return
+		}
 		done := node.writing[0]
 		node.writing = node.writing[1:]
 		w.keep(node, done)
@@ -121,6 +167,15 @@
 	})
 }
 
+// refuse is what the daemon does of a disk that refuses a write.
+func (w *World) refuse(node *seatNode) {
+	w.act(node, node.seat.DiskFailed(node.clock.at(w.now)))
+	w.on(&node.machine, stall/8, func() {
+		node.writing = nil
+		w.act(node, node.seat.Rewrite(node.clock.at(w.now)))
+	})
+}
+
 // keep puts a record on the disk for good.
 func (w *World) keep(node *seatNode, one store.Persist) {
 	if one.Whole {
@@ -189,7 +244,7 @@
 				return
 			}
 			asked = true
-			if back.Stable == 0 {
+			if back.Unused {
 				node.claims.Unused()
 			}
 			w.every(&node.machine, poll, func() {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -62,7 +62,6 @@
 	keyWindow = 12 * lease
 	silence   = 1500 * time.Millisecond
 	stall     = 2 * time.Second
-	tick      = 75 * time.Millisecond
 	poll      = 50 * time.Millisecond
 	recovery  = 15 * time.Second
 	seatCount = 3
@@ -135,6 +134,8 @@
 	Skip map[int]bool
 	// Free draws only faults that may turn nobody away, one at a time.
 	Free bool
+	// Bare has no machines to begin with.
+	Bare bool
 	// Quiet has no faults at all.
 	Quiet bool
 	// Changes is the mean pause between two changes of operators; 0 for the usual half second.
@@ -177,8 +178,11 @@
 		places: map[string]*workerNode{}, ills: map[[2]string]*Illness{}, Options: options}
 	w.History = &History{shown: map[string][]shown{}, orders: map[uint64]string{}, markers: map[string]bool{}, rulings: map[string]schema.Ruling{}, last: map[string]uint64{}, lives: map[string]int{},
 		ops: map[string]*op{}, left: map[string]time.Duration{}, setups: map[uint64]*setup.Setup{}, Away: map[string]int{}, world: w}
+	if options.Bare {
+		return w
+	}
 	for i := range seatCount {
-		w.seats = append(w.seats, &seatNode{machine: w.machine("store-" + seatName(i))})
+		w.seats = append(w.seats, &seatNode{machine: w.machine("store-" + seatName(i)), options: seatOptions(seatName(i), []string{"a", "b", "c"}, 1)})
 	}
 	for i := range seatCount {
 		w.regs = append(w.regs, &registryNode{machine: w.machine("registry-" + seatName(i)), beside: w.seats[i]})
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -167,7 +167,7 @@
 			}
 		}
 		if confirmed >= s.majority() {
-			s.answerBarrier(one.waiter, &schema.BarrierBack{Ticket: one.ticket, Stable: s.stable})
+			s.answerBarrier(one.waiter, &schema.BarrierBack{Ticket: one.ticket, Stable: s.stable, Unused: len(s.stableState) == 0})
 		} else {
 			left = append(left, one)
 		}
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -139,7 +139,7 @@
 // seatOptionsOf makes a seat's options. Without an order seats are named by their IPs, and the
 // seeds are the first seats where all of them start for the first time.
 func seatOptionsOf(given *schema.StoreOptions) Options {
-	made := Options{Name: given.Seat, Order: options.List(given.Order), Address: given.Advertise, Losses: int(given.Losses),
+	made := Options{Name: given.Seat, Order: options.List(given.Order), Address: given.Advertise, Losses: int(given.Losses), Draw: draw,
 		Silence: time.Duration(given.Silence), Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost),
 		OutcomesMost: int(given.OutcomesMost), BufferMost: int(given.Buffer), DroppedMost: int(given.DroppedMost)}
 	if made.Address == "" {
@@ -162,6 +162,9 @@
 	return made
 }
 
+// draw draws an incarnation: there is nobody to ask, and only whether two are equal matters.
+func draw() uint64 { return 1 + rand.Uint64N(math.MaxUint64-1) }
+
 // openDisk opens the log, and writes the first record of an empty one. A disk that refuses is
 // asked again until ctx ends; then it gives nil.
 func openDisk(ctx context.Context, log logr.Logger, given *schema.StoreOptions, seat Options, under func(Log) Log) (Log, []*schema.Record) {
@@ -193,8 +196,7 @@
 	}
 	disk := under(opened)
 	if len(records) == 0 {
-		// The incarnation is drawn, for there is nobody to ask: only whether two are equal matters.
-		records = []*schema.Record{Birth(seat, 1+rand.Uint64N(math.MaxUint64-1))}
+		records = []*schema.Record{Birth(seat, draw())}
 		if err := disk.Write(records, true); err != nil {
 			disk.Close()
 			return nil, nil, err
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -361,10 +361,10 @@
 	s.phase, s.phaseAt = campaigning, s.now
 	s.promise(epoch, s.options.Name)
 	for _, known := range s.peers {
-		known.vote, known.epoch, known.acked, known.sent, known.confirmed = nil, 0, 0, 0, 0
+		known.vote, known.tells, known.epoch, known.acked, known.sent, known.confirmed = nil, false, 0, 0, 0, 0
 	}
 	for _, known := range s.guests {
-		known.epoch, known.acked, known.sent = 0, 0, 0
+		known.tells, known.epoch, known.acked, known.sent = false, 0, 0, 0
 	}
 	then := afterSync{promise: epoch}
 	for _, name := range s.others {
@@ -420,7 +420,7 @@
 		return
 	}
 	if s.phase == campaigning && promised.Epoch == s.promised {
-		known.vote, known.have = promised, promised.Have
+		known.vote, known.have, known.tells = promised, promised.Have, true
 		s.tally()
 	}
 }
@@ -530,13 +530,17 @@
 // what the epoch began with here, else with the whole state, which may be large.
 func (s *Seat) install(name string, known *peer) {
 	install := &schema.Install{Epoch: s.epoch}
-	if have := known.have; have != nil && s.upon != nil && have.Epoch == s.upon.Epoch && have.Sequence <= s.upon.Sequence && have.Sequence >= s.baseSeq && s.upon.Epoch != s.epoch {
+	have := known.have
+	within := have != nil && s.upon.Epoch != s.epoch && have.Epoch == s.upon.Epoch && have.Sequence <= s.upon.Sequence && have.Sequence >= s.baseSeq
+	switch {
+	case within:
 		install.Upon, install.Entries = have, s.entries[have.Sequence-s.baseSeq:]
-	} else {
-		// It may be under way still.
-		if known.wholeAt != 0 && s.now-known.wholeAt < s.options.Silence && known.sent != 0 {
-			return
-		}
+	case !known.tells && s.upon.Epoch != s.epoch && s.upon.Sequence >= s.baseSeq:
+		// What it held may be long ago: it is asked by trying, before much is sent.
+		install.Upon, install.Entries = s.upon, s.entries[s.upon.Sequence-s.baseSeq:]
+	case known.wholeAt != 0 && s.now-known.wholeAt < s.options.Silence && known.sent != 0:
+		return // it may be under way still
+	default:
 		install.Digest, known.wholeAt = s.digest(), s.now
 	}
 	s.send(name, &schema.SeatLetter{Body: &schema.SeatLetter_Install{Install: install}})
@@ -557,6 +561,10 @@
 }
 
 func (s *Seat) onInstall(from string, install *schema.Install) {
+	if install.Epoch < s.promised && s.takenOut() {
+		s.renew()
+		return
+	}
 	if install.Epoch < s.promised {
 		s.refuse(from)
 		return
@@ -615,9 +623,12 @@
 		return
 	}
 	if synced.Epoch != s.epoch {
-		// It lacks this epoch's beginning; the next resend brings it, upon what it holds.
-		if known.have = synced.Have; known.have.GetEpoch() == s.epoch {
-			known.have = nil
+		// It lacks this epoch's beginning, and gets it upon what it says that it holds.
+		if told := synced.Have; told != nil && told.Epoch != s.epoch {
+			again := known.tells && known.have.GetEpoch() == told.Epoch && known.have.GetSequence() == told.Sequence
+			if known.tells, known.have = true, told; !again {
+				s.feed(from, known)
+			}
 		}
 		return
 	}
@@ -643,13 +654,14 @@
 			reached = append(reached, known.acked)
 		}
 	}
-	if len(reached) < s.needed() {
+	needed := neededOf(s.set, s.options.Losses)
+	if len(reached) < needed {
 		return
 	}
 	slices.Sort(reached)
 	s.phase = active
 	before, beforeEpoch := s.stable, s.stableEpoch
-	s.advance(reached[len(reached)-s.needed()])
+	s.advance(reached[len(reached)-needed])
 	// Followers show a change only once they know it is stable, so they are told at once.
 	if s.stable != before || s.stableEpoch != beforeEpoch {
 		s.feedAll()
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -40,11 +40,12 @@
 type Options struct {
 	Name         string
 	Address      string
-	Order        []string // all seats, where an operator orders them
-	Founders     []string // the first seats, at the first start of all without an order
-	Seeds        []string // whom a seat asks that has no place among the seats
-	Raise        bool     // first start of all, and not a founder: one seat more is wanted
-	Losses       int      // disks that may be lost at once
+	Order        []string      // all seats, where an operator orders them
+	Founders     []string      // the first seats, at the first start of all without an order
+	Seeds        []string      // whom a seat asks that has no place among the seats
+	Raise        bool          // first start of all, and not a founder: one seat more is wanted
+	Losses       int           // disks that may be lost at once
+	Draw         func() uint64 // an incarnation that no other folder has
 	Silence      time.Duration
 	Stall        time.Duration
 	EntriesMost  int
@@ -99,7 +100,8 @@
 	inShort     int
 	// what a candidate or the holder knows of it under its epoch
 	epoch, acked, sent uint64
-	have               *schema.Version // what it held when last told; a hint
+	have               *schema.Version // what it held when it was last told of; a hint
+	tells              bool            // it told so itself under this epoch
 	wholeAt            time.Duration   // when the whole state was last sent to it
 	vote               *schema.Promised
 	confirmed          uint64
--- a/internal/store/seat_test.go
+++ b/internal/store/seat_test.go
@@ -17,16 +17,20 @@
 	replies map[string]*schema.Submitted // by ticket
 	stalled string                       // the seat whose disk does not come back
 	waiting []Persist                    // on it
+	order   []string                     // in which they tick
+	disks   map[string][]*schema.Record
+	sent    int // bytes of letters
+	wholes  int // letters with a whole state in them
 }
 
 var trioOrder = []string{"a", "b", "c"}
 
 func trioOptions(name string) Options {
-	return Options{Name: name, Order: trioOrder, Address: name, Silence: 1500 * time.Millisecond, Stall: 2 * time.Second, EntriesMost: 8, OutcomesMost: 64, BufferMost: 16}
+	return Options{Name: name, Order: trioOrder, Address: name, Silence: 1500 * time.Millisecond, Stall: 2 * time.Second, EntriesMost: 8, OutcomesMost: 64, BufferMost: 16, DroppedMost: 12}
 }
 
 func newTrio() *trio {
-	made := &trio{seats: map[string]*Seat{}, down: map[string]bool{}, replies: map[string]*schema.Submitted{}}
+	made := &trio{seats: map[string]*Seat{}, down: map[string]bool{}, replies: map[string]*schema.Submitted{}, order: trioOrder, disks: map[string][]*schema.Record{}}
 	for i, name := range trioOrder {
 		made.seats[name] = NewSeat(trioOptions(name), uint64(i+1), nil)
 	}
@@ -37,13 +41,21 @@
 	for _, action := range actions {
 		switch one := action.(type) {
 		case Send:
-			if to := one.Letter.To; !w.down[to] && !w.down[from] {
+			w.sent += proto.Size(one.Letter)
+			if one.Letter.GetInstall().GetDigest() != nil || one.Letter.GetPromised().GetDigest() != nil {
+				w.wholes++
+			}
+			if to := one.Letter.To; w.seats[to] != nil && !w.down[to] && !w.down[from] {
 				w.act(to, w.seats[to].Deliver(w.now, proto.Clone(one.Letter).(*schema.SeatLetter)))
 			}
 		case Persist:
 			if from == w.stalled {
 				w.waiting = append(w.waiting, one)
 			} else {
+				if one.Whole {
+					w.disks[from] = nil
+				}
+				w.disks[from] = append(w.disks[from], one.Record)
 				w.act(from, w.seats[from].Synced(w.now, one.Mark))
 			}
 		case Reply:
@@ -55,7 +67,7 @@
 // pass lets time go by, each seat ticking as often as its daemon lets it.
 func (w *trio) pass(span time.Duration) {
 	for end := w.now + span; w.now < end; w.now += 75 * time.Millisecond {
-		for _, name := range trioOrder {
+		for _, name := range w.order {
 			if !w.down[name] {
 				w.act(name, w.seats[name].Tick(w.now))
 			}
--- a/internal/store/seats.go
+++ b/internal/store/seats.go
@@ -22,6 +22,7 @@
 // Ratios to the silence bound and to the entries kept.
 const (
 	retireSilences = 2 // a seat unheard for so long gives its place to one that stands ready
+	freshParts     = 2 // of the silence bound within which those must have been heard that are needed
 	lagParts       = 8 // of the entries kept that one may lack and yet be ready
 )
 
@@ -77,9 +78,9 @@
 
 func (s *Seat) majority() int { return len(s.set.Seats)/2 + 1 }
 
-// needed is how many synced copies make a change stable.
-func (s *Seat) needed() int {
-	return max(s.majority(), min(s.options.Losses+1, len(s.set.Seats)))
+// neededOf is how many synced copies make a change stable: a majority, and one more than may be lost.
+func neededOf(seats *schema.Seats, losses int) int {
+	return max(len(seats.Seats)/2+1, min(losses+1, len(seats.Seats)))
 }
 
 // reseat lets the peers be those of the seats taken.
@@ -236,6 +237,31 @@
 	s.tend()
 }
 
+// renew lets this seat be another one, empty, of the same name. It is for a seat that was taken
+// out while it was away and has since promised an epoch that no holder has: it could never be
+// kept level again, and a promise must not be taken back. What it has said of before stays with
+// its old incarnation, which counts for nothing: it was taken out after all that it holds.
+func (s *Seat) renew() {
+	options := s.options
+	options.Founders, options.Raise = nil, false
+	birth := Birth(options, options.Draw())
+	fresh := NewSeat(options, 0, []*schema.Record{birth})
+	fresh.addresses, fresh.toldSet, fresh.joins = s.addresses, s.toldSet, true
+	fresh.born, fresh.bornAt, fresh.now, fresh.actions = true, s.bornAt, s.now, s.actions
+	// Nothing is said any more of what the old one still had to sync.
+	fresh.nextMark, fresh.sentOn = s.nextMark, s.sentOn
+	*s = *fresh
+	s.nextMark++
+	s.pending = append(s.pending, afterSync{mark: s.nextMark, at: s.now})
+	s.actions = append(s.actions, Persist{Mark: s.nextMark, Record: birth, Whole: true})
+	s.knock()
+}
+
+// takenOut tells whether this seat was taken out after all that it holds.
+func (s *Seat) takenOut() bool {
+	return s.toldSet != nil && !lists(s.toldSet, s.options.Name, s.incarnation, s.founder) && setup.Newer(s.toldSet.Taken, s.holds())
+}
+
 // learners are those that are kept level by the holder though they have no seat.
 func (s *Seat) learners() []string {
 	var names []string
@@ -268,7 +294,7 @@
 		switch {
 		case placeIn(s.set, name) >= 0:
 			// Its folder of before is gone: it no longer counts for what was on it.
-			s.change(without(s.set, name))
+			s.takeOut(name)
 		case guest.raise:
 			raised := with(s.set, seat)
 			raised.Wanted++
@@ -276,16 +302,29 @@
 		case len(s.set.Seats) < int(s.set.Wanted):
 			s.change(with(s.set, seat))
 		default:
-			silent := s.silent()
-			if silent == "" {
-				return
+			if silent := s.silent(); silent != "" {
+				s.takeOut(silent)
 			}
-			s.change(without(s.set, silent))
 		}
 		return
 	}
 }
 
+// takeOut lets a seat count no more, if as many of the others as are then needed were heard just
+// now: fewer seats need each other more, so it is not done while another is being lost.
+func (s *Seat) takeOut(name string) {
+	left := without(s.set, name)
+	heard := 1
+	for _, other := range s.others {
+		if known := s.peers[other]; other != name && known.heard && s.now-known.heardAt <= s.options.Silence/freshParts {
+			heard++
+		}
+	}
+	if heard >= neededOf(left, s.options.Losses) {
+		s.change(left)
+	}
+}
+
 // placeOf is where a seat is reached, if seats are found by that and not by an order.
 func (s *Seat) placeOf(name string) string {
 	if len(s.options.Order) > 0 {
