--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -202,6 +202,14 @@
 		return nil, err
 	}
 	say("setup of %d services and %d routes is founded", given.Services, given.Routes)
+	if err := core.addReal(given); err != nil {
+		return nil, err
+	}
+	for _, process := range core.Proxies {
+		if err := process.Start(); err != nil {
+			return nil, err
+		}
+	}
 	memoryBefore := memoryHeld()
 	fleet, err := newHollowFleet(given, core, now)
 	if err != nil {
--- a/internal/rehearsal/hollow_core.go
+++ b/internal/rehearsal/hollow_core.go
@@ -157,9 +157,15 @@
 	traffic  link.Traffic
 }
 
-// probe looks at one process.
+// realProxy is the role of proxies that are processes, where hollow ones are the proxies.
+const realProxy = "real proxy"
+
+// look looks at one process.
 func (p *Process) look() probed {
 	role, name, _ := strings.Cut(p.Name, "/")
+	if role == "proxy" {
+		role = realProxy
+	}
 	seen, sample := probed{role: role, name: name}, Sample{}
 	p.measure(&sample)
 	seen.memoryKB, seen.diskKB = sample.MemoryKB, sample.DiskKB
@@ -202,3 +208,20 @@
 	}
 	return 0
 }
+
+// addReal lays out real proxies, at the places after the hollow ones.
+func (f *Fleet) addReal(given *schema.HollowOptions) error {
+	for i := range int(given.Real) {
+		callers := []string{clientKind}
+		settings, err := f.edgeSettings(given.Mode, int(given.Members)+i, callers, max(sourcesLeast, 2*given.Members))
+		if err != nil {
+			return err
+		}
+		made, err := f.process("proxy", settings["name"], callers, settings["probe-listen"], settings)
+		if err != nil {
+			return err
+		}
+		f.Proxies = append(f.Proxies, made)
+	}
+	return nil
+}
