Take a call to two workers without room, not to all

Conclusion: those asked first are those with the most room by all that is known; two that tell when they will have room speak for the others.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -212,11 +212,15 @@
 	return false
 }
 
+// fullMost is how many workers without room a call is taken to.
+const fullMost = 2
+
 // round is one call's way through its candidates.
 type round struct {
 	last   *schema.Carried // how it ended last; once unknown, it stays that
 	failed map[string]bool // instances not to be tried again
-	back   int64           // the soonest that any who refused expects room, 0 for not told
+	full   int             // how many told when they will have room
+	back   int64           // the soonest that any of these has room, 0 for not told
 }
 
 // end is how the whole call ends if it ends now: once a dispatch ended unknown, no later
@@ -248,7 +252,11 @@
 	if r.last.Ending != schema.Ending_ENDING_UNKNOWN {
 		r.last = carried
 	}
-	if carried.BackNanos > 0 && (r.back == 0 || carried.BackNanos < r.back) {
+	if carried.BackNanos <= 0 {
+		return
+	}
+	r.full++
+	if r.back == 0 || carried.BackNanos < r.back {
 		r.back = carried.BackNanos
 	}
 }
@@ -340,6 +348,11 @@
 				break
 			}
 			r.fail(candidate.Instance)
+			// Whoever is asked first has the most room by all that is known. If some of these tell
+			// that they have none, the others have none either, and are kept free of being asked.
+			if r.full >= fullMost {
+				return r.final(), ""
+			}
 		}
 		// Nobody is left to try: news of other workers may be on its way.
 		if !replan && !c.awaitOthers(ctx, ended, r, began, pinned) {
