Bound how long a call waits for a worker that ends nothing

Cause: what waits is reckoned by the worker's mean, which says nothing once the worker hangs; a call then waited out its whole time, when nobody else could do anything for it any more. Ruled out: turning away all that waits when the worker stalls, which long work would bring about. Before: up to the horizon. After: three eighths of the time left, and a worker that is full and has ended nothing for a while is taken to go on so for as long again.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -20,7 +20,8 @@
 	narrow  int // handed over at once since the worker turned something away, 0 for no such bound
 	eased   int // answers since then
 	running int
-	waiting []*Waiter // by rank, then by when each must start
+	moved   time.Duration // when something was handed over or ended last
+	waiting []*Waiter     // by rank, then by when each must start
 	shut    defect.Kind
 	all     pace
 	routes  map[string]*pace
@@ -96,6 +97,8 @@
 	rankTimes    = 2    // a rank is worth this many times the one below it
 	spanTimes    = 32   // the mean, over which it is reckoned whose the worker's time is
 	takenMost    = 0.95 // of its time that those who go first are reckoned with at the most
+	waitTimes    = 3    // parts of the time left, out of the next number, that a request waits at the most
+	waitOutOf    = 8
 	routesMost   = 1024
 )
 
@@ -124,9 +127,10 @@
 	return b.all.mean, b.all.spread
 }
 
-// waitOf is how long a request has to wait before which there is so much work.
-func (b *Buffer) waitOf(work time.Duration) time.Duration {
-	return (b.all.mean + work) / time.Duration(b.limit())
+// waitOf is how long a request has to wait before which there is so much work. A worker that is
+// full and ends nothing may go on so for as long as it has already.
+func (b *Buffer) waitOf(now, work time.Duration) time.Duration {
+	return max((b.all.mean+work)/time.Duration(b.limit()), now-b.moved)
 }
 
 // waitFor is how long a request has to wait that goes behind so much work, and behind whoever
@@ -138,7 +142,7 @@
 			taken += known.partAt(now, spanTimes*b.all.mean)
 		}
 	}
-	return time.Duration(float64(b.waitOf(work)) / (1 - min(taken, takenMost)))
+	return time.Duration(float64(b.waitOf(now, work)) / (1 - min(taken, takenMost)))
 }
 
 // by is when a request should be answered.
@@ -169,7 +173,7 @@
 	case now >= ask.Horizon:
 		return Turn{Kind: defect.HorizonPast}, nil
 	case b.running < b.limit() && len(b.waiting) == 0:
-		b.running++
+		b.running, b.moved = b.running+1, now
 		return Turn{}, nil
 	}
 	fresh := &Waiter{ask: ask, came: now}
@@ -188,7 +192,7 @@
 			return Turn{Kind: defect.BufferFull}, nil
 		}
 	} else if over := b.over(now, fresh, b.waitFor(now, fresh, ahead)); over > 0 || b.slots == 0 {
-		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}, nil
+		return Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(now, 0))}, nil
 	}
 	fresh.Turn = make(chan Turn, 1)
 	b.waiting = append(b.waiting, nil)
@@ -205,7 +209,7 @@
 	for _, one := range b.waiting[from:] {
 		over := b.over(now, one, b.waitFor(now, one, ahead))
 		if over > 0 && now-one.came <= (one.ask.by()-one.came)/heldParts {
-			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(0))}
+			one.Turn <- Turn{Kind: defect.BufferFull, Back: max(over, b.waitOf(now, 0))}
 			continue
 		}
 		kept, ahead = append(kept, one), ahead+one.work
@@ -228,18 +232,21 @@
 	return false
 }
 
-// Await waits for a request's turn for as long as that is worth anything.
+// Await waits for a request's turn, but not for so much of the time left that nobody else could
+// do anything with the rest.
 func (b *Buffer) Await(ctx context.Context, one *Waiter, left time.Duration) Turn {
-	timer := time.NewTimer(left)
+	timer := time.NewTimer(left * waitTimes / waitOutOf)
 	defer timer.Stop()
+	gone := Turn{Kind: defect.BufferFull, Back: one.work}
 	select {
 	case turn := <-one.Turn:
 		return turn
 	case <-ctx.Done():
+		gone = Turn{Kind: defect.HorizonPast}
 	case <-timer.C:
 	}
 	if b.Leave(one) {
-		return Turn{Kind: defect.HorizonPast}
+		return gone
 	}
 	return <-one.Turn
 }
@@ -258,7 +265,7 @@
 func (b *Buffer) End(now time.Duration, route string, result Result, took time.Duration) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.running--
+	b.running, b.moved = b.running-1, now
 	switch result {
 	case Answered:
 		b.learn(now, route, took)
@@ -305,7 +312,7 @@
 			first.Turn <- Turn{Kind: defect.HorizonPast}
 			continue
 		}
-		b.running++
+		b.running, b.moved = b.running+1, now
 		first.Turn <- Turn{}
 	}
 }
--- a/internal/dispatch/buffer_test.go
+++ b/internal/dispatch/buffer_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"meadowhinge/internal/defect"
@@ -179,6 +180,17 @@
 			p.now = 30 * ms
 			p.end(Answered)
 		}, "a goes, b goes, c HORIZON_PAST 0s, d goes"},
+		"a worker that ends nothing": {func(p *play) {
+			p.arrive("a", 0, 0, time.Second)
+			p.arrive("b", 0, 0, time.Second)
+			p.now = 15 * ms
+			p.arrive("c", 0, 45*ms, time.Second)
+			p.now = 30 * ms
+			p.arrive("d", 0, 65*ms, time.Second)
+			p.end(Answered)
+			p.arrive("e", 0, 65*ms, time.Second)
+			p.end(Answered)
+		}, "a goes, b goes, d BUFFER_FULL 30ms, c goes, e goes"},
 		"the worker leaves": {func(p *play) {
 			for _, name := range []string{"a", "b", "c"} {
 				p.arrive(name, 0, 0, time.Second)
@@ -306,3 +318,20 @@
 	}
 	t.Logf("%d orders", sound.Orders)
 }
+
+// Nobody waits for so long that the rest of the time is of no use to anybody else.
+func TestNobodyWaitsToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		buffer, began := NewBuffer(1, 8), time.Now()
+		buffer.learn(0, "", ms)
+		buffer.Arrive(0, Ask{Horizon: time.Second})
+		_, waiter := buffer.Arrive(0, Ask{Horizon: time.Second})
+		turn := buffer.Await(t.Context(), waiter, time.Second)
+		if took := time.Since(began); turn.Kind != defect.BufferFull || took > time.Second/2 {
+			t.Errorf("told %s after %v", turn.Kind, took)
+		}
+		if running, waiting, _ := buffer.Load(); running != 1 || waiting != 0 {
+			t.Errorf("%d run and %d wait", running, waiting)
+		}
+	})
+}
