--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -7,17 +7,18 @@
 	"time"
 )
 
-// The window in which extra tries are bounded, and how finely it is kept. One slot more
-// than the window is counted, so that no ten seconds anywhere exceed the bound.
-const (
-	window      = 10 * time.Second
-	windowSlots = 10
-)
+// BudgetWindow is the preset of the window in which extra tries are bounded.
+const BudgetWindow = 10 * time.Second
+
+// How finely the window is kept. One slot more than it has is counted, so that no window
+// anywhere exceeds the bound.
+const windowSlots = 10
 
 // Budget bounds extra tries against a service's own calls in any window.
 type Budget struct {
 	lock  sync.Mutex
 	ratio float64
+	span  time.Duration // length of one slot
 	slots [windowSlots + 1]struct {
 		number int64
 		calls  float64
@@ -25,8 +26,13 @@
 	}
 }
 
-// NewBudget makes a budget of a ratio of calls.
-func NewBudget(ratio float64) *Budget { return &Budget{ratio: ratio} }
+// NewBudget makes a budget of a ratio of calls in any window; 0 for the preset.
+func NewBudget(ratio float64, window time.Duration) *Budget {
+	if window <= 0 {
+		window = BudgetWindow
+	}
+	return &Budget{ratio: ratio, span: window / windowSlots}
+}
 
 // Call notes a call of a caller.
 func (b *Budget) Call(now time.Duration) {
@@ -40,7 +46,7 @@
 	calls  float64
 	extras float64
 } {
-	number := int64(now / (window / windowSlots))
+	number := int64(now / b.span)
 	slot := &b.slots[number%int64(len(b.slots))]
 	if slot.number != number {
 		slot.number, slot.calls, slot.extras = number, 0, 0
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -73,6 +73,8 @@
 	Tally      *Tally
 	ExtraRatio float64
 	ExtraFloor float64
+	// ExtraWindow is the time in which extra tries are bounded, 0 for the preset.
+	ExtraWindow time.Duration
 	// Claim asks the registries for an idempotency key, or lets one go.
 	Claim Claimer
 	// ClaimPause is how long a refusal may wait for its claim to be let go.
@@ -192,7 +194,7 @@
 }
 
 func (c *Carrier) budget(service string) *Budget {
-	budget, _ := c.budgets.LoadOrCompute(service, func() (*Budget, bool) { return NewBudget(c.ExtraRatio), false })
+	budget, _ := c.budgets.LoadOrCompute(service, func() (*Budget, bool) { return NewBudget(c.ExtraRatio, c.ExtraWindow), false })
 	return budget
 }
 
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -136,7 +136,7 @@
 
 // sum adds up the slots that are not too old.
 func (w *trialWindow) sum(now time.Duration) (calls, failures float64, spent time.Duration) {
-	number := int64(now / (window / windowSlots))
+	number := int64(now / (BudgetWindow / windowSlots))
 	for _, slot := range w.slots {
 		if number-slot.number < windowSlots {
 			calls, failures, spent = calls+slot.calls, failures+slot.failures, spent+slot.spent
@@ -174,7 +174,7 @@
 	defer t.lock.Unlock()
 	held := call.window
 	delete(held.open, call)
-	number := int64(now / (window / windowSlots))
+	number := int64(now / (BudgetWindow / windowSlots))
 	slot := &held.slots[number%windowSlots]
 	if slot.number != number {
 		slot.number, slot.calls, slot.failures, slot.spent = number, 0, 0, 0
--- a/internal/dispatch/trial_test.go
+++ b/internal/dispatch/trial_test.go
@@ -116,7 +116,7 @@
 	}
 	// The proxy's own stop outlasts its window, until the duty, asked late enough to know of
 	// the failures, finds the version fine.
-	later := window + time.Second
+	later := BudgetWindow + time.Second
 	for _, one := range []struct {
 		asked time.Duration
 		fine  bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -228,7 +228,7 @@
 	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.life,
 		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
 		View:    s.view, Leased: s.gate.Open, Now: s.now, Dice: rand.Float64, Soundness: s.facts, Trials: s.trials, Tally: s.tally,
-		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor),
+		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor), ExtraWindow: time.Duration(given.ExtraWindow),
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held Picture) bool { return ready(held.view) })
 		},
