--- a/cmd/rehearsal/hollow.go
+++ b/cmd/rehearsal/hollow.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"google.golang.org/protobuf/proto"
 
@@ -43,6 +46,11 @@
 	return 0, false
 }
 
+// interrupted ends with a signal, so that a run that is broken off takes its processes along.
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
 // hollow runs hollow members against a real core.
 func hollow(args []string) int {
 	const program = "rehearsal hollow"
@@ -50,7 +58,9 @@
 	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckHollow(given) }, &given.Folder, &given.Binaries); done {
 		return code
 	}
-	report, err := rehearsal.RunHollow(given, os.Stderr)
+	ctx, stop := interrupted()
+	defer stop()
+	report, err := rehearsal.RunHollow(ctx, given, os.Stderr)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v (logs in %s)\n", program, err, given.Folder)
 		return 1
@@ -72,7 +82,9 @@
 	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckSlopes(given) }, &given.Folder, &given.Binaries); done {
 		return code
 	}
-	report, err := rehearsal.RunSlopes(given, os.Stderr)
+	ctx, stop := interrupted()
+	defer stop()
+	report, err := rehearsal.RunSlopes(ctx, given, os.Stderr)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v (runs in %s)\n", program, err, given.Folder)
 		return 1
@@ -94,7 +106,9 @@
 	if code, done := parse(program, args, given, func() options.Faults { return rehearsal.CheckCalls(given) }, &given.Folder, &given.Binaries); done {
 		return code
 	}
-	report, err := rehearsal.RunCalls(given, os.Stderr)
+	ctx, stop := interrupted()
+	defer stop()
+	report, err := rehearsal.RunCalls(ctx, given, os.Stderr)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v (logs in %s)\n", program, err, given.Folder)
 		return 1
--- a/internal/proxy/hollow.go
+++ b/internal/proxy/hollow.go
@@ -69,6 +69,12 @@
 // Count adds to the counts as calls would.
 func (h *Hollow) Count(ended *dispatch.Ended, took time.Duration) { h.server.tally.Add(ended, took) }
 
+// Work notes a call as if it had been handed to a worker beside the proxy and answered.
+func (h *Hollow) Work(service, version, route string, took time.Duration) {
+	line := h.server.runner.Works.Begin(service, version, route, h.server.view().Setup.Stated(service, version))
+	line.End(h.server.now(), took, &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200})
+}
+
 // Setup is the sequence in use.
 func (h *Hollow) Setup() uint64 { return h.server.journal.View().Sequence() }
 
--- a/internal/rehearsal/calls.go
+++ b/internal/rehearsal/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -119,7 +120,7 @@
 }
 
 // startChain brings up a core, proxies and a worker for each depth, at the proxies in turn.
-func startChain(given *schema.CallsOptions, length int) (*chain, error) {
+func startChain(ctx context.Context, given *schema.CallsOptions, length int) (*chain, error) {
 	core := &schema.HollowOptions{Seats: seedsMost, Zones: given.Edges, Mode: given.Mode, Lease: given.Lease, Folder: given.Folder, Binaries: given.Binaries,
 		Members: given.Edges, Services: int64(length), Routes: int64(length)}
 	fleet, err := newHollowCore(core)
@@ -150,7 +151,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	operator := newHollowOperator(core, fleet, now)
-	if err := operator.found(); err != nil {
+	if err := operator.found(ctx); err != nil {
 		return c, err
 	}
 	if err := AwaitReady(fleet.Proxies, time.Minute); err != nil {
@@ -291,7 +292,7 @@
 }
 
 // RunCalls varies the rate and the depth of calls and fits what one costs.
-func RunCalls(given *schema.CallsOptions, out io.Writer) (*CallsReport, error) {
+func RunCalls(ctx context.Context, given *schema.CallsOptions, out io.Writer) (*CallsReport, error) {
 	if faults := CheckCalls(given); len(faults) > 0 {
 		return nil, faults
 	}
@@ -301,7 +302,7 @@
 	for _, depth := range depths {
 		length = max(length, depth)
 	}
-	c, err := startChain(given, length)
+	c, err := startChain(ctx, given, length)
 	if c != nil {
 		defer c.stop()
 	}
@@ -319,6 +320,9 @@
 			} else {
 				depth = depths[i-len(rates)]
 			}
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			point, added := c.run(rate, depth)
 			point.Run = run + 1
 			report.Points = append(report.Points, point)
--- a/internal/rehearsal/calls_test.go
+++ b/internal/rehearsal/calls_test.go
@@ -21,7 +21,7 @@
 		"-folder=" + t.TempDir(), "-binaries=" + binaries}, given, io.Discard); err != nil {
 		t.Fatal(err)
 	}
-	report, err := RunCalls(given, t.Output())
+	report, err := RunCalls(t.Context(), given, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -173,7 +174,7 @@
 const progressEvery = 10 * time.Second
 
 // RunHollow brings a real core and hollow members up, lets them live, and measures.
-func RunHollow(given *schema.HollowOptions, out io.Writer) (*HollowReport, error) {
+func RunHollow(ctx context.Context, given *schema.HollowOptions, out io.Writer) (*HollowReport, error) {
 	if faults := CheckHollow(given); len(faults) > 0 {
 		return nil, faults
 	}
@@ -198,7 +199,7 @@
 	}
 	say("core of %d seats is ready", given.Seats)
 	operator := newHollowOperator(given, core, now)
-	if err := operator.found(); err != nil {
+	if err := operator.found(ctx); err != nil {
 		return nil, err
 	}
 	say("setup of %d services and %d routes is founded", given.Services, given.Routes)
@@ -228,11 +229,13 @@
 	stopped := sync.OnceFunc(func() { close(stop) })
 	defer stopped()
 	workers := max(int(given.Workers), int(given.Members))
-	if err := fleet.awaitJoined(operator.newest, workers, patience+time.Duration(given.Members)*memberPatience); err != nil {
+	if err := fleet.awaitJoined(ctx, operator.newest, workers, patience+time.Duration(given.Members)*memberPatience); err != nil {
 		return nil, err
 	}
 	say("%d members know the setup and all %d workers", given.Members, workers)
-	time.Sleep(time.Duration(given.Settle))
+	if !pause(ctx, time.Duration(given.Settle)) {
+		return nil, ctx.Err()
+	}
 
 	operator.lock.Lock()
 	operator.stated = nil
@@ -245,7 +248,9 @@
 	first := takeMarks(core, fleet)
 	last, said := first, now()
 	for now()-first.at < time.Duration(given.Length) {
-		time.Sleep(min(time.Duration(given.Length)/linesLeast, lineMost))
+		if !pause(ctx, min(time.Duration(given.Length)/linesLeast, lineMost)) {
+			return nil, ctx.Err()
+		}
 		next := takeMarks(core, fleet)
 		report.Lines = append(report.Lines, lineBetween(given, first.at, last, next))
 		last = next
@@ -259,7 +264,8 @@
 	stopped()
 	living.Wait()
 	// What was stated last is given the time to come into use.
-	time.Sleep(min(core.lease, applyMost))
+	for waited := now(); now()-waited < applyMost && !fleet.has(operator.newestSetup()) && pause(ctx, joinCheck); {
+	}
 	report.Roles = costsBetween(given, first, last)
 	report.Roles[0].Memory = float64(memoryHeld()-memoryBefore) / float64(given.Members) / (1 << 20)
 	report.Roles[0].Heap = report.Roles[0].Memory
@@ -270,6 +276,16 @@
 	return report, nil
 }
 
+// pause waits, and tells whether it was not cut short.
+func pause(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(span):
+		return true
+	}
+}
+
 // Ratios and bounds of a run.
 const (
 	linesLeast     = 10 // stretches in a run, at the least
@@ -278,15 +294,30 @@
 	applyMost      = 8 * time.Second
 )
 
-// memoryHeld is what this process holds on its heap and stacks once garbage is gone.
+// memoryHeld is what this process holds on its heap and stacks once garbage is gone, and with it
+// what ended a moment ago.
 func memoryHeld() int64 {
-	runtime.GC()
-	runtime.GC()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	return int64(memory.HeapAlloc + memory.StackInuse)
+	held := int64(0)
+	for range memoryLooks {
+		runtime.GC()
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		now := int64(memory.HeapAlloc + memory.StackInuse)
+		if held > 0 && now > held-held/memorySettled {
+			return now
+		}
+		held = now
+		time.Sleep(joinCheck)
+	}
+	return held
 }
 
+// How often memory is looked at until it no longer falls, by this part.
+const (
+	memoryLooks   = 50
+	memorySettled = 200
+)
+
 // marks are all counters at a time.
 type marks struct {
 	at      time.Duration
--- a/internal/rehearsal/hollow_members.go
+++ b/internal/rehearsal/hollow_members.go
@@ -1,8 +1,10 @@
 package rehearsal
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +26,7 @@
 type hollowMember struct {
 	index    int
 	settings *schema.ProxyOptions
-	workers  []*dispatch.Description
+	workers  []hollowWorker
 	reach    []reached
 
 	lock    sync.Mutex
@@ -43,6 +45,12 @@
 	at    time.Duration
 }
 
+// hollowWorker is a worker that only beats, and the number of its service.
+type hollowWorker struct {
+	dispatch.Description
+	service int
+}
+
 // reached is a route that a member's calls use.
 type reached struct {
 	route, service, flag string
@@ -110,8 +118,8 @@
 		if i/int(given.Services)%2 == 1 {
 			version = versionNew
 		}
-		member.workers = append(member.workers, &dispatch.Description{Address: fmt.Sprintf("127.%d.250.2:%d", core.net, 1+i), Service: serviceName(i % int(given.Services)),
-			Version: version, Area: member.settings.Area, Token: fmt.Sprintf("token-%d", i), BeatMS: time.Duration(given.Beat).Milliseconds()})
+		member.workers = append(member.workers, hollowWorker{dispatch.Description{Address: fmt.Sprintf("127.%d.250.2:%d", core.net, 1+i), Service: serviceName(i % int(given.Services)),
+			Version: version, Area: member.settings.Area, Token: fmt.Sprintf("token-%d", i), BeatMS: time.Duration(given.Beat).Milliseconds()}, i % int(given.Services)})
 	}
 	return f, nil
 }
@@ -200,7 +208,7 @@
 // beat lets a member's workers describe themselves.
 func (f *hollowFleet) beat(m *hollowMember) error {
 	for _, worker := range m.workers {
-		said := *worker
+		said := worker.Description
 		said.Load = rand.Float64()
 		if err := m.held().Beat(said); err != nil {
 			return err
@@ -233,6 +241,7 @@
 			m := f.members[i]
 			_ = f.beat(m)
 			held := m.held()
+			f.work(m)
 			for _, one := range m.reach {
 				for _, version := range one.versions {
 					held.Count(&dispatch.Ended{Plan: &plan.Plan{Route: &setup.Route{Name: one.route}, Service: one.service,
@@ -244,6 +253,28 @@
 	}
 }
 
+// How a hollow worker's calls look: so many with each beat, of about so long.
+const (
+	callsEach = 4
+	workLeast = 20 * time.Millisecond
+	workTimes = 8
+)
+
+// work lets a member's workers answer a few calls, each of one of its service's routes.
+func (f *hollowFleet) work(m *hollowMember) {
+	for _, worker := range m.workers {
+		for j := range int(f.given.Reach) {
+			route := worker.service + j*int(f.given.Services)
+			if route >= int(f.given.Routes) {
+				break
+			}
+			for range callsEach {
+				m.held().Work(worker.Service, worker.Version, routeName(route), time.Duration(float64(workLeast)*(1+workTimes*rand.Float64())))
+			}
+		}
+	}
+}
+
 // keepRestarting kills members and brings them back until stop closes.
 func (f *hollowFleet) keepRestarting(stop <-chan struct{}) {
 	if f.given.Restarts == 0 {
@@ -305,7 +336,7 @@
 }
 
 // awaitJoined waits until every member has the setup and knows every worker.
-func (f *hollowFleet) awaitJoined(setup uint64, workers int, patience time.Duration) error {
+func (f *hollowFleet) awaitJoined(ctx context.Context, setup uint64, workers int, patience time.Duration) error {
 	deadline := time.Now().Add(patience)
 	for _, m := range f.members {
 		for {
@@ -316,12 +347,19 @@
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s has setup %d of %d and knows %d workers of %d", m.settings.Name, status.Setup, setup, status.Known, workers)
 			}
-			time.Sleep(joinCheck)
+			if !pause(ctx, joinCheck) {
+				return ctx.Err()
+			}
 		}
 	}
 	return nil
 }
 
+// has tells whether every member uses a setup, or one after it.
+func (f *hollowFleet) has(setup uint64) bool {
+	return !slices.ContainsFunc(f.members, func(m *hollowMember) bool { return m.held().Setup() < setup })
+}
+
 const joinCheck = 20 * time.Millisecond
 
 // traffic sums what went over all members' links.
--- a/internal/rehearsal/hollow_operator.go
+++ b/internal/rehearsal/hollow_operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -100,11 +101,18 @@
 	return answer, nil
 }
 
+// newestSetup is the highest sequence of an accepted change.
+func (o *hollowOperator) newestSetup() uint64 {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.newest
+}
+
 // routesAtOnce is how many routes one change of the first setup brings.
 const routesAtOnce = 250
 
 // found states the first setup, in pieces, until each is acknowledged.
-func (o *hollowOperator) found() error {
+func (o *hollowOperator) found(ctx context.Context) error {
 	var pieces []string
 	var text strings.Builder
 	for i := range int(o.given.Services) {
@@ -143,7 +151,9 @@
 			if tries == foundTries {
 				return defect.New(defect.NoMajority, fmt.Sprintf("the first setup was not taken: %+v, %v", answer, err))
 			}
-			time.Sleep(foundPause)
+			if !pause(ctx, foundPause) {
+				return ctx.Err()
+			}
 		}
 	}
 	return nil
--- a/internal/rehearsal/hollow_test.go
+++ b/internal/rehearsal/hollow_test.go
@@ -68,7 +68,7 @@
 	}
 	given := hollowGiven(t, "-members=12", "-workers=24", "-services=4", "-routes=40", "-changes=60", "-restarts=20", "-releases=2", "-length=8s", "-settle=1s",
 		"-lease=2s", "-mode=strict", "-beat=500ms", "-real=1", "-folder="+t.TempDir(), "-binaries="+buildPlain(t))
-	report, err := RunHollow(given, t.Output())
+	report, err := RunHollow(t.Context(), given, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rehearsal/slopes.go
+++ b/internal/rehearsal/slopes.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,10 +33,15 @@
 	"changes":  {func(g *schema.SlopesOptions) string { return g.Changes }, func(h *schema.HollowOptions, v float64) { h.Changes = v }},
 	"releases": {func(g *schema.SlopesOptions) string { return g.Releases }, func(h *schema.HollowOptions, v float64) { h.Releases = int64(v) }},
 	"restarts": {func(g *schema.SlopesOptions) string { return g.Restarts }, func(h *schema.HollowOptions, v float64) { h.Restarts = v }},
-	"reach":    {func(g *schema.SlopesOptions) string { return g.Reach }, func(h *schema.HollowOptions, v float64) { h.Reach = int64(v) }},
-	"seats":    {func(g *schema.SlopesOptions) string { return g.Seats }, func(h *schema.HollowOptions, v float64) { h.Seats = int64(v) }},
+	// Counts are told while some version is to be judged by them.
+	"reach":  {func(g *schema.SlopesOptions) string { return g.Reach }, func(h *schema.HollowOptions, v float64) { h.Reach, h.Releases = int64(v), 1 }},
+	"judged": {func(g *schema.SlopesOptions) string { return g.Judged }, func(h *schema.HollowOptions, v float64) { h.Members, h.Releases = int64(v), judgedAtOnce }},
+	"seats":  {func(g *schema.SlopesOptions) string { return g.Seats }, func(h *schema.HollowOptions, v float64) { h.Seats = int64(v) }},
 }
 
+// judgedAtOnce is how many releases are under way while members are varied under them.
+const judgedAtOnce = 2
+
 // setServices takes as many routes along as there are services, for each has one at least.
 func setServices(given *schema.HollowOptions, value float64) {
 	given.Services, given.Routes = int64(value), max(given.Routes, int64(value))
@@ -166,7 +172,7 @@
 const pointsFile = "points.jsonl"
 
 // RunSlopes varies each driver by itself and fits what it costs.
-func RunSlopes(given *schema.SlopesOptions, out io.Writer) (*SlopesReport, error) {
+func RunSlopes(ctx context.Context, given *schema.SlopesOptions, out io.Writer) (*SlopesReport, error) {
 	if faults := CheckSlopes(given); len(faults) > 0 {
 		return nil, faults
 	}
@@ -195,7 +201,10 @@
 		drivers[point.Driver].set(run, point.Value)
 		run.Seed = int64(point.Run)
 		run.Folder = filepath.Join(given.Folder, fmt.Sprintf("%s-%g-%d", point.Driver, point.Value, point.Run))
-		if point.Report, err = RunHollow(run, io.Discard); err != nil {
+		if point.Report, err = RunHollow(ctx, run, io.Discard); err != nil {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			// One value that does not come up tells as much as one that does: the series goes on.
 			fmt.Fprintf(out, "  failed: %v\n", err)
 			continue
@@ -209,7 +218,7 @@
 			return nil, defect.Wrap(err, defect.DiskFailed, file)
 		}
 		points = append(points, point)
-		time.Sleep(time.Duration(given.Pause))
+		pause(ctx, time.Duration(given.Pause))
 	}
 	return fitPoints(given, points), nil
 }
--- a/internal/rehearsal/slopes_test.go
+++ b/internal/rehearsal/slopes_test.go
@@ -61,32 +61,54 @@
 	}
 }
 
-// A series at small size: what a member costs in calls and bytes, and what an item of the setup
-// takes, stays within bounds that do not hang on how fast the machine is.
+// The table of docs/CAPACITY.md at a small size: what a member and a change cost in bytes and
+// messages, and what an item of the setup takes, stays within bounds that do not hang on how
+// fast the machine is.
 func TestSlopesSmall(t *testing.T) {
 	if testing.Short() {
 		t.Skip("brings up processes")
 	}
 	given := &schema.SlopesOptions{}
-	if err := options.Parse("rehearsal slopes", []string{"-drivers=members", "-members=4,8,16", "-runs=1", "-length=3s", "-settle=1s", "-lease=2s", "-mode=strict",
-		"-folder=" + t.TempDir(), "-binaries=" + buildPlain(t)}, given, io.Discard); err != nil {
+	if err := options.Parse("rehearsal slopes", []string{"-drivers=members,changes,routes", "-members=4,8,16", "-changes=0,60,240", "-routes=64,128,256", "-at=6", "-runs=1",
+		"-length=2s", "-settle=500ms", "-folder=" + t.TempDir(), "-binaries=" + buildPlain(t)}, given, io.Discard); err != nil {
 		t.Fatal(err)
 	}
 	began := time.Now()
-	report, err := RunSlopes(given, t.Output())
+	report, err := RunSlopes(t.Context(), given, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
 	report.Print(t.Output())
 	t.Logf("took %.0f s", time.Since(began).Seconds())
-	if report.Runs != 3 || len(report.Slopes) != len(costsOf) {
+	if report.Runs != 9 || len(report.Slopes) != 3*len(costsOf) {
 		t.Fatalf("%d runs, %d slopes", report.Runs, len(report.Slopes))
 	}
+	// Bytes of a change: one route's item, some 250, what stands around it, and a restated session
+	// where the machine is too busy for its beats.
+	const changeBytes, itemBytes, beats = 1000.0, 1024.0, 4.0
+	for _, point := range report.points {
+		proxy := point.Report.Roles[0]
+		seconds, changes := point.Report.Seconds, float64(point.Report.Acknowledge.Count)
+		if most := changeBytes * (1 + changes) / seconds; proxy.In > 2*most || proxy.Out > 2*most {
+			t.Errorf("%s %g: a member took %.0f bytes a second and sent %.0f, with %.0f changes in %.0f s", point.Driver, point.Value, proxy.In, proxy.Out, changes, seconds)
+		}
+		if most := beats + 2*(1+changes)/seconds; proxy.Messages > most {
+			t.Errorf("%s %g: %.2f messages a second of a member, more than %.2f", point.Driver, point.Value, proxy.Messages, most)
+		}
+		if point.Report.Unapplied > 0 {
+			t.Errorf("%s %g: %d changes not in use everywhere", point.Driver, point.Value, point.Report.Unapplied)
+		}
+	}
+	for _, slope := range report.Slopes {
+		if slope.Driver == "routes" && slope.Cost == "store disk KB" && (slope.Terms[1] < 0.05 || slope.Terms[1]*1024 > itemBytes) {
+			t.Errorf("%s by routes: %s", slope.Cost, slope.Text())
+		}
+	}
 	if err := report.Draw(t.TempDir(), "svg"); err != nil {
 		t.Error(err)
 	}
 	// A series that was cut short goes on from what it has.
-	again, err := RunSlopes(given, t.Output())
+	again, err := RunSlopes(t.Context(), given, t.Output())
 	if err != nil || again.Runs != report.Runs {
 		t.Errorf("%d runs the second time, %v", again.Runs, err)
 	}
