Bound the memory of workers' large answers; read chunks ourselves

Cause: bodies may be as large as the setup lets, and a machine beside a worker is small: a few at once would end its proxy. The library reads a body in chunks into buffers that it keeps, and takes what ends with its connection for an end. Ruled out: a part of the memory for each worker, which lets one large answer in at most. Before: as many at once as came. Conclusion: held by TestLargeAnswersTakeTurns and cases of TestOddWorkers.

--- a/internal/dispatch/conns.go
+++ b/internal/dispatch/conns.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"meadowhinge/internal/defect"
 )
@@ -102,8 +106,11 @@
 	bodiless func(status int) bool
 	read     func(header *fasthttp.ResponseHeader) Said
 
-	said Said
-	body []byte
+	room *semaphore.Weighted // for large bodies
+
+	said  Said
+	body  []byte
+	taken int64 // of the room
 }
 
 // hand sends a request and reads its answer. An error of the kind WORKER_UNOPENED proves that
@@ -265,25 +272,58 @@
 	case x.bodiless(header.StatusCode()):
 		return nil
 	case length == inChunks:
-		x.response.ResetBody()
-		if err := x.response.ReadBody(reader, x.most); err != nil {
-			return defect.Wrap(err, kindOf(err), "body in chunks")
+		return x.chunks(reader, header)
+	case length < 0 || length > x.most:
+		return defect.New(defect.BadAnswer, "no length, or too much")
+	}
+	return x.more(reader, length, length)
+}
+
+// chunks reads a body that comes in chunks, up to the end of its tail.
+func (x *exchange) chunks(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return defect.Wrap(err, kindOf(err), "size of a chunk")
 		}
-		if err := header.ReadTrailer(reader); err != nil {
+		// Extensions of a chunk mean nothing to us.
+		digits, _, _ := bytes.Cut(bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'}), []byte{';'})
+		size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 31)
+		switch {
+		case err != nil || len(x.body)+int(size) > x.most:
+			return defect.New(defect.BadAnswer, "size of a chunk")
+		case size == 0:
+			err = header.ReadTrailer(reader)
 			return defect.Wrap(err, kindOf(err), "end of chunks")
 		}
-		x.body = append(x.body, x.response.Body()...)
-		return nil
-	case length < 0 || length > x.most:
-		return defect.New(defect.BadAnswer, "no length, or too much")
+		if err := x.more(reader, int(size), x.most); err != nil {
+			return err
+		}
+		if end, err := reader.Peek(2); err != nil || end[0] != '\r' || end[1] != '\n' {
+			return defect.Wrap(errors.Join(err, io.ErrUnexpectedEOF), defect.BadAnswer, "end of a chunk")
+		}
+		_, _ = reader.Discard(2)
 	}
-	// Large ones take memory only as they come in: that they are said to be large proves nothing.
-	x.body = make([]byte, 0, min(length, piecesMost))
-	for len(x.body) < length {
+}
+
+// more reads so much more of a body that may come to all in all. Large ones take memory only as
+// they come in, for that they are said to be large proves nothing; and only as far as there is
+// room for what all workers here answer at once, or they wait where they are.
+func (x *exchange) more(reader *bufio.Reader, length, all int) error {
+	for whole := len(x.body) + length; len(x.body) < whole; {
 		if len(x.body) == cap(x.body) {
-			x.body = append(make([]byte, 0, min(length, 2*cap(x.body))), x.body...)
+			if cap(x.body) >= piecesMost && x.taken == 0 {
+				waiting, cancel := context.WithDeadline(context.Background(), x.until)
+				err := x.room.Acquire(waiting, int64(all))
+				cancel()
+				if err != nil {
+					return defect.Wrap(err, defect.HorizonPast, "room for a body")
+				}
+				x.taken = int64(all)
+			}
+			x.body = append(make([]byte, 0, min(whole, max(2*cap(x.body), piecesMost))), x.body...)
 		}
-		from, to := len(x.body), min(length, cap(x.body))
+		from, to := len(x.body), min(whole, cap(x.body))
 		x.body = x.body[:to]
 		if _, err := io.ReadFull(reader, x.body[from:to]); err != nil {
 			return defect.Wrap(err, kindOf(err), "body")
@@ -292,6 +332,14 @@
 	return nil
 }
 
+// leave gives back the room that a body took.
+func (x *exchange) leave() {
+	if x.taken > 0 {
+		x.room.Release(x.taken)
+		x.taken = 0
+	}
+}
+
 // kindOf tells of what is left open whether time ran out, the connection ended, or what came
 // was no answer.
 func kindOf(err error) defect.Kind {
--- a/internal/dispatch/conns_test.go
+++ b/internal/dispatch/conns_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/plan"
@@ -142,6 +143,10 @@
 		"cut in the body":      {first: say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, kind: defect.WorkerLost, opened: 2},
 		"cut in a chunk":       {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, opened: 2},
 		"cut before the tail":  {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n"), ends: true, want: [2]schema.Ending{lost, whole}, opened: 2},
+		"chunks named oddly":   {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\none\r\n0003 \r\ntwo\r\n0\r\n\r\n"), want: [2]schema.Ending{whole, whole}, opened: 1},
+		"a chunk with no size": {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-3\r\none\r\n0\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"a chunk too long":     {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\none\r\n0\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
+		"chunks too large":     {first: say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\none"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
 		"to the end":           {first: say("HTTP/1.1 200 OK\r\n\r\none"), ends: true, want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
 		"two lengths":          {first: say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\none"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
 		"no answer":            {first: say("no answer at all\r\n\r\n"), want: [2]schema.Ending{lost, whole}, kind: defect.BadAnswer, opened: 2},
@@ -280,6 +285,44 @@
 	}
 }
 
+// Large answers take turns where there is no room for them at once.
+func TestLargeAnswersTakeTurns(t *testing.T) {
+	const size = 1 << 20
+	body, begun, goOn := strings.Repeat("x", size), make(chan bool), make(chan bool)
+	s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
+		for id := idOf(reader); id != ""; id = idOf(reader) {
+			text := answered(id, body)
+			if id == "first" {
+				_, _ = conn.Write([]byte(text[:size/2]))
+				begun <- true
+				<-goOn
+				text = text[size/2:]
+			}
+			_, _ = conn.Write([]byte(text))
+		}
+	})
+	s.workers.room = semaphore.NewWeighted(size)
+	first := make(chan *schema.Carried)
+	go func() { first <- s.run(t, "first", nil) }()
+	<-begun
+	// The first has its room once it has read more than a piece: the second then finds none.
+	for s.workers.room.TryAcquire(size) {
+		s.workers.room.Release(size)
+		runtime.Gosched()
+	}
+	hasty := s.run(t, "hasty", func(c *schema.Carry) { c.LeftNanos = int64(50 * time.Millisecond) })
+	if hasty.Ending != schema.Ending_ENDING_UNKNOWN || hasty.Defect != string(defect.HorizonPast) {
+		t.Errorf("ended %v with %s beside another", hasty.Ending, hasty.Defect)
+	}
+	close(goOn)
+	if got := <-first; got.Ending != schema.Ending_ENDING_ANSWERED || len(got.Body) != size {
+		t.Errorf("the first ended %v with %d bytes", got.Ending, len(got.Body))
+	}
+	if got := s.run(t, "third", nil); got.Ending != schema.Ending_ENDING_ANSWERED || len(got.Body) != size || !s.workers.room.TryAcquire(size) {
+		t.Errorf("the third ended %v with %d bytes, or room is not given back", got.Ending, len(got.Body))
+	}
+}
+
 // BenchmarkHop is the worker's side of a hop; most of it are the sockets.
 func BenchmarkHop(b *testing.B) {
 	s := newSocketStage(b, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -217,9 +217,10 @@
 	r.Speech.Dress(request, carry, Registered{Instance: held.instance, Address: held.address, Token: token, Service: carry.Service, Version: carry.Version}, remaining-remaining/marginParts)
 	response.Header.DisableNormalizing()
 	response.Header.SetNoDefaultContentType(true)
-	x := exchange{request: request, response: response, until: time.Now().Add(remaining), most: r.Workers.options.BodyMost,
+	x := exchange{request: request, response: response, until: time.Now().Add(remaining), most: r.Workers.options.BodyMost, room: r.Workers.room,
 		bodiless: func(status int) bool { return bodiless(carry.Method, status) },
 		read:     func(header *fasthttp.ResponseHeader) Said { return r.Speech.Read(header, carry) }}
+	defer x.leave()
 	err := held.conns.hand(&x)
 	switch kind := defect.KindOf(err); {
 	case err != nil && kind == defect.WorkerUnopened:
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"meadowhinge/internal/defect"
 	"meadowhinge/schema"
 )
@@ -47,6 +49,7 @@
 	slotsMost = 1 << 16
 	beatMost  = time.Minute
 	endedKept = 1024
+	roomLeast = 64 << 20
 )
 
 // Check lists all that is wrong with a description.
@@ -98,7 +101,8 @@
 	byInstance map[string]*localWorker
 	ended      *Seen // ids of workers that said they are gone: they never come back
 	serial     uint64
-	parting    bool // this proxy itself is ending
+	parting    bool                // this proxy itself is ending
+	room       *semaphore.Weighted // for large bodies
 	onChange   func()
 }
 
@@ -111,6 +115,7 @@
 	Most        int
 	ConnsMost   int
 	BodyMost    int
+	RoomMost    int // bytes of large bodies that are read at once, 0 for enough of them
 	Now         func() time.Duration
 	Dial        func(address string) (net.Conn, error)
 	// Untethered: no connection is held to each worker to learn of its end, where workers
@@ -123,7 +128,10 @@
 
 // NewWorkers makes an empty list; onChange is called whenever what others should know changes.
 func NewWorkers(options WorkersOptions, onChange func()) *Workers {
-	return &Workers{options: options, byPlace: map[string]*localWorker{}, byInstance: map[string]*localWorker{}, ended: NewSeen(endedKept), onChange: onChange}
+	if options.RoomMost == 0 {
+		options.RoomMost = max(options.BodyMost, roomLeast)
+	}
+	return &Workers{room: semaphore.NewWeighted(int64(options.RoomMost)), options: options, byPlace: map[string]*localWorker{}, byInstance: map[string]*localWorker{}, ended: NewSeen(endedKept), onChange: onChange}
 }
 
 // Describe takes a worker's description and tells the instance it stands under.
