--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -354,7 +354,8 @@
 func costsBetween(given *schema.HollowOptions, from, to marks) []RoleCost {
 	seconds := (to.at - from.at).Seconds()
 	members := float64(given.Members)
-	rate := func(from, to uint64) float64 { return float64(to-from) / seconds }
+	// A counter that fell is of a process that could not be read.
+	rate := func(from, to uint64) float64 { return float64(max(to, from)-from) / seconds }
 	rows := []RoleCost{{Role: "proxy", Processes: int(given.Members), CPU: (to.own - from.own) / seconds * 1000 / members,
 		In: rate(from.members.traffic.In, to.members.traffic.In) / members, Out: rate(from.members.traffic.Out, to.members.traffic.Out) / members,
 		LinksOpened: rate(from.members.traffic.Opened, to.members.traffic.Opened) / members}}
--- a/internal/rehearsal/hollow_core.go
+++ b/internal/rehearsal/hollow_core.go
@@ -183,14 +183,20 @@
 	return seen
 }
 
+// pageTries is how often a page is asked for: what is not read would count as nothing.
+const pageTries = 5
+
 // page reads one of a process's own pages.
 func (p *Process) page(path string, into any) {
-	response, err := probes.Get("http://" + p.probe + path)
-	if err != nil {
-		return
+	for range pageTries {
+		if response, err := probes.Get("http://" + p.probe + path); err == nil {
+			err = json.NewDecoder(response.Body).Decode(into)
+			response.Body.Close()
+			if err == nil {
+				return
+			}
+		}
 	}
-	defer response.Body.Close()
-	_ = json.NewDecoder(response.Body).Decode(into)
 }
 
 // writtenBy is what a process has had written to disk, in bytes.
