Dial links again while nobody answers; find registries sooner at a start

Cause: after a loss of power everywhere the machines return within half a second of one another.

Ruled out: the start of the programs (6 ms), the first setup where the core stands (20 ms), the disk, the admission duty's pauses, the retry budget.

Conclusion: a link is dialled again each fifth of the time that it may take, and what is under way stays; a proxy that never found a registry in touch asks the others again after a quarter of a beat.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -293,15 +293,14 @@
 	ctx, cancel := context.WithTimeout(ctx, e.dial)
 	defer cancel()
 	plain := &net.Dialer{LocalAddr: e.from, KeepAliveConfig: e.alive(), Control: e.control}
-	var raw net.Conn
-	var err error
+	raw, err := e.dialed(race(ctx, e.dial/redialParts, func(ctx context.Context) (net.Conn, error) { return plain.DialContext(ctx, "tcp", address) }))
 	if e.config == nil {
-		if raw, err = e.dialed(plain.DialContext(ctx, "tcp", address)); err == nil {
+		if err == nil {
 			if _, err = io.WriteString(raw, e.self.greeting()); err != nil {
 				raw.Close()
 			}
 		}
-	} else if raw, err = e.dialed(plain.DialContext(ctx, "tcp", address)); err == nil {
+	} else if err == nil {
 		secured := tls.Client(raw, e.config)
 		if err = secured.HandshakeContext(ctx); err != nil {
 			raw.Close()
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -183,9 +183,17 @@
 	}
 }
 
+// quickRetries are made after ever longer pauses, before retryParts counts: where the whole
+// machine has just started, its store is up a moment after its registry, and its seat finds the
+// others a moment later still.
+const quickRetries = 5
+
+// retryAfter is the part of a lease to pause for after so many failures in a row.
+func retryAfter(failures int) int { return retryParts << max(0, quickRetries-failures) }
+
 // follow keeps the stable setup from this machine's store.
 func (s *Server) follow(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil; {
 		s.lock.Lock()
 		after := s.table.stable
 		s.lock.Unlock()
@@ -193,9 +201,11 @@
 		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / session.BeatParts)})
 		cancel()
 		if err != nil {
-			s.pause(ctx, retryParts)
+			failures++
+			s.pause(ctx, retryAfter(failures))
 			continue
 		}
+		failures = 0
 		s.take(back)
 	}
 }
@@ -224,7 +234,7 @@
 
 // catchUp learns what was stable when this registry started; until then it grants nothing.
 func (s *Server) catchUp(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failures := 1; ctx.Err() == nil; failures++ {
 		bounded, cancel := context.WithTimeout(ctx, s.lease/session.LeaseParts)
 		back, err := s.store.Stand(bounded, &schema.Nothing{})
 		cancel()
@@ -252,7 +262,7 @@
 				}
 			}
 		}
-		s.pause(ctx, retryParts)
+		s.pause(ctx, retryAfter(failures))
 	}
 }
 
--- /dev/null
+++ b/internal/registry/retry_test.go
@@ -0,0 +1,24 @@
+package registry
+
+import "testing"
+
+// A registry whose store is up a moment later asks again within a few thousandths of a lease;
+// one whose store stays away does not ask more often than ever.
+func TestRetriesAreQuickAtFirst(t *testing.T) {
+	longest := 0.
+	for failures := 1; failures < 40; failures++ {
+		part := 1 / float64(retryAfter(failures))
+		switch {
+		case failures == 1 && part > 1./500:
+			t.Errorf("the first pause takes %v of a lease", part)
+		case part < longest:
+			t.Errorf("pause %d is shorter than the one before", failures)
+		case part > 1./retryParts:
+			t.Errorf("pause %d takes %v of a lease", failures, part)
+		}
+		longest = part
+	}
+	if longest != 1./retryParts {
+		t.Errorf("pauses grow to %v of a lease, want %v", longest, 1./retryParts)
+	}
+}
--- a/internal/session/tie.go
+++ b/internal/session/tie.go
@@ -37,6 +37,7 @@
 	current string        // the session that counts, empty for none
 	opening string        // one that was opened to take its place
 	due     time.Duration // when Tick was to be called at the latest; 0 for not said
+	fit     bool          // some registry was in touch with the core, once
 	grace   time.Duration // until when nobody is taken to be silent or to lag, after a stall of this process
 }
 
@@ -126,6 +127,7 @@
 	if held.lagged = t.lags(now, held); held.lagged {
 		held.laggedAt = now
 	}
+	t.fit = t.fit || !held.lagged
 	return t.Tick(now)
 }
 
@@ -167,8 +169,20 @@
 // triedAt is when a registry was last found wanting.
 func (held *place) triedAt() time.Duration { return max(held.failedAt, held.laggedAt) }
 
-// laggedBeats is for how many beats one that lagged is not tried again, if all do.
-const laggedBeats = 2
+// Ratios to a beat, of how long one that lagged is not tried again, if all do.
+const (
+	laggedBeats = 2
+	firstParts  = 4 // as long as none was found that does not
+)
+
+// laggedPause is that time. A proxy that has just started holds nothing that it could go on by,
+// and where the core started with it, the registries find the core again one by one.
+func (t *Tie) laggedPause() time.Duration {
+	if t.fit {
+		return laggedBeats * t.options.Beat
+	}
+	return t.options.Beat / firstParts
+}
 
 // Classes of registries, the better ones first.
 const (
@@ -187,7 +201,7 @@
 	switch {
 	case failed && now-held.failedAt < t.options.Beat:
 		return classFailed
-	case silent, held.open && held.heard && t.lags(now, held), lagged && now-held.laggedAt < laggedBeats*t.options.Beat:
+	case silent, held.open && held.heard && t.lags(now, held), lagged && now-held.laggedAt < t.laggedPause():
 		return classLagging
 	case failed && recent(held.failedAt), lagged && recent(held.laggedAt), !held.open && !held.listed && t.known:
 		return classDoubtful
@@ -314,7 +328,11 @@
 	if t.grace > now {
 		next = min(next, t.grace)
 	}
-	if t.current == "" && t.opening == "" {
+	switch {
+	case t.opening != "":
+	case !t.fit:
+		next = min(next, now+t.laggedPause())
+	case t.current == "":
 		next = min(next, now+t.options.Beat)
 	}
 	t.due = next
--- a/internal/session/tie_test.go
+++ b/internal/session/tie_test.go
@@ -124,6 +124,12 @@
 			w.stale["b"], w.stale["c"] = 0, 0
 			w.until(45 + 3*tieOptions.Beat)
 		}, "b,c", 0},
+		"the core started with it and one registry finds it late": {threeCores, nil, func(w *tied) {
+			w.stale["a"], w.stale["b"], w.stale["c"] = 30, 30, 30
+			w.until(6)
+			w.stale["b"], w.stale["c"] = 0, 0
+			w.until(6 + tieOptions.Beat)
+		}, "b,c", 0},
 		"the process is stalled": {threeCores, nil, func(w *tied) {
 			w.until(21)
 			w.now = 51
