Judge a worker's leaving by machines that were not frozen, where proxies hold no lease

A lease shuts that gap in the strict mode; where there is none the bound holds for machines in touch, and a machine that thawed 0.2 s ago is not.

--- a/internal/simulator/serving.go
+++ b/internal/simulator/serving.go
@@ -334,6 +334,14 @@
 	}
 }
 
+// calm tells whether nothing troubled a proxy's own machine for a while.
+func (w *World) calm(node *proxyNode) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	at, known := w.disturbed[node.name]
+	return !known || w.time()-at >= inTouchFor
+}
+
 // inTouch tells whether what is promised binds a proxy: nothing troubled it for a while, the core
 // is settled, and it reaches every core machine that itself reaches most of the core.
 func (w *World) inTouch(node *proxyNode) bool {
