Let a restarted proxy take up the worker that its earlier life told of

Ruled out: the start (6 ms), the session (18 ms), the noticing of dead proxies, the retry budget.

Now the registries' answer to a greeting carries the workers that the earlier life told of and that stay, and the proxy goes on with the one beside it until it misses a beat. The worker's own word comes first, before or after. Another worker at its address refuses what is not meant for it.

--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -241,6 +241,26 @@
 	return fresh.instance, nil
 }
 
+// TakeUp takes a worker for being where it was, as an earlier life of this proxy told: whoever else
+// stands there by now refuses what is not meant for it. The worker's own word, whatever it is, comes
+// first, and if it misses a beat, it is dropped.
+func (w *Workers) TakeUp(told Description) {
+	w.lock.Lock()
+	known := told.ID == "" || w.ended.Has(told.ID) || w.byPlace[told.Address] != nil || w.byInstance[told.ID] != nil
+	w.lock.Unlock()
+	if known || !w.options.Untethered || len(told.Check()) > 0 {
+		return
+	}
+	if _, err := w.Describe(told); err != nil {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if held := w.byInstance[told.ID]; held != nil && held.said == told {
+		held.heardAt -= time.Duration((w.options.Silence-1)*told.BeatMS) * time.Millisecond
+	}
+}
+
 // watch waits for the end of a worker's tether. The kernel closes it when the worker dies,
 // long before its beats are missed.
 func (w *Workers) watch(held *localWorker) {
--- a/internal/proxy/attend.go
+++ b/internal/proxy/attend.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/options"
 	"meadowhinge/internal/session"
 	"meadowhinge/schema"
@@ -32,6 +33,7 @@
 				s.life = session.NextIncarnation(back.Incarnation)
 				s.incarnation, s.carrier.Incarnation = s.life, s.life
 				s.lock.Unlock()
+				s.takeUp(back.Workers)
 				// A call cut short would take its link with it.
 				time.AfterFunc(s.lease/renewParts, cancel)
 				return
@@ -42,6 +44,16 @@
 	}
 }
 
+// takeUp goes on with the worker beside this proxy that an earlier life of it told of.
+func (s *Server) takeUp(told []*schema.Worker) {
+	if s.options.Beside == "" || s.speeches.ids == 0 || len(told) != 1 {
+		return
+	}
+	worker := told[0]
+	s.workers.TakeUp(dispatch.Description{ID: worker.Instance, Address: s.options.Beside, Service: worker.Service, Version: worker.Version, Area: worker.Area,
+		Slots: worker.Slots, WarmMS: time.Duration(worker.WarmNanos).Milliseconds(), BeatMS: s.speeches.ids.Milliseconds()})
+}
+
 // mind looks for what is said of this proxy itself: where an earlier life's word is higher than
 // its own, or its own life was taken for ended, it tells of itself anew under a higher one.
 func (s *Server) mind(sources []*schema.Source) {
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -459,7 +459,7 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return &schema.Greeted{Incarnation: s.table.Seen(greeting.Proxy)}, nil
+	return &schema.Greeted{Incarnation: s.table.Seen(greeting.Proxy), Workers: s.table.ToldOf(greeting.Proxy)}, nil
 }
 
 // Feed waits for news that a node lacks and gives it.
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -167,6 +167,22 @@
 	return seen
 }
 
+// ToldOf lists the workers that a proxy told of last and that did not say they were leaving. A
+// proxy that is killed loses them, while they live on and speak only with their next beat.
+func (t *Table) ToldOf(name string) []*schema.Worker {
+	held := t.sources[name]
+	if held == nil || held.source.Ended {
+		return nil
+	}
+	var staying []*schema.Worker
+	for _, worker := range held.source.Workers {
+		if !worker.Leaving && !worker.Gone {
+			staying = append(staying, worker)
+		}
+	}
+	return staying
+}
+
 // Bare lists what is known of incarnations alone beyond a vector; of a proxy's own name, or of all.
 func (t *Table) Bare(vector map[string]*schema.Stamp, name string) []*schema.Source {
 	var listed []*schema.Source
