Hand headers on as lines, not as a list to be taken apart at every step

Cause: a header became a message of two strings at each of four steps of a call; half of the allocations of a call were for that. A head now goes as the bytes of its lines from connection to connection.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -21,7 +21,7 @@
 type Call struct {
 	Request plan.Request
 	Target  string // path with query
-	Headers []*schema.Header
+	Head    []byte // the headers that go on, as lines
 	Body    []byte
 }
 
@@ -499,7 +499,7 @@
 func (c *Carrier) sendOn(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
 	carry := &schema.Carry{Request: ended.ID + "-" + strconv.Itoa(ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
-		Headers: call.Headers, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
+		Head: call.Head, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
 		Setup: ended.Plan.Verdict.Setup, Once: ended.Plan.Class == setup.Once, Idempotency: call.Request.Idempotency, Route: ended.Plan.Route.Name,
 		Host: call.Request.Host, Identity: call.Request.Identity, Rank: uint32(max(0, ended.Plan.Route.Rank)), AimNanos: aimLeft(ended.Plan, left)}
 	// A call that may be repeated leaves itself time to be, should this proxy hang: as much as the
--- a/internal/dispatch/conns_test.go
+++ b/internal/dispatch/conns_test.go
@@ -270,12 +270,7 @@
 			c.Method, c.Target, c.Body = "PUT", "/a//b/../%7e?x=%20y&&z", []byte(body)
 			c.Checksum = crc32.ChecksumIEEE(c.Body)
 		})
-		line := ""
-		for _, header := range got.Headers {
-			if header.Name == "X-Line" {
-				line = header.Value
-			}
-		}
+		line := FieldOf(got.Head, "X-Line")
 		if string(got.Body) != body || line != "PUT /a//b/../%7e?x=%20y&&z shop.example" {
 			t.Errorf("%d bytes came back as %d, of %q", size, len(got.Body), line)
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -147,7 +147,7 @@
 
 // clone lets an answer from memory carry the id of the request it now answers.
 func clone(carried *schema.Carried) *schema.Carried {
-	return &schema.Carried{Ending: carried.Ending, Defect: carried.Defect, Status: carried.Status, Headers: carried.Headers,
+	return &schema.Carried{Ending: carried.Ending, Defect: carried.Defect, Status: carried.Status, Head: carried.Head,
 		Body: carried.Body, Length: carried.Length, Checksum: carried.Checksum, Setup: carried.Setup}
 }
 
@@ -197,8 +197,8 @@
 	request.Header.DisableNormalizing()
 	request.Header.SetMethod(carry.Method)
 	request.SetRequestURI(carry.Target)
-	for _, header := range carry.Headers {
-		request.Header.Add(header.Name, header.Value)
+	for name, value := range Fields(carry.Head) {
+		request.Header.AddBytesKV(name, value)
 	}
 	request.SetBodyRaw(carry.Body)
 	leased, remaining := r.Leased(), left()
@@ -245,7 +245,7 @@
 		Length: uint64(len(x.body)), Checksum: crc32.ChecksumIEEE(x.body)}
 	for name, value := range response.Header.All() {
 		if r.Speech.Passes(name, true) {
-			carried.Headers = append(carried.Headers, &schema.Header{Name: string(name), Value: string(value)})
+			carried.Head = AppendField(carried.Head, name, value)
 		}
 	}
 	return carried
--- a/internal/dispatch/speech.go
+++ b/internal/dispatch/speech.go
@@ -94,15 +94,3 @@
 	}
 	return false
 }
-
-// HeadersOf copies the headers of a request that are passed on; what the speech does not pass
-// is dropped here, before anything can read it.
-func HeadersOf(header *fasthttp.RequestHeader, speech WorkerSpeech) []*schema.Header {
-	var headers []*schema.Header
-	for name, value := range header.All() {
-		if speech.Passes(name, false) {
-			headers = append(headers, &schema.Header{Name: string(name), Value: string(value)})
-		}
-	}
-	return headers
-}
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -76,6 +76,10 @@
 
 func (c counting) HandleRPC(stream drpc.Stream, rpc string) error {
 	c.meter.note(&c.meter.served, rpc)
+	// A single answer goes out with the word that nothing follows it, in one write.
+	if held, can := stream.(interface{ SetManualFlush(bool) }); can && single[rpc] {
+		held.SetManualFlush(true)
+	}
 	return c.Handler.HandleRPC(heard{stream, c.meter, rpc}, rpc)
 }
 
--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
 )
 
 // Field is one line of a head, as it came.
@@ -229,15 +230,10 @@
 
 // Add adds a field.
 func (r *Reply) Add(name, value string) {
-	r.fields = append(append(append(append(r.fields, name...), ": "...), value...), "\r\n"...)
+	r.fields = dispatch.AppendField(r.fields, name, value)
 }
 
 // Field gives the first field of a name.
 func (r *Reply) Field(name string) string {
-	for _, line := range strings.Split(string(r.fields), "\r\n") {
-		if held, value, found := strings.Cut(line, ": "); found && strings.EqualFold(held, name) {
-			return value
-		}
-	}
-	return ""
+	return dispatch.FieldOf(r.fields, name)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -423,7 +423,7 @@
 	taken := &dispatch.Call{Target: head.Target, Body: body}
 	head.pass(func(name string) bool { return s.speeches.worker.Passes([]byte(name), false) })
 	for _, field := range head.kept {
-		taken.Headers = append(taken.Headers, &schema.Header{Name: field.Name, Value: field.Value})
+		taken.Head = dispatch.AppendField(taken.Head, field.Name, field.Value)
 	}
 	taken.Request = plan.Request{Caller: caller, Method: head.Method, Path: head.Path, Host: head.Host, Header: head.passed}
 	if err := s.speeches.callers.Take(head, taken); err != nil {
@@ -447,9 +447,7 @@
 		s.speeches.callers.Refuse(head, ended.Err, outcome, wait, reply)
 	} else {
 		reply.Status, reply.Body = int(ended.Carried.Status), ended.Carried.Body
-		for _, header := range ended.Carried.Headers {
-			reply.Add(header.Name, header.Value)
-		}
+		reply.fields = append(reply.fields, ended.Carried.Head...)
 	}
 	s.speeches.callers.Answer(ended, reply)
 }
--- a/internal/simulator/cast.go
+++ b/internal/simulator/cast.go
@@ -18,7 +18,6 @@
 	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/plan"
 	"meadowhinge/internal/standin"
-	"meadowhinge/schema"
 )
 
 // connections are the open ends that close with a life.
@@ -381,8 +380,8 @@
 		w.History.asked(w.time(), one, entry)
 		return entry.outcome
 	}
-	headers := []*schema.Header{{Name: "X-Op", Value: one.id}, {Name: "X-Ask", Value: strconv.Itoa(ask)}, {Name: "X-User", Value: user}}
-	call := &dispatch.Call{Target: one.path, Headers: headers, Body: []byte(one.id), Request: plan.Request{Caller: one.caller, Method: method, Path: one.path,
+	head := dispatch.AppendField(dispatch.AppendField(dispatch.AppendField(nil, "X-Op", one.id), "X-Ask", strconv.Itoa(ask)), "X-User", user)
+	call := &dispatch.Call{Target: one.path, Head: head, Body: []byte(one.id), Request: plan.Request{Caller: one.caller, Method: method, Path: one.path,
 		Header: func(string) (string, bool) { return user, true }}}
 	if method == "GET" {
 		call.Body = nil
