Let a session on trial tell nothing of its proxy, so that giving it up ends nothing

Cause: a proxy that tries another registry beside its own told it of itself, and so made it its home. When the trial was given up, that registry took the proxy for gone a lease later, and for up to a second all of the fleet did without its worker, until the proxy heard of it and told of itself anew.

Ruled out: a dead proxy, a session that ended, a worker whose beats were missed.

Now a session on trial carries no source; a registry counts it and is made the home by the proxy's next word, which comes as soon as the proxy takes that session.

--- a/internal/proxy/attend.go
+++ b/internal/proxy/attend.go
@@ -79,6 +79,7 @@
 type sitting struct {
 	address string
 	end     context.CancelFunc
+	trial   bool // beside the session that counts
 }
 
 // heard is what came of a session: a sign of life, or its end.
@@ -127,14 +128,19 @@
 			}
 			if act.Open {
 				bounded, end := context.WithCancel(ctx)
-				sittings[act.Address] = &sitting{act.Address, end}
-				go s.attend(bounded, sittings[act.Address], came)
+				sittings[act.Address] = &sitting{act.Address, end, act.Trial}
+				go s.attend(bounded, sittings[act.Address], act.Trial, came)
 			}
 		}
 		s.workers.Sweep()
 		s.lock.Lock()
-		next := s.tie.Next(s.now())
+		next, current := s.tie.Next(s.now()), sittings[s.tie.Current()]
 		s.lock.Unlock()
+		// A session on trial that is taken makes its registry the one to mind this proxy.
+		if current != nil && current.trial {
+			current.trial = false
+			poke(s.tellNow)
+		}
 		timer.Reset(next - s.now())
 	}
 }
@@ -151,18 +157,22 @@
 	return s.tie.Heard(s.now(), one.sitting.address, one.news.Vouched, time.Duration(one.news.AgeNanos))
 }
 
-// attend has one session with a registry.
-func (s *Server) attend(ctx context.Context, sitting *sitting, came chan<- heard) {
+// attend has one session with a registry. One on trial tells nothing of this proxy: were it given
+// up, its registry would take the proxy for gone, though it has a session elsewhere.
+func (s *Server) attend(ctx context.Context, sitting *sitting, trial bool, came chan<- heard) {
 	tell := func(one heard) {
 		select {
 		case came <- one:
 		case <-ctx.Done():
 		}
 	}
-	source := s.source()
-	held := s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{source}})
-	stream, err := schema.NewDRPCRegistryClient(s.ends.To(ctx, sitting.address)).Attend(ctx, &schema.Attending{Node: s.options.Name, Vector: held.Vector(),
-		Setup: held.setup.Sequence, Source: source, BeatNanos: int64(s.lease / session.BeatParts), LeaseNanos: int64(s.lease)})
+	held, asked := s.journal.View(), &schema.Attending{Node: s.options.Name, Trial: trial, BeatNanos: int64(s.lease / session.BeatParts), LeaseNanos: int64(s.lease)}
+	if !trial {
+		asked.Source = s.source()
+		held = s.journal.Append(Event{At: s.now(), Sources: []*schema.Source{asked.Source}})
+	}
+	asked.Vector, asked.Setup = held.Vector(), held.setup.Sequence
+	stream, err := schema.NewDRPCRegistryClient(s.ends.To(ctx, sitting.address)).Attend(ctx, asked)
 	for err == nil {
 		var news *schema.News
 		if news, err = stream.Recv(); err == nil {
--- a/internal/registry/attend.go
+++ b/internal/registry/attend.go
@@ -49,21 +49,24 @@
 	} else if err := s.isProxy(ctx, asked.Node); err != nil {
 		return err
 	}
-	if asked.Source != nil && asked.Source.Name != asked.Node {
-		return defect.New(defect.Stranger, asked.Source.Name)
+	if (asked.Source != nil && asked.Source.Name != asked.Node) || (asked.Trial && peer) {
+		return defect.New(defect.Stranger, asked.Node)
 	}
 	s.lock.Lock()
 	s.table.Differs(asked.Node, "lease", time.Duration(asked.LeaseNanos).String(), s.lease.String(), asked.LeaseNanos != 0)
 	s.table.Learn(s.now(), asked.Vector)
 	moved := s.learnCore(asked.Core)
-	if asked.Source != nil {
+	switch {
+	case asked.Trial:
+		s.table.Visit(asked.Node)
+	case asked.Source != nil:
 		moved = s.table.Arrive(s.now(), asked.Source) || moved
 	}
 	if moved {
 		s.announce()
 	}
 	s.lock.Unlock()
-	if asked.Source != nil {
+	if asked.Trial || asked.Source != nil {
 		s.log.V(1).Info("session begins", "proxy", asked.Node)
 		defer func() {
 			s.lock.Lock()
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -42,6 +42,10 @@
 	return t.Merge(now, source)
 }
 
+// Visit opens a session of a proxy that has another one: its source stays with the home of that
+// one until the proxy tells of itself here.
+func (t *Table) Visit(name string) { t.roster.sessions[name]++ }
+
 // Depart ends a session of a proxy.
 func (t *Table) Depart(now time.Duration, name string) {
 	t.roster.sessions[name]--
--- a/internal/registry/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -44,8 +44,12 @@
 	seated      *seated
 	known       map[string]*schema.Source
 	since       time.Duration // in session without a break with a registry that was in touch
+	visit       *visit        // a session on trial beside it
 }
 
+// visit is a session on trial, with a registry in one of its lives.
+type visit struct{ at, life, beats int }
+
 const fleetBeat = span / session.LeaseParts
 
 func newFleet(t *testing.T, seed uint64, proxies int) *fleet {
@@ -71,6 +75,9 @@
 }
 
 func (f *fleet) startProxy(p *member) {
+	if held := p.visit; held != nil && f.up[held.at] && f.lives[held.at] == held.life {
+		f.tables[held.at].Depart(f.now, p.name)
+	}
 	*p = member{name: p.name, up: true, life: p.life + 1, at: -1, known: map[string]*schema.Source{}}
 	// Half of them ask nobody first: what is seen of them later must do.
 	p.incarnation = session.NextIncarnation(0)
@@ -138,6 +145,34 @@
 	}
 }
 
+// try opens a session on trial now and then, and after a while takes it or gives it up.
+func (f *fleet) try(p *member) {
+	switch at := f.dice.IntN(3); {
+	case p.visit == nil && p.at >= 0 && at != p.at && f.up[at] && !f.apart(p.name, seatOf(at)) && f.dice.IntN(8) == 0:
+		f.tables[at].Learn(f.now, p.vector())
+		f.tables[at].Visit(p.name)
+		p.visit = &visit{at, f.lives[at], 1 + f.dice.IntN(3)}
+		return
+	case p.visit == nil:
+		return
+	}
+	held := p.visit
+	stands := f.up[held.at] && f.lives[held.at] == held.life
+	if held.beats--; stands && held.beats > 0 && p.up {
+		return
+	}
+	p.visit = nil
+	if stands && p.up && f.inTouch(held.at) && !f.apart(p.name, seatOf(held.at)) && f.dice.IntN(2) == 0 {
+		f.leave(p)
+		p.at, p.seated = held.at, &seated{NewPosition(p.name, "", p.vector()), [2]int{held.life, p.life}}
+		f.tell(p, p.source())
+		return
+	}
+	if stands {
+		f.tables[held.at].Depart(f.now, p.name)
+	}
+}
+
 // leave ends a proxy's session, as its registry sees it.
 func (f *fleet) leave(p *member) {
 	if p.at >= 0 && f.up[p.at] && p.seated.lives[0] == f.lives[p.at] {
@@ -176,6 +211,7 @@
 		}
 	}
 	for _, p := range f.proxies {
+		f.try(p)
 		if p.at >= 0 && (!f.holds(p) || (!f.inTouch(p.at) && f.dice.IntN(3) == 0)) {
 			f.leave(p)
 		}
--- a/internal/session/tie.go
+++ b/internal/session/tie.go
@@ -22,6 +22,7 @@
 // TieAct opens or ends a session with the registry at an address.
 type TieAct struct {
 	Open    bool
+	Trial   bool // beside the session that counts, which stays until this one is heard and is better
 	Address string
 	Why     string
 }
@@ -298,7 +299,7 @@
 	if current != nil {
 		why = classNames[t.class(now, current)]
 	}
-	return append(acts, TieAct{Open: true, Address: best.address, Why: why})
+	return append(acts, TieAct{Open: true, Trial: current != nil, Address: best.address, Why: why})
 }
 
 var classNames = map[int]string{classSound: "sound", classAway: "in another zone", classLagging: "lags", classDoubtful: "failed before", classFailed: "failed"}
--- a/internal/simulator/serving.go
+++ b/internal/simulator/serving.go
@@ -29,6 +29,7 @@
 	clientLife int
 	position   *registry.Position
 	peer       bool
+	trial      bool // the client has another session
 	setup      uint64
 	members    uint32
 	begun      bool
@@ -255,20 +256,31 @@
 		if !act.Open {
 			continue
 		}
-		reg := w.regCalled(act.Address)
-		source := node.source(w.areaOf(node.index))
-		held := node.journal.Append(proxy.Event{At: node.clockOf(w.now), Sources: []*schema.Source{source}})
+		reg, held, told := w.regCalled(act.Address), node.journal.View(), (*schema.Source)(nil)
+		if !act.Trial {
+			source := node.source(w.areaOf(node.index))
+			held = node.journal.Append(proxy.Event{At: node.clockOf(w.now), Sources: []*schema.Source{source}})
+			told = proto.Clone(source).(*schema.Source)
+		}
 		vector := held.Vector()
-		one := &sitting{server: reg, client: &node.machine, setup: held.Sequence()}
+		one := &sitting{server: reg, client: &node.machine, setup: held.Sequence(), trial: act.Trial}
 		one.take = func(news *schema.News) { w.takeNews(node, act.Address, news) }
 		node.sits[act.Address] = one
-		told := proto.Clone(source).(*schema.Source)
 		w.sit(one, func() {
 			reg.table.Learn(w.ageOf(reg), vector)
 			one.position = registry.NewPosition(node.name, "", vector)
-			reg.table.Arrive(w.ageOf(reg), told)
+			if act.Trial {
+				reg.table.Visit(node.name)
+			} else {
+				reg.table.Arrive(w.ageOf(reg), told)
+			}
 		})
 	}
+	// A session on trial that is taken makes its registry the one to mind this proxy.
+	if current := node.sits[node.tie.Current()]; current != nil && current.trial {
+		current.trial = false
+		w.tell(node, true)
+	}
 }
 
 // takeNews does what a proxy's daemon does with what a session brings.
