--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -43,7 +43,7 @@
 	var known Facts = facts{}
 	roll := dice.Float64
 	allocations := testing.AllocsPerRun(1000, func() { _, _ = Make(view, request, options, known, 0, roll) })
-	if allocations > 2 {
+	if allocations > 2 && !underRace {
 		t.Errorf("%v allocations", allocations)
 	}
 }
--- /dev/null
+++ b/internal/plan/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package plan
+
+const underRace = false
