Hold old and new version against each other over the same time

Cause: TestBrake's 'both fail alike of late, at 90 %' failed again: what the old version of late may do just as well was asked of the rate that is suspected, while the old one's last seconds still held what was before the trouble. Both are taken over the same seconds again, and it must be ten times unlikelier.

--- a/internal/release/suspicion.go
+++ b/internal/release/suspicion.go
@@ -18,7 +18,7 @@
 	medianFrom   = 20   // calls of the old version on a route, to know its median
 	recentKeeps  = 0.8  // part of what came of late that is kept from look to look
 	recentFrom   = 20   // calls of the old version of late, to know how it fares just now
-	alike        = 0.01 // how unlikely it must be that the old version, of late, fails as the new one does
+	alike        = 0.001 // how unlikely it must be that the old version, of late, fails as the new one does
 	wholeOfRoute = ""   // what stands for all routes together
 )
 
@@ -62,7 +62,6 @@
 type doubt struct {
 	sum      float64
 	balance  float64 // as the sum, but that it may fall: below nothing, the version is likelier sound
-	bad      float64 // how often a bad version ends calls badly here
 	old, new ended   // of late
 }
 
@@ -135,8 +134,9 @@
 		if seen.all < 1 {
 			seen = whole.old
 		}
-		// What the old version, of late, may do just as well is held against nobody.
-		if one := held.sum / options.Sure; one > strength && (gone || atMost(seen, max(held.bad, held.new.rate())) <= alike) {
+		// What the old version, of late, may do just as well is held against nobody. Both are taken
+		// over the same time, so that one trouble of all begins for both at once.
+		if one := held.sum / options.Sure; one > strength && (gone || atMost(seen, held.new.rate()) <= alike) {
 			strength, reason = one, "fails or is slow "+where(route)
 		}
 	}
@@ -154,7 +154,7 @@
 	sound := min(0.5, max(soundAtMost, soundTimes*rate+soundBeyond))
 	bad := min(rateMost, max(sound+badBeyond, badTimes*sound))
 	weight := fresh.bad*math.Log(bad/sound) + (fresh.all-fresh.bad)*math.Log((1-bad)/(1-sound))
-	d.sum, d.balance, d.bad = max(0, d.sum+weight), d.balance+weight, bad
+	d.sum, d.balance = max(0, d.sum+weight), d.balance+weight
 }
 
 // atMost is how likely no more than so many of calls end badly, if each does at a rate.
