Try last who owes answers and gives none

A proxy that owes answers and gave none for four times what its worker takes (eight times if it owes one alone) and a 25th of an ejection is now tried last until it gives one. It is a soft judgement: placement ignores it where others fail alike, and an answer ends it.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -517,7 +517,7 @@
 	var ending schema.Ending
 	var status int32
 	sentAt := c.Now()
-	c.Soundness.Begin(candidate.Instance)
+	c.Soundness.Begin(candidate.Instance, sentAt)
 	if len(c.View().Setup.Guards[ended.Plan.Service]) > 0 {
 		tried := c.Trials.Begin(ended.Plan.Service, ended.Plan.Verdict.Version, c.Now())
 		defer func() {
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -195,7 +195,7 @@
 	call.to = call.order[call.tried]
 	call.tried++
 	call.sent = w.now
-	w.facts[call.from].Begin(fmt.Sprint("w", call.to))
+	w.facts[call.from].Begin(fmt.Sprint("w", call.to), w.now)
 	hop := 300 * time.Microsecond
 	if w.workers[call.to].zone != zoneOf(call.from) {
 		hop += 700 * time.Microsecond
@@ -408,7 +408,7 @@
 				}
 				at := int(made.Candidates[0].Instance[1] - '0')
 				got[at] += 1 / float64(calls)
-				facts.Begin(made.Candidates[0].Instance)
+				facts.Begin(made.Candidates[0].Instance, now)
 				facts.End(made.Candidates[0].Instance, now, dice.Float64() < failing[at])
 			}
 			return got
--- a/internal/dispatch/see_test.go
+++ b/internal/dispatch/see_test.go
@@ -23,11 +23,11 @@
 		}
 	}
 	near("never called: as the directory says", time.Second, 9, 5, 5)
-	facts.Begin("w")
-	facts.Begin("w")
+	facts.Begin("w", 0)
+	facts.Begin("w", 0)
 	facts.Ended("w", 2*time.Second, time.Second, answer(0, 0, 0))
 	near("its answers are silent: nothing is guessed", 2*time.Second, 0, 0, 0)
-	facts.Begin("w")
+	facts.Begin("w", 0)
 	facts.Ended("w", 3*time.Second, time.Second, answer(7, 3, 10))
 	near("told by an answer, less the one of ours", 3*time.Second, 10, 9, 9)
 	worker.Told, worker.Running, worker.Waiting = 4*time.Second, 3, 0
@@ -42,7 +42,7 @@
 	worker := plan.Candidate{Instance: "w"}
 	for _, one := range []struct{ told, until time.Duration }{{100 * time.Millisecond, 100 * time.Millisecond}, {0, 5 * time.Second / fullParts}, {time.Hour, 5 * time.Second}} {
 		for range 3 {
-			facts.Begin("w")
+			facts.Begin("w", 0)
 			facts.Ended("w", time.Minute, time.Millisecond, &schema.Carried{Ending: schema.Ending_ENDING_NOT_RUN, Defect: "BUFFER_FULL", BackNanos: int64(one.told)})
 		}
 		before, after := facts.See(&worker, time.Minute+one.until-1), facts.See(&worker, time.Minute+one.until)
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -19,6 +19,7 @@
 	failures atomic.Int64 // in a row
 	until    atomic.Int64 // ejected until
 	full     atomic.Int64 // without room until
+	heardAt  atomic.Int64 // when its proxy answered last, or when calls began to wait there
 	disowned atomic.Bool  // its proxy knows it no more, or it is leaving: it never comes back
 
 	lock sync.Mutex
@@ -40,6 +41,12 @@
 	fullParts  = 64   // the part of an ejection for which a worker without room is tried last, if not told
 	usualParts = 16.0 // the part of news that goes into the usual load
 	paceParts  = 8    // the part of news that goes into the pace
+
+	// A proxy that owes answers and gives none for so many times what its worker takes, and so
+	// long a part of an ejection, is tried last until it gives one; twice as many if it owes one
+	// alone, for one call may just take long.
+	silentTimes = 4
+	silentParts = 25
 )
 
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
@@ -75,6 +82,7 @@
 		return seen
 	}
 	seen.InFlight = int(facts.inFlight.Load())
+	silence := now - time.Duration(facts.heardAt.Load())
 	seen.Full = int64(now) < facts.full.Load()
 	seen.Unreached = unreached || facts.disowned.Load()
 	seen.Ejected = seen.Unreached || int64(now) < facts.until.Load()
@@ -85,6 +93,9 @@
 	if facts.pace > 0 {
 		seen.Pace = facts.pace
 	}
+	if seen.InFlight > 0 && seen.Pace > 0 && silence > max(silentTimes*(seen.Pace+seen.Pace/time.Duration(seen.InFlight)), s.ejection/silentParts) {
+		seen.Ejected = true
+	}
 	if !facts.told {
 		if facts.calls > 0 {
 			// Its answers tell no load, and what the directory says is older than most calls last: by it
@@ -145,7 +156,12 @@
 }
 
 // Begin notes a call sent to a worker.
-func (s *Soundness) Begin(instance string) { s.of(instance).inFlight.Add(1) }
+func (s *Soundness) Begin(instance string, now time.Duration) {
+	facts := s.of(instance)
+	if facts.inFlight.Add(1) == 1 {
+		facts.heardAt.Store(int64(now))
+	}
+}
 
 // End notes how a call ended.
 func (s *Soundness) End(instance string, now time.Duration, failed bool) {
@@ -184,7 +200,11 @@
 	} else {
 		s.End(instance, now, carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500)
 	}
-	s.of(instance).heard(now, took, carried)
+	facts := s.of(instance)
+	if carried.Slots > 0 || carried.Ending == schema.Ending_ENDING_ANSWERED {
+		facts.heardAt.Store(int64(now))
+	}
+	facts.heard(now, took, carried)
 }
 
 // turnedAway tells whether a call was refused for want of room or time, by who knows the worker best.
--- a/internal/dispatch/soundness_test.go
+++ b/internal/dispatch/soundness_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"meadowhinge/internal/plan"
+	"meadowhinge/schema"
 )
 
 func TestSoundness(t *testing.T) {
@@ -16,7 +17,7 @@
 		if ejected(worker, 0) {
 			t.Errorf("ejected after %d failures", i)
 		}
-		facts.Begin("w")
+		facts.Begin("w", 0)
 		facts.End("w", 0, true)
 	}
 	if !ejected(worker, 5*time.Second-1) || ejected(worker, 5*time.Second) || ejected(other, 0) {
@@ -41,3 +42,25 @@
 		t.Error("facts of a worker no longer listed are kept")
 	}
 }
+
+// Who owes answers and gives none is tried last until it gives one; who owes none is not silent.
+func TestSilentWorkersAreTriedLast(t *testing.T) {
+	const ms = time.Millisecond
+	facts := NewSoundness(3, 5*time.Second)
+	worker := plan.Candidate{Instance: "w", Proxy: "p", Pace: 100 * ms, Slots: 9}
+	silent := func(now time.Duration) bool { return facts.See(&worker, now).Ejected }
+	answer := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: 200, Slots: 9, PaceNanos: int64(100 * ms)}
+	facts.Begin("w", 1000*ms)
+	facts.Begin("w", 1200*ms)
+	if silent(1600*ms) || !silent(1601*ms) {
+		t.Error("with two calls there, six times what one takes is not what is waited for")
+	}
+	facts.Ended("w", 1700*ms, 300*ms, answer)
+	if silent(2500*ms) || !silent(2501*ms) {
+		t.Error("an answer does not count as a sign of life")
+	}
+	facts.Ended("w", 3000*ms, 100*ms, answer)
+	if silent(time.Hour) {
+		t.Error("who owes nothing is held to be silent")
+	}
+}
