--- a/internal/release/suspicion.go
+++ b/internal/release/suspicion.go
@@ -14,12 +14,12 @@
 	badBeyond    = 0.2  // a bad one fails so much more often than a sound one may
 	badTimes     = 2
 	rateMost     = 0.95
-	slowSteps    = 4    // two doublings: as slow as this beyond the old version's median is as bad as a failure
-	medianFrom   = 20   // calls of the old version on a route, to know its median
-	recentKeeps  = 0.8  // part of what came of late that is kept from look to look
-	recentFrom   = 20   // calls of the old version of late, to know how it fares just now
+	slowSteps    = 4     // two doublings: as slow as this beyond the old version's median is as bad as a failure
+	medianFrom   = 20    // calls of the old version on a route, to know its median
+	recentKeeps  = 0.8   // part of what came of late that is kept from look to look
+	recentFrom   = 20    // calls of the old version of late, to know how it fares just now
 	alike        = 0.001 // how unlikely it must be that the old version, of late, fails as the new one does
-	wholeOfRoute = ""   // what stands for all routes together
+	wholeOfRoute = ""    // what stands for all routes together
 )
 
 // TimeSteps is into how many steps the time of a call falls.
