Let no answer to a killed proxy reach its next life in the simulator

Links end with their process, so no daemon can meet that: the world's own fault. The stores were looked at first; all of them showed the same.

--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -186,7 +186,8 @@
 		}
 		busy = w.now + lease/(2*session.LeaseParts)
 		target := w.regs[node.feedAt%len(w.regs)]
-		held := node.journal.View()
+		journal := node.journal
+		held := journal.View()
 		vector, sequence := held.Vector(), held.Sequence()
 		w.deliver(&node.machine, &target.machine, func() {
 			event := proxy.Event{Sources: target.table.Feed(w.ageOf(target), vector)}
@@ -198,8 +199,10 @@
 				}
 			}
 			w.deliver(&target.machine, &node.machine, func() {
-				busy = 0
-				w.apply(node, event)
+				// An answer to what a proxy asked before it was killed reaches nobody: the links went with it.
+				if busy = 0; node.journal == journal {
+					w.apply(node, event)
+				}
 			})
 		})
 	})
@@ -213,7 +216,11 @@
 			return item.Kind == "service" && held[setup.Key(item.Kind, item.Name)] != nil
 		})
 	}
+	journal := node.journal
 	use := func() {
+		if node.journal != journal {
+			return // the proxy was killed meanwhile, and what it knew is gone
+		}
 		if node.journal.View().Sequence() < event.Setup || len(event.Sources) > 0 {
 			event.At = node.clockOf(w.now)
 			before := node.journal.View().Sequence()
