--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -32,8 +32,9 @@
 // protocol is the version of what our processes say; ALPN refuses any other at the handshake.
 const protocol = "meadowhinge/1"
 
-// messageMost bounds one message, in bytes; a whole setup must fit.
-const messageMost = 64 << 20
+// messageMost bounds one message, in bytes; a whole setup must fit, and the largest body that
+// settings let through with what goes beside it.
+const messageMost = 65 << 20
 
 // Peer is who stands at the other end, as its certificate says.
 type Peer struct {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -37,6 +37,9 @@
 	leaving *atomic.Bool
 	serve   func(head *Head, body []byte, came time.Time, reply *Reply)
 	refuse  func(head *Head, err error, reply *Reply)
+	// room is how many bytes of large bodies may be held at once; taken is how many are.
+	room  int64
+	taken atomic.Int64
 
 	lock  sync.Mutex
 	talks map[*talk]struct{}
@@ -47,15 +50,16 @@
 // Sizes in bytes, and ratios.
 const (
 	firstRead   = 4 << 10  // of a connection's buffer; it grows with heads that need more
-	bodyStep    = 64 << 10 // of a body before more of it has come
+	bodyStep    = 64 << 10 // of a body before more of it has come; a larger one is counted
+	bodyTimes   = 4        // times which room for a body grows as more of it comes
 	joinMost    = 16 << 10 // bodies up to this are written together with their head
 	lineMost    = 256      // of a chunk's size line
 	lingerTimes = 16       // times the bound, of a body that is read and dropped after a refusal
 	stillGood   = 4        // a deadline is moved once this part of it has passed
 )
 
-func newFront(listener net.Listener, most int, leaving *atomic.Bool, bounds func() bounds) *front {
-	return &front{listener: listener, bounds: bounds, most: most, leaving: leaving, talks: map[*talk]struct{}{}, gone: make(chan struct{})}
+func newFront(listener net.Listener, most int, room int64, leaving *atomic.Bool, bounds func() bounds) *front {
+	return &front{listener: listener, bounds: bounds, most: most, room: room, leaving: leaving, talks: map[*talk]struct{}{}, gone: make(chan struct{})}
 }
 
 // run takes connections until the listener is closed.
@@ -144,6 +148,7 @@
 	writeBy time.Time
 	idle    atomic.Bool
 	head    Head
+	held    int64 // bytes of a large body that are counted
 	reply   Reply
 	out     []byte
 }
@@ -168,6 +173,7 @@
 	if err == nil {
 		body, err = t.readBody(limits)
 	}
+	defer t.giveBack()
 	if err != nil {
 		// Whoever closed the connection on its own request waits for no answer.
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
@@ -310,6 +316,9 @@
 // take appends so many bytes of the body; room is made as they come, not as they are promised.
 func (t *talk) take(body []byte, count int, limits bounds) ([]byte, error) {
 	buffered := min(count, t.have-t.at)
+	if err := t.hold(int64(len(body) + count)); err != nil {
+		return nil, err
+	}
 	if body == nil {
 		body = make([]byte, 0, min(count, bodyStep))
 	}
@@ -317,7 +326,7 @@
 	t.at += buffered
 	for count -= buffered; count > 0; {
 		if len(body) == cap(body) {
-			larger := make([]byte, len(body), min(len(body)+count, 2*cap(body)+bodyStep))
+			larger := make([]byte, len(body), min(len(body)+count, bodyTimes*cap(body)+bodyStep))
 			copy(larger, body)
 			body = larger
 		}
@@ -332,6 +341,29 @@
 	return body, nil
 }
 
+// hold counts a large body against the room that all share; where there is none it is refused,
+// for what a process may take of memory is bounded, and over the bound all its calls end.
+func (t *talk) hold(size int64) error {
+	if size <= bodyStep {
+		return nil
+	}
+	more := size - t.held
+	if t.front.taken.Add(more) > t.front.room {
+		t.front.taken.Add(-more)
+		return defect.New(defect.BufferFull, "too many large bodies at once")
+	}
+	t.held = size
+	return nil
+}
+
+// giveBack makes the room free that a body took.
+func (t *talk) giveBack() {
+	if t.held > 0 {
+		t.front.taken.Add(-t.held)
+		t.held = 0
+	}
+}
+
 func endOfBody(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return defect.Wrap(err, defect.TooSlow, "body")
--- a/internal/proxy/front_test.go
+++ b/internal/proxy/front_test.go
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	one := &counter{address: listener.Addr().String(), took: make(chan took, 64), held: make(chan struct{})}
-	one.front = newFront(listener, 64, &one.leaving, func() bounds { return limits })
+	one.front = newFront(listener, 64, int64(limits.body), &one.leaving, func() bounds { return limits })
 	one.front.refuse = func(_ *Head, err error, reply *Reply) {
 		reply.Status, reply.Body = defect.Status(defect.KindOf(err)), []byte(defect.KindOf(err))
 	}
@@ -293,6 +293,32 @@
 	}
 }
 
+// Large bodies share a room: one that finds none is refused, and the room is given back.
+func TestLargeBodiesShareRoom(t *testing.T) {
+	counter := startFront(t, bounds{head: 1 << 10, body: 1 << 20, headWait: patient, quiet: patient})
+	put := func(path string, size int) string {
+		return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, size, strings.Repeat("x", size))
+	}
+	first, firstReader := counter.dial(t)
+	fmt.Fprint(first, put("/held", 1<<20))
+	<-counter.took
+	second, secondReader := counter.dial(t)
+	fmt.Fprint(second, put("/small", bodyStep))
+	if status, _, _ := answer(t, secondReader, "PUT"); status != 200 {
+		t.Errorf("a small body got %d", status)
+	}
+	go func() { fmt.Fprint(second, put("/large", bodyStep+1)) }()
+	if status, _, closes := answer(t, secondReader, "PUT"); status != 503 || !closes {
+		t.Errorf("a large body without room got %d, closes %t", status, closes)
+	}
+	close(counter.held)
+	answer(t, firstReader, "PUT")
+	fmt.Fprint(first, put("/large", 1<<20))
+	if status, _, _ := answer(t, firstReader, "PUT"); status != 200 {
+		t.Errorf("a large body with room again got %d", status)
+	}
+}
+
 // A caller that goes away does not break its request off.
 func TestRequestsOutliveTheirConnection(t *testing.T) {
 	counter := startFront(t, usual)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -380,7 +380,7 @@
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, address)
 	}
-	made := newFront(listener, int(s.options.Buffer)*connsPerCall, s.draining, s.bounds)
+	made := newFront(listener, int(s.options.Buffer)*connsPerCall, s.options.BodyMost, s.draining, s.bounds)
 	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
 	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
 		s.serve(caller, head, body, came, reply)
