Tell by how much a measuring run was woken late itself

On a machine that others use, a stall of all processes looks like one of the mesh. A run notes how late its own timers fire, beside what it measures.

--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -73,6 +73,7 @@
 	Stale       Spans          `json:"stale"`       // since a member last knew its picture to be the newest
 	News        Spans          `json:"news"`        // from a change of a member's workers to its being known, at each other member
 	Back        Spans          `json:"back"`        // from a restart to a setup in use
+	Late        Spans          `json:"late"`        // by how much this process itself was woken late: the machine's doing
 	Unapplied   int            `json:"unapplied"`   // changes that some member had not taken into use at the end
 	Rulings     map[string]int `json:"rulings"`
 	Restarts    int            `json:"restarts"`
@@ -244,6 +245,8 @@
 	living.Go(func() { operator.keepChanging(stop) })
 	living.Go(func() { fleet.keepRestarting(stop) })
 	living.Go(func() { fleet.keepLooking(stop) })
+	late := newSpans()
+	living.Go(func() { keepWatch(stop, late) })
 	report := &HollowReport{Options: given, Commit: commitHere(), Cores: runtime.NumCPU()}
 	first := takeMarks(core, fleet)
 	last, said := first, now()
@@ -270,12 +273,30 @@
 	report.Roles[0].Memory = float64(memoryHeld()-memoryBefore) / float64(given.Members) / (1 << 20)
 	report.Roles[0].Heap = report.Roles[0].Memory
 	report.take(operator, fleet)
+	report.Late = spansOf(late)
 	if state := core.itemsShown(); state != nil {
 		report.Items, report.ItemBytes = state.items, state.bytes
 	}
 	return report, nil
 }
 
+// watchEvery is how often it is looked whether this process runs when it should.
+const watchEvery = 10 * time.Millisecond
+
+// keepWatch notes how late this process is woken. What a machine too busy does to it, it does to
+// all that is measured.
+func keepWatch(stop <-chan struct{}, late *hdrhistogram.Histogram) {
+	for {
+		slept := time.Now()
+		select {
+		case <-stop:
+			return
+		case <-time.After(watchEvery):
+			record(late, time.Since(slept)-watchEvery)
+		}
+	}
+}
+
 // pause waits, and tells whether it was not cut short.
 func pause(ctx context.Context, span time.Duration) bool {
 	select {
@@ -492,7 +513,8 @@
 		name  string
 		spans Spans
 	}{{"stated to acknowledged", r.Acknowledge}, {"acknowledged to in use, each member", r.Apply}, {"stated to in use everywhere", r.Everywhere},
-		{"age of members' pictures", r.Stale}, {"news of workers, each member", r.News}, {"restarted to setup in use", r.Back}} {
+		{"age of members' pictures", r.Stale}, {"news of workers, each member", r.News}, {"restarted to setup in use", r.Back},
+		{"this process was woken late by", r.Late}} {
 		fmt.Fprintf(out, "%-36s ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f (%d)\n", one.name, one.spans.P50, one.spans.P90, one.spans.P99, one.spans.Max, one.spans.Count)
 	}
 }
--- a/internal/rehearsal/slopes.go
+++ b/internal/rehearsal/slopes.go
@@ -145,6 +145,7 @@
 	{"acknowledged after ms, p99", func(r *HollowReport) float64 { return r.Acknowledge.P99 }},
 	{"in use everywhere after ms, p99", func(r *HollowReport) float64 { return r.Everywhere.P99 }},
 	{"age of pictures ms, p99", func(r *HollowReport) float64 { return r.Stale.P99 }},
+	{"woken late by ms, p99", func(r *HollowReport) float64 { return r.Late.P99 }},
 	{"news of workers after ms, p99", func(r *HollowReport) float64 { return r.News.P99 }},
 }
 
