Give each run of the tests a part of the loopback net of its own

TestFleetOfNodeFiles told of its worker once and, on a busy machine, found it dropped for silence before it was listed (seen here once: 81 s, an empty list). Ruled out: a listener not closed by the registry (Serve returns after its listener is closed; the port was on an address that the test itself had listened at only in its trial).

--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +16,7 @@
 	"meadowhinge/internal/proxy"
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/session"
+	"meadowhinge/internal/standin"
 	"meadowhinge/internal/store"
 	"meadowhinge/schema"
 )
@@ -27,38 +27,12 @@
 // smallCore is three core machines on addresses of their own, on plain links.
 type smallCore struct {
 	t          *testing.T
+	net24      string // the part of the loopback net that this run has for itself
 	hosts      []string
 	port       int // of the registries; the next ones are the stores' and the operators'
 	registries []func()
 }
 
-// freePorts finds ports one after another that are free at all hosts.
-func freePorts(t *testing.T, hosts []string, count int) int {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp", hosts[0]+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port, taken := first.Addr().(*net.TCPAddr).Port, []net.Listener{first}
-		for _, host := range hosts {
-			for place := range count {
-				if other, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port+place)); err == nil {
-					taken = append(taken, other)
-				}
-			}
-		}
-		for _, one := range taken {
-			one.Close()
-		}
-		if len(taken) == len(hosts)*count {
-			return port
-		}
-	}
-	t.Fatal("no ports are free")
-	return 0
-}
-
 func quietFrame() *daemon.Frame { return &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}} }
 
 // running runs something until it is stopped.
@@ -75,8 +49,15 @@
 }
 
 func newSmallCore(t *testing.T) *smallCore {
-	c := &smallCore{t: t, hosts: []string{"127.0.0.101", "127.0.0.102", "127.0.0.103"}}
-	c.port = freePorts(t, c.hosts, 3)
+	octet, held, err := standin.ClaimNet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { held.Close() })
+	c := &smallCore{t: t, port: standin.PortsFrom, net24: fmt.Sprintf("127.%d.0", octet)}
+	for i := range 3 {
+		c.hosts = append(c.hosts, fmt.Sprint(c.net24, ".10", i))
+	}
 	for i, host := range c.hosts {
 		data := t.TempDir()
 		stop := running(t, func(ctx context.Context) error {
@@ -137,9 +118,9 @@
 
 func (c *smallCore) join(i int) *fleetMember {
 	c.t.Helper()
-	m := &fleetMember{name: fmt.Sprint("127.0.0.11", i), moved: make(chan struct{}, 1)}
+	m := &fleetMember{name: fmt.Sprint(c.net24, ".11", i), moved: make(chan struct{}, 1)}
 	var err error
-	m.Hollow, err = proxy.JoinHollow(quietFrame(), &schema.ProxyOptions{Name: m.name, Area: fmt.Sprint("area-", i), Listen: m.name + ":9", Seeds: c.seeds(0), Callers: "shop=127.0.0.1:9",
+	m.Hollow, err = proxy.JoinHollow(quietFrame(), &schema.ProxyOptions{Name: m.name, Area: fmt.Sprint("area-", i), Listen: m.name + ":9", Seeds: c.seeds(0), Callers: "shop=" + c.net24 + ".1:9",
 		Links: "plain", Doubt: "serve", Lease: int64(coreLease), Buffer: 16, BodyMost: 1 << 16, MembersMost: 8, Silence: 600, Remembered: 100, FailuresMost: 5, HorizonMost: int64(time.Second)},
 		func(proxy.Seen) {
 			select {
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 	"time"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/standin"
 )
 
 // Ports, the same on every machine: machines differ by their loopback address.
@@ -140,6 +140,7 @@
 	folder     string
 	binaries   string
 	net        int // second octet of every address, so that fleets do not meet
+	netHeld    io.Closer
 	lease      time.Duration
 	disks      bool // stores run on a stand-in disk
 	authority  *Authority
@@ -199,17 +200,9 @@
 	if err != nil {
 		return nil, err
 	}
-	// A free second octet is found by holding an address of it.
 	f := &Fleet{Deployment: d, folder: folder, binaries: binaries, lease: lease, disks: disks, authority: authority, Cuts: NewCuts()}
-	for f.net = 16 + os.Getpid()%200; ; f.net++ {
-		holding, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:7000", f.net))
-		if err == nil {
-			f.relays = append(f.relays, &Relay{listener: holding})
-			break
-		}
-		if f.net > 250 {
-			return nil, defect.New(defect.Internal, "no free loopback addresses")
-		}
+	if f.net, f.netHeld, err = standin.ClaimNet(); err != nil {
+		return nil, err
 	}
 	join := func(from func(int) string, count, port, besides int) string {
 		var parts []string
@@ -372,6 +365,7 @@
 	for _, relay := range f.relays {
 		relay.Close()
 	}
+	f.netHeld.Close()
 	return unclean
 }
 
--- a/internal/rehearsal/hollow_core.go
+++ b/internal/rehearsal/hollow_core.go
@@ -4,16 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
 	"meadowhinge/internal/daemon"
-	"meadowhinge/internal/defect"
 	"meadowhinge/internal/link"
 	"meadowhinge/internal/options"
+	"meadowhinge/internal/standin"
 	"meadowhinge/schema"
 )
 
@@ -32,7 +31,7 @@
 	}
 	f := &Fleet{Deployment: &Deployment{Name: "hollow", Cores: int(given.Seats), Areas: int(given.Zones)}, folder: given.Folder, binaries: given.Binaries,
 		lease: time.Duration(given.Lease), authority: authority, Cuts: NewCuts()}
-	if err := f.claimNet(); err != nil {
+	if f.net, f.netHeld, err = standin.ClaimNet(); err != nil {
 		return nil, err
 	}
 	seats := f.seats()
@@ -95,17 +94,6 @@
 	return strings.Join(parts, ",")
 }
 
-// claimNet finds a free second octet by holding an address of it.
-func (f *Fleet) claimNet() error {
-	for f.net = 16 + os.Getpid()%200; f.net <= 250; f.net++ {
-		if holding, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:7000", f.net)); err == nil {
-			f.relays = append(f.relays, &Relay{listener: holding})
-			return nil
-		}
-	}
-	return defect.New(defect.Internal, "no free loopback addresses")
-}
-
 // edgeSettings are the settings of a proxy, but for those of its own process.
 func (f *Fleet) edgeSettings(mode string, i int, callers []string, membersMost int64) (map[string]string, error) {
 	address := fmt.Sprintf("127.%d.%d.%d", f.net, 2+i/edgesPerNet, 1+i%edgesPerNet)
--- a/internal/store/daemon_test.go
+++ b/internal/store/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,35 +11,10 @@
 
 	"meadowhinge/internal/daemon"
 	"meadowhinge/internal/link"
+	"meadowhinge/internal/standin"
 	"meadowhinge/schema"
 )
 
-// free finds a port that is free at every address given.
-func free(t *testing.T, addresses ...string) (port int) {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp", addresses[0]+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port = first.Addr().(*net.TCPAddr).Port
-		taken := []net.Listener{first}
-		for _, address := range addresses[1:] {
-			if other, err := net.Listen("tcp", fmt.Sprint(address, ":", port)); err == nil {
-				taken = append(taken, other)
-			}
-		}
-		for _, one := range taken {
-			one.Close()
-		}
-		if len(taken) == len(addresses) {
-			return port
-		}
-	}
-	t.Fatal("no port is free")
-	return 0
-}
-
 func start(t *testing.T, given *schema.StoreOptions) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -57,9 +31,14 @@
 
 // Three stores that know nothing but each other's seeds found a core and take a change.
 func TestFoundedFromSeeds(t *testing.T) {
-	hosts := []string{"127.0.0.91", "127.0.0.92", "127.0.0.93"}
-	port := free(t, hosts...)
-	seeds := "127.0.0.93:9,127.0.0.91:9,127.0.0.92:9" // of the operators' interface: only the IPs count
+	octet, held, err := standin.ClaimNet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	net24, port := fmt.Sprintf("127.%d.0", octet), standin.PortsFrom
+	hosts := []string{net24 + ".91", net24 + ".92", net24 + ".93"}
+	seeds := fmt.Sprintf("%[1]s.93:9,%[1]s.91:9,%[1]s.92:9", net24) // of the operators' interface: only the IPs count
 	for _, host := range hosts {
 		defer start(t, &schema.StoreOptions{Seat: host, Listen: fmt.Sprint(host, ":", port), Seeds: seeds, Data: t.TempDir(), Founding: true, Links: "plain",
 			Losses: 1, Silence: int64(300 * time.Millisecond), Stall: int64(time.Second), EntriesMost: 64, OutcomesMost: 64, Buffer: 64})()
