Bound the connections that callers may keep, the longest quiet making room

Cause: a caller that is refused comes back on a new connection and keeps the old one. Nothing bounded them but the quiet time: buffer times four is 8,192, more than there are. Out of descriptors, a proxy could open no link and reach no worker either.

Ruled out: links, ties and connections to workers (some 400 descriptors together, steady); connections whose caller is gone (each ends at once); a shorter quiet time (it is the operators' setting).

Change: a setting callers-most. Beyond it the connection that has been quiet the longest is ended; where all are at a request the new one is, as before. The ordinary path costs a number in place of a flag.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -76,7 +76,7 @@
 		}
 		one := &talk{front: f, conn: conn}
 		f.lock.Lock()
-		taken := !f.ended && len(f.talks) < f.most
+		taken := !f.ended && (len(f.talks) < f.most || f.makeRoom())
 		if taken {
 			f.talks[one] = struct{}{}
 		}
@@ -89,6 +89,23 @@
 	}
 }
 
+// makeRoom ends the connection that has been quiet the longest, for callers that were refused come
+// back on a new one and keep the old; the caller holds the lock. It tells whether any was quiet.
+func (f *front) makeRoom() bool {
+	var oldest *talk
+	since := int64(0)
+	for one := range f.talks {
+		if at := one.quietAt.Load(); at != 0 && (oldest == nil || at < since) {
+			oldest, since = one, at
+		}
+	}
+	if oldest == nil || !oldest.quietAt.CompareAndSwap(since, 0) {
+		return false
+	}
+	_ = oldest.conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // acceptPause is how long a listener rests that could not take a connection.
 const acceptPause = 10 * time.Millisecond
 
@@ -103,7 +120,7 @@
 		return true
 	}
 	for one := range f.talks {
-		if one.idle.Load() {
+		if one.quietAt.Load() != 0 {
 			_ = one.conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
@@ -146,7 +163,7 @@
 	have    int
 	readBy  time.Time // the deadlines set on the connection
 	writeBy time.Time
-	idle    atomic.Bool
+	quietAt atomic.Int64 // since when nothing is owed on it, 0 while a request is
 	head    Head
 	held    int64 // bytes of a large body that are counted
 	reply   Reply
@@ -224,13 +241,17 @@
 		if len(t.buffer) > firstRead {
 			t.buffer = make([]byte, firstRead)
 		}
-		t.wait(time.Now(), limits.quiet)
-		t.idle.Store(true)
+		now := time.Now()
+		t.wait(now, limits.quiet)
+		t.quietAt.Store(now.UnixNano())
 		if t.front.ending() {
 			return time.Time{}, errIdle
 		}
 		err := t.fill()
-		t.idle.Store(false)
+		// Who was to make room and had sent a request already gets its answer all the same.
+		if t.quietAt.Swap(0) == 0 {
+			t.readBy = time.Time{}
+		}
 		if err != nil {
 			return time.Time{}, errIdle
 		}
@@ -488,7 +509,7 @@
 	}
 	_ = t.conn.SetReadDeadline(time.Now().Add(limits.headWait))
 	// Nothing is owed any more, so the end of this process need not wait for it.
-	t.idle.Store(true)
+	t.quietAt.Store(time.Now().UnixNano())
 	if t.front.ending() {
 		return
 	}
--- a/internal/proxy/front_test.go
+++ b/internal/proxy/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -264,6 +265,74 @@
 	}
 }
 
+// Callers keep connections that they do not use again: the one that has been quiet the longest makes
+// room for a new one, never one that is owed an answer.
+func TestQuietConnectionsMakeRoom(t *testing.T) {
+	counter := startFront(t, usual)
+	counter.front.lock.Lock()
+	counter.front.most = 3
+	counter.front.lock.Unlock()
+	quiet := func() (count int) {
+		counter.front.lock.Lock()
+		defer counter.front.lock.Unlock()
+		for one := range counter.front.talks {
+			if one.quietAt.Load() != 0 {
+				count++
+			}
+		}
+		return count
+	}
+	ask := func(conn net.Conn, reader *bufio.Reader, path string) {
+		t.Helper()
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
+		if status, body, _ := answer(t, reader, "GET"); status != 200 || body != path {
+			t.Fatalf("%s: %d %q", path, status, body)
+		}
+	}
+	busy, busyReader := counter.dial(t)
+	fmt.Fprint(busy, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-counter.took
+	first, firstReader := counter.dial(t)
+	ask(first, firstReader, "/first")
+	for quiet() < 1 {
+		runtime.Gosched()
+	}
+	second, secondReader := counter.dial(t)
+	ask(second, secondReader, "/second")
+	for quiet() < 2 {
+		runtime.Gosched()
+	}
+	third, thirdReader := counter.dial(t)
+	ask(third, thirdReader, "/third")
+	if got, err := io.ReadAll(firstReader); len(got) > 0 || err != nil {
+		t.Errorf("the longest quiet got %q, %v", got, err)
+	}
+	ask(second, secondReader, "/again")
+	close(counter.held)
+	if status, body, _ := answer(t, busyReader, "GET"); status != 200 || body != "/held" {
+		t.Errorf("the one at work got %d %q", status, body)
+	}
+}
+
+// Where every connection is at a request a new one is closed at once.
+func TestBusyConnectionsMakeNoRoom(t *testing.T) {
+	counter := startFront(t, usual)
+	counter.front.lock.Lock()
+	counter.front.most = 1
+	counter.front.lock.Unlock()
+	busy, busyReader := counter.dial(t)
+	fmt.Fprint(busy, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-counter.took
+	_, reader := counter.dial(t)
+	if got, _ := io.ReadAll(reader); len(got) > 0 {
+		t.Errorf("got %q", got)
+	}
+	close(counter.held)
+	if status, _, _ := answer(t, busyReader, "GET"); status != 200 {
+		t.Errorf("the one at work got %d", status)
+	}
+}
+
 // A head or a body that does not come in time is refused; a quiet connection just ends.
 func TestSlowCallersAreLetGo(t *testing.T) {
 	const soon = 30 * time.Millisecond
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -380,7 +380,7 @@
 	if err != nil {
 		return nil, defect.Wrap(err, defect.BadOptions, address)
 	}
-	made := newFront(listener, int(s.options.Buffer)*connsPerCall, s.options.BodyMost, s.draining, s.bounds)
+	made := newFront(listener, int(s.options.CallersMost), s.options.BodyMost, s.draining, s.bounds)
 	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
 	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
 		s.serve(caller, head, body, came, reply)
@@ -389,9 +389,6 @@
 	return made, nil
 }
 
-// connsPerCall is how many connections callers may hold for each call that may be in flight.
-const connsPerCall = 4
-
 // bounds are what callers may send, and how long they may take, as the setup in use states it.
 func (s *Server) bounds() bounds {
 	limits := &s.view().Setup.Limits
