Let a leaving proxy's worker work on for half of the notice

Cause: a proxy that is told to end lets callers in for 2.5 s more, until they have surely noticed, but told its worker as leaving at once.

Ruled out: a shorter notice (callers that have not noticed would be cut off); new workers (none joined); placement (the service was short, the others were not).

Change: the worker is told as leaving after half of the notice; what it has at hand then ends within the rest, or within the drain as before. A proxy without callers tells at once, as before.

Test: TestLeavingInStages.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -12,6 +12,7 @@
 const (
 	takePart  = 0.75 // in which calls are still taken, if they go on coming
 	quietPart = 8    // of the notice: without a call for so long, none is thought to come any more
+	workPart  = 0.5  // of the notice, in which workers here still get work: what they have at hand ends within the rest
 	tickParts = 64   // how often it is looked at
 )
 
@@ -27,12 +28,14 @@
 // leaving is when a proxy that was told to end goes from one stage to the next.
 type leaving struct {
 	notice time.Duration // until callers have surely noticed
+	work   time.Duration // until the workers here get no more work
 	drain  time.Duration // until it must be over
 	quiet  time.Duration
 }
 
 func leavingOf(notice, drain time.Duration) leaving {
-	return leaving{notice: min(notice, time.Duration(takePart*float64(drain))), drain: drain, quiet: notice / quietPart}
+	least := min(notice, time.Duration(takePart*float64(drain)))
+	return leaving{notice: least, work: time.Duration(workPart * float64(least)), drain: drain, quiet: notice / quietPart}
 }
 
 // next gives the stage at a time since the proxy was told to end, by when the last call came
@@ -49,6 +52,9 @@
 	return now
 }
 
+// parts tells whether the workers here get no more work, so long after the proxy was told to end.
+func (l leaving) parts(at time.Duration) bool { return at >= l.work }
+
 // came notes a call; only one that is told to end looks at it.
 func (s *Server) came() {
 	if s.draining.Load() {
@@ -61,14 +67,19 @@
 	told := s.now()
 	way := leavingOf(time.Duration(s.options.Notice), time.Duration(s.options.Drain))
 	if len(outward) == 0 {
-		way.notice, way.quiet = 0, 0
+		way.notice, way.work, way.quiet = 0, 0, 0
 	}
-	// Workers here are told as leaving first, so that other proxies send elsewhere.
-	s.workers.LeaveAll()
+	// Workers here are told as leaving while there is time for other proxies to send elsewhere, but not
+	// before: callers are let in all that while, and the workers' room is missed.
+	parted := false
 	ticker := time.NewTicker(max(time.Millisecond, time.Duration(s.options.Drain)/tickParts))
 	defer ticker.Stop()
 	await := func(from stage) stage {
 		for {
+			if !parted && way.parts(s.now()-told) {
+				parted = true
+				s.workers.LeaveAll()
+			}
 			inFlight := s.calls.Load() + s.hops.Load()
 			if reached := way.next(from, s.now()-told, time.Duration(s.lastCame.Load())-told, inFlight); reached != from {
 				return reached
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -32,6 +32,14 @@
 			t.Errorf("%s: stage %d, want %d", name, got, one.want)
 		}
 	}
+	// Callers are let in for the whole notice, so the room of the workers here is needed for a part of it;
+	// what they have at hand then ends before the rest is over.
+	if way.parts(900*ms) || !way.parts(1000*ms) {
+		t.Error("workers part too early or too late")
+	}
+	if (leaving{drain: 4000 * ms}).parts(0) != true {
+		t.Error("where nobody has to notice the workers part at once")
+	}
 	// A notice longer than the time there is does not eat it all up.
 	if short := leavingOf(5000*ms, 4000*ms); short.next(taking, 3000*ms, 0, 0) != closing {
 		t.Error("a long notice leaves no time to close")
