Take up changed settings while a program runs, where the schema says so; refuse a faulty file whole

Cause: settings were read at the start only; SIGHUP was ignored, and a file that changed without a signal was not seen. Ruled out: writing into the settings that programs hold (a race with every reader), and starting the programs anew (it cuts calls). Lease, key window, order, losses stay: they must be the same on every process, and what rests on them was granted under the old ones. A budget whose window changes keeps the extra tries spent.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	probe    *fasthttp.Server
 	pages    map[string]func() any
 	readyAt  []string
+	settings *settings // nil for a program that was not started by Run
 }
 
 // Soundness is what a program says when it is probed for readiness.
@@ -44,24 +45,28 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// Run parses settings into target, then runs body until SIGTERM or failure; it returns the exit code.
-func Run(program string, args []string, target proto.Message, ringOf func() (folder string, lines int64), body func(ctx context.Context, frame *Frame) error) int {
-	if err := options.Parse(program, args, target, os.Stdout); err != nil {
+// Run reads settings into target, then runs body until SIGTERM or failure; it returns the exit code.
+func Run(program string, source Source, target proto.Message, ringOf func() (folder string, lines int64), body func(ctx context.Context, frame *Frame) error) int {
+	// Word that settings have changed is not word to end.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	read, err := source.read(program, target, os.Stdout)
+	if err != nil {
 		return options.Exit(program, err, os.Stderr)
 	}
 	folder, lines := ringOf()
 	kept := ring.New(folder, program, int(lines))
 	frame := &Frame{Log: kept.Logger(), Ring: kept, Draining: &atomic.Bool{}, pages: map[string]func() any{}}
+	frame.settings = newSettings(program, source, target, read, changed, frame.Log)
 	// Memory at its peak is paid for on every edge machine, and a collection of so small a heap costs
 	// little; an operator who sets GOGC is obeyed.
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectAt)
 	}
-	// Word that settings have changed is not word to end.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err := body(ctx, frame)
+	err = body(ctx, frame)
 	if err != nil {
 		frame.Log.Error(err, "program failed", "program", program)
 		_ = kept.Dump(true)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,7 +13,7 @@
 func TestChangedSettingsEndNothing(t *testing.T) {
 	given := &schema.StoreOptions{}
 	args := []string{"-links=plain", "-seat=s", "-listen=127.0.0.1:1", "-seeds=127.0.0.1:1", "-probe-listen=127.0.0.1:2", "-data=" + t.TempDir()}
-	code := Run("store", args, given, func() (string, int64) { return "", given.Ring }, func(context.Context, *Frame) error {
+	code := Run("store", Given(args), given, func() (string, int64) { return "", given.Ring }, func(context.Context, *Frame) error {
 		return syscall.Kill(os.Getpid(), syscall.SIGHUP)
 	})
 	if code != 0 {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 
 // Budget bounds extra tries against a service's own calls in any window.
 type Budget struct {
+	by    atomic.Pointer[Bounds] // that it was last set by
 	lock  sync.Mutex
 	ratio float64
 	span  time.Duration // length of one slot
@@ -28,10 +30,45 @@
 
 // NewBudget makes a budget of a ratio of calls in any window; 0 for the preset.
 func NewBudget(ratio float64, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, span: spanOf(window)}
+}
+
+func spanOf(window time.Duration) time.Duration {
 	if window <= 0 {
 		window = BudgetWindow
 	}
-	return &Budget{ratio: ratio, span: window / windowSlots}
+	return window / windowSlots
+}
+
+// rebound sets another ratio, and another window. Extra tries of the window before count in the
+// new one as if they were made now; its calls earn nothing more, so that no bound is exceeded.
+func (b *Budget) rebound(now time.Duration, bounds *Bounds) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.by.Store(bounds)
+	b.ratio = bounds.ExtraRatio
+	if span := spanOf(bounds.ExtraWindow); span != b.span {
+		extras, _ := b.sum(b.slot(now).number)
+		b.span = span
+		for i := range b.slots {
+			b.slots[i].number, b.slots[i].calls, b.slots[i].extras = -windowSlots, 0, 0
+		}
+		b.slot(now).extras = extras
+	}
+}
+
+// sum adds up what the window before a slot holds; calls of the oldest slot may lie outside of
+// it, so they earn nothing.
+func (b *Budget) sum(until int64) (extras, calls float64) {
+	for i := range b.slots {
+		if age := until - b.slots[i].number; age >= 0 && age <= windowSlots {
+			extras += b.slots[i].extras
+			if age < windowSlots {
+				calls += b.slots[i].calls
+			}
+		}
+	}
+	return extras, calls
 }
 
 // Call notes a call of a caller.
@@ -60,16 +97,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	current := b.slot(now)
-	var calls, extras float64
-	for i := range b.slots {
-		if age := current.number - b.slots[i].number; age >= 0 && age <= windowSlots {
-			extras += b.slots[i].extras
-			// Calls of the oldest slot may lie outside the window, so they earn nothing.
-			if age < windowSlots {
-				calls += b.slots[i].calls
-			}
-		}
-	}
+	extras, calls := b.sum(current.number)
 	if extras+1 > b.ratio*calls+floor {
 		return false
 	}
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -18,8 +18,10 @@
 				budget.Call(now)
 				calls = append(calls, now)
 			}
-			for budget.Spend(now, floor) && dice.IntN(3) > 0 {
-				extras = append(extras, now)
+			for budget.Spend(now, floor) {
+				if extras = append(extras, now); dice.IntN(3) == 0 {
+					break
+				}
 			}
 		}
 		count := func(list []time.Duration, from time.Duration) (inside int) {
@@ -37,3 +39,58 @@
 		}
 	}
 }
+
+// Bounds that change while calls are under way hold from then on, for a window that ends after the
+// change as well as the extra tries of before count: nobody gets a second budget by a change.
+func TestBudgetThatChanges(t *testing.T) {
+	dice := rand.New(rand.NewPCG(6, 6))
+	for round := range 200 {
+		windows := []time.Duration{BudgetWindow, 8 * time.Second, 4 * time.Second}
+		window, ratio, floor := windows[round%3], 0.3, float64(5+dice.IntN(20))
+		budget := NewBudget(ratio, window)
+		var calls, extras []time.Duration
+		changed := 15 * time.Second
+		for now := time.Duration(0); now < 40*time.Second; now += time.Duration(dice.Int64N(int64(200 * time.Millisecond))) {
+			if now >= changed && ratio > 0.1 {
+				// The window changes in some rounds, the ratio in all.
+				window, ratio = windows[(round/3)%3], 0.1
+				budget.rebound(now, &Bounds{ExtraRatio: ratio, ExtraWindow: window})
+			}
+			if dice.IntN(2) == 0 {
+				budget.Call(now)
+				calls = append(calls, now)
+			}
+			for budget.Spend(now, floor) {
+				if extras = append(extras, now); dice.IntN(3) == 0 {
+					break
+				}
+			}
+		}
+		count := func(list []time.Duration, from, until time.Duration) (inside int) {
+			for _, at := range list {
+				if at > from && at <= until {
+					inside++
+				}
+			}
+			return inside
+		}
+		spent := 0
+		for _, end := range extras {
+			if end < changed {
+				continue
+			}
+			spent++
+			if got, most := count(extras, end-window, end), ratio*float64(count(calls, end-window, end))+floor; float64(got) > most && end-window > changed {
+				t.Fatalf("%d extra tries in the %v before %v, at most %v", got, window, end, most)
+			}
+			// In a window over the change, each of its extra tries after the change was allowed by the new bounds.
+			most := ratio*float64(count(calls, end-window, end)) + floor
+			if after := count(extras, changed, end); end-window <= changed && float64(after) > most {
+				t.Fatalf("%d extra tries from the change until %v, at most %v", after, end, most)
+			}
+		}
+		if spent == 0 {
+			t.Fatal("none was spent after the change")
+		}
+	}
+}
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -49,7 +49,7 @@
 type Carrier struct {
 	Name        string
 	Incarnation uint64
-	Options     plan.Options
+	Bounds      // at the start; those in force may be others
 	View        func() *plan.View
 	// AwaitView waits until the view satisfies ready, or ctx ends.
 	AwaitView func(ctx context.Context, ready func(*plan.View) bool)
@@ -62,24 +62,21 @@
 	// call that was only refused by proxies is free to look for its first worker.
 	ByArrival bool
 	// Lagging tells that another proxy has a newer setup, which does not come to this one.
-	Lagging    func()
-	Leased     func() bool
-	Members    func() int
-	Now        func() time.Duration
-	Dice       plan.Dice
-	SendOn     Sender
-	Soundness  *Soundness
-	Trials     *Trials
-	Tally      *Tally
-	ExtraRatio float64
-	ExtraFloor float64
-	// ExtraWindow is the time in which extra tries are bounded, 0 for the preset.
-	ExtraWindow time.Duration
+	Lagging   func()
+	Leased    func() bool
+	Members   func() int
+	Now       func() time.Duration
+	Dice      plan.Dice
+	SendOn    Sender
+	Soundness *Soundness
+	Trials    *Trials
+	Tally     *Tally
 	// Claim asks the registries for an idempotency key, or lets one go.
 	Claim Claimer
 	// ClaimPause is how long a refusal may wait for its claim to be let go.
 	ClaimPause time.Duration
 
+	bounds  atomic.Pointer[Bounds] // those in force
 	facts   plan.Facts
 	budgets *xsync.Map[string, *Budget]
 	memory  *Memory
@@ -88,8 +85,21 @@
 	blamed  atomic.Uint64 // and the last for which the feed was left
 }
 
+// Bounds are what a carrier plans and tries again within.
+type Bounds struct {
+	Options    plan.Options
+	ExtraRatio float64
+	ExtraFloor float64
+	// ExtraWindow is the time in which extra tries are bounded, 0 for the preset.
+	ExtraWindow time.Duration
+}
+
+// Rebound sets other bounds for what is planned and tried again from now on.
+func (c *Carrier) Rebound(bounds Bounds) { c.bounds.Store(&bounds) }
+
 // Start readies the carrier; it keeps so many idempotency keys.
 func (c *Carrier) Start(remembered int) *Carrier {
+	c.bounds.Store(&c.Bounds)
 	c.budgets = xsync.NewMap[string, *Budget]()
 	c.memory = NewMemory(remembered)
 	c.facts = &Facts{c.Soundness, c.Trials}
@@ -180,13 +190,13 @@
 
 func (c *Carrier) patience(request *plan.Request) time.Duration {
 	if request.Asked > 0 {
-		return min(request.Asked, c.Options.HorizonMost)
+		return min(request.Asked, c.bounds.Load().Options.HorizonMost)
 	}
-	return c.Options.HorizonMost / waitParts
+	return c.bounds.Load().Options.HorizonMost / waitParts
 }
 
 func (c *Carrier) plan(request *plan.Request) (*plan.Plan, error) {
-	made, err := plan.Make(c.View(), request, c.Options, c.facts, c.Now(), c.Dice)
+	made, err := plan.Make(c.View(), request, c.bounds.Load().Options, c.facts, c.Now(), c.Dice)
 	if made != nil {
 		made.Horizon -= made.Horizon / wayParts
 	}
@@ -194,7 +204,11 @@
 }
 
 func (c *Carrier) budget(service string) *Budget {
-	budget, _ := c.budgets.LoadOrCompute(service, func() (*Budget, bool) { return NewBudget(c.ExtraRatio, c.ExtraWindow), false })
+	bounds := c.bounds.Load()
+	budget, _ := c.budgets.LoadOrCompute(service, func() (*Budget, bool) { return NewBudget(bounds.ExtraRatio, bounds.ExtraWindow), false })
+	if budget.by.Load() != bounds {
+		budget.rebound(c.Now(), bounds)
+	}
 	return budget
 }
 
@@ -273,7 +287,7 @@
 	if c.ByArrival {
 		before = ended.Met
 	}
-	return before == 0 || c.budget(ended.Plan.Service).Spend(c.Now(), c.ExtraFloor/float64(max(1, c.Members())))
+	return before == 0 || c.budget(ended.Plan.Service).Spend(c.Now(), c.bounds.Load().ExtraFloor/float64(max(1, c.Members())))
 }
 
 // carryOut tries the candidates in order until one answers or nothing more may be done. It
--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -64,11 +64,11 @@
 	}
 	began := time.Now()
 	c := &carrying{}
-	c.Carrier = (&Carrier{Name: "q", Incarnation: 1, Options: plan.Options{HorizonMost: 10 * time.Second}, View: func() *plan.View { return view },
+	c.Carrier = (&Carrier{Name: "q", Incarnation: 1, Bounds: Bounds{Options: plan.Options{HorizonMost: 10 * time.Second}, ExtraFloor: floor}, View: func() *plan.View { return view },
 		AwaitView:  func(ctx context.Context, _ func(*plan.View) bool) { c.waited++; <-ctx.Done() },
 		AwaitLease: func(context.Context) bool { return true }, Lagging: func() {}, Leased: func() bool { return true }, Members: func() int { return 1 },
 		Now: func() time.Duration { return time.Since(began) }, Dice: func() float64 { return 0 }, Soundness: NewSoundness(5, 5*time.Second),
-		Trials: NewTrials(TrialDefaults, func() int { return 1 }, func() Guards { return stated{} }), Tally: NewTally(64), Patient: true, ByArrival: true, ExtraFloor: floor,
+		Trials: NewTrials(TrialDefaults, func() int { return 1 }, func() Guards { return stated{} }), Tally: NewTally(64), Patient: true, ByArrival: true,
 		SendOn: func(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error) {
 			at := len(c.sent)
 			c.sent = append(c.sent, candidate.Instance)
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -116,11 +116,11 @@
 		view.Directory["shop"]["1"] = append(view.Directory["shop"]["1"], plan.Candidate{Instance: one.Instance, Proxy: fmt.Sprint("beside-", which)})
 	}
 	sent := 0
-	return (&Carrier{Name: fmt.Sprint("q", which), Incarnation: 1, Options: plan.Options{HorizonMost: 2 * time.Second}, View: func() *plan.View { return view },
+	return (&Carrier{Name: fmt.Sprint("q", which), Incarnation: 1, Bounds: Bounds{Options: plan.Options{HorizonMost: 2 * time.Second}, ExtraFloor: 10}, View: func() *plan.View { return view },
 		AwaitView:  func(context.Context, func(*plan.View) bool) {},
 		AwaitLease: func(context.Context) bool { return true }, Lagging: func() {}, Leased: func() bool { return true }, Members: func() int { return 1 },
 		Now: d.now, Dice: func() float64 { return 0 }, Soundness: NewSoundness(5, time.Second), Trials: NewTrials(TrialDefaults, func() int { return 1 }, func() Guards { return stated{} }), Tally: NewTally(64),
-		Claim: d.claimer(which, yield), ClaimPause: time.Hour, ExtraFloor: 10,
+		Claim: d.claimer(which, yield), ClaimPause: time.Hour,
 		SendOn: func(ctx context.Context, candidate plan.Candidate, carry *schema.Carry) (*schema.Carried, error) {
 			yield()
 			sent++
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -51,18 +51,28 @@
 
 // Soundness keeps facts of workers by instance; it implements plan.Facts.
 type Soundness struct {
-	facts    *xsync.Map[string, *workerFacts]
-	lost     *xsync.Map[string, time.Duration] // proxies that were not reached, and until when that counts
-	losing   atomic.Int64                      // how many these are, about
-	most     int64
-	ejection time.Duration
+	facts  *xsync.Map[string, *workerFacts]
+	lost   *xsync.Map[string, time.Duration] // proxies that were not reached, and until when that counts
+	losing atomic.Int64                      // how many these are, about
+	most   atomic.Int64
+	ejects atomic.Int64 // for how long
 }
 
 // NewSoundness ejects a worker for a time after so many failures in a row.
 func NewSoundness(most int64, ejection time.Duration) *Soundness {
-	return &Soundness{facts: xsync.NewMap[string, *workerFacts](), lost: xsync.NewMap[string, time.Duration](), most: most, ejection: ejection}
+	s := &Soundness{facts: xsync.NewMap[string, *workerFacts](), lost: xsync.NewMap[string, time.Duration]()}
+	s.Rebound(most, ejection)
+	return s
 }
 
+// Rebound sets other bounds; what is known of workers stays.
+func (s *Soundness) Rebound(most int64, ejection time.Duration) {
+	s.most.Store(most)
+	s.ejects.Store(int64(ejection))
+}
+
+func (s *Soundness) ejection() time.Duration { return time.Duration(s.ejects.Load()) }
+
 func (s *Soundness) of(instance string) *workerFacts {
 	if facts, found := s.facts.Load(instance); found {
 		return facts
@@ -93,7 +103,7 @@
 	if facts.pace > 0 {
 		seen.Pace = facts.pace
 	}
-	if seen.InFlight > 0 && seen.Pace > 0 && silence > max(silentTimes*(seen.Pace+seen.Pace/time.Duration(seen.InFlight)), s.ejection/silentParts) {
+	if seen.InFlight > 0 && seen.Pace > 0 && silence > max(silentTimes*(seen.Pace+seen.Pace/time.Duration(seen.InFlight)), s.ejection()/silentParts) {
 		seen.Ejected = true
 	}
 	if !facts.told {
@@ -124,7 +134,7 @@
 	if age <= 0 || facts.calls == 0 {
 		return 1
 	}
-	return math.Exp(-float64(age) / float64(s.ejection))
+	return math.Exp(-float64(age) / float64(s.ejection()))
 }
 
 // proxyLost tells whether a proxy gave no answer of late.
@@ -140,7 +150,7 @@
 // Lost notes that a proxy gave no answer. One miss is enough: unlike a worker's error
 // it says the same of every worker behind it, and each further try would hang as long.
 func (s *Soundness) Lost(proxy string, now time.Duration) {
-	if _, known := s.lost.LoadAndStore(proxy, now+s.ejection); !known {
+	if _, known := s.lost.LoadAndStore(proxy, now+s.ejection()); !known {
 		s.losing.Add(1)
 	}
 }
@@ -180,8 +190,8 @@
 		}
 		return
 	}
-	if facts.failures.Add(1) >= s.most {
-		facts.until.Store(int64(now + s.ejection))
+	if facts.failures.Add(1) >= s.most.Load() {
+		facts.until.Store(int64(now + s.ejection()))
 		facts.failures.Store(0)
 	}
 }
@@ -194,9 +204,9 @@
 		facts.inFlight.Add(-1)
 		back := time.Duration(carried.BackNanos)
 		if back <= 0 {
-			back = s.ejection / fullParts
+			back = s.ejection() / fullParts
 		}
-		facts.full.Store(int64(now + min(back, s.ejection)))
+		facts.full.Store(int64(now + min(back, s.ejection())))
 	} else {
 		s.End(instance, now, carried.Ending != schema.Ending_ENDING_ANSWERED || carried.Status >= 500)
 	}
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -85,6 +85,13 @@
 		granted: map[[2]string]trialGrant{}, tripped: map[[2]string]tripped{}, seen: map[[2]string]*trialWindow{}}
 }
 
+// Rebound sets other bounds; grants and stops stay.
+func (t *Trials) Rebound(options TrialOptions) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.options = options
+}
+
 // Granted takes a registry's answer; the grant counts from when it was asked for.
 func (t *Trials) Granted(asked time.Duration, trials []*schema.Trial) {
 	t.lock.Lock()
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -47,9 +47,15 @@
 
 // Parse fills target from args and the file named by --settings.
 func Parse(program string, args []string, target proto.Message, help io.Writer) error {
+	_, err := Read(program, args, target, help)
+	return err
+}
+
+// Read fills target as Parse does, and tells which settings file was named, if any.
+func Read(program string, args []string, target proto.Message, help io.Writer) (file string, err error) {
 	set := flag.NewFlagSet(program, flag.ContinueOnError)
 	set.SetOutput(io.Discard)
-	set.String("settings", "", "file with one 'name value' a line; flags go before it")
+	named := set.String("settings", "", "file with one 'name value' a line; flags go before it")
 	shownVersion := set.Bool("version", false, "print the version and leave")
 	message := target.ProtoReflect()
 	fields := message.Descriptor().Fields()
@@ -58,19 +64,19 @@
 		rule := ruleOf(fields.Get(i))
 		values[i] = set.String(flagName(fields.Get(i)), rule.Preset, describe(rule))
 	}
-	err := ff.Parse(set, args, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
+	err = ff.Parse(set, args, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
 	if errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintf(help, "usage: %s [flags]\n\n", program)
 		set.SetOutput(help)
 		set.PrintDefaults()
-		return flag.ErrHelp
+		return "", flag.ErrHelp
 	}
 	if err != nil {
-		return Faults{err.Error()}
+		return *named, Faults{err.Error()}
 	}
 	if *shownVersion {
 		fmt.Fprintf(help, "%s %s\n", program, Version)
-		return flag.ErrHelp
+		return "", flag.ErrHelp
 	}
 	var faults Faults
 	if set.NArg() > 0 {
@@ -97,9 +103,9 @@
 		}
 	}
 	if len(faults) > 0 {
-		return faults
+		return *named, faults
 	}
-	return nil
+	return *named, nil
 }
 
 func describe(rule *schema.Rule) string {
@@ -113,6 +119,9 @@
 	if rule.Required {
 		text += " (required)"
 	}
+	if rule.Live {
+		text += " (live)"
+	}
 	return text
 }
 
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
 	"meadowhinge/internal/daemon"
@@ -65,3 +66,13 @@
 
 // Workers are those beside the proxy.
 func (l *Lone) Workers() *dispatch.Workers { return l.workers }
+
+// Change gives the proxy other settings while it runs.
+func (l *Lone) Change(change func(*schema.ProxyOptions)) {
+	now := proto.Clone(l.given()).(*schema.ProxyOptions)
+	change(now)
+	l.follow(now)
+}
+
+// Registries are where it looks for registries.
+func (l *Lone) Registries() []string { return l.registries() }
--- /dev/null
+++ b/internal/proxy/follow_test.go
@@ -0,0 +1,109 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+
+	"meadowhinge/schema"
+)
+
+// held is a worker that answers a request only once it is let.
+func held(t *testing.T) (address string, came chan struct{}, answer chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	came, answer = make(chan struct{}, 16), make(chan struct{})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					line, err := reader.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if line != "\r\n" {
+						continue
+					}
+					came <- struct{}{}
+					<-answer
+					if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), came, answer
+}
+
+// begin sends a request on a connection of its own; what it is answered comes later.
+func begin(t *testing.T, address string) func() string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	return func() string {
+		t.Helper()
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.TrimSpace(strings.TrimPrefix(line, "HTTP/1.1 "))
+	}
+}
+
+// Settings that change while calls are under way cut none of them; those that come later go by
+// the new ones, and where registries are looked for moves too.
+func TestSettingsChangeUnderCalls(t *testing.T) {
+	worker, came, answer := held(t)
+	here := pair(t, worker)
+	first := begin(t, here.Callers)
+	<-came
+	here.Change(func(given *schema.ProxyOptions) { given.Buffer, given.Seeds = 1, "127.0.0.1:9" })
+	if got := begin(t, here.Callers)(); !strings.HasPrefix(got, "503 ") {
+		t.Errorf("the second call of one that may be in flight was answered %q", got)
+	}
+	here.Change(func(given *schema.ProxyOptions) { given.Buffer, given.Seeds = 2, "127.0.0.1:9,127.0.0.1:10" })
+	second := begin(t, here.Callers)
+	<-came
+	close(answer)
+	for _, answered := range []func() string{first, second} {
+		if got := answered(); got != "200 OK" {
+			t.Errorf("answered %q", got)
+		}
+	}
+	if got := here.Registries(); !slices.Equal(got, []string{"127.0.0.1:9", "127.0.0.1:10"}) {
+		t.Errorf("registries are looked for at %v", got)
+	}
+}
+
+// How long a call may take at most follows the settings.
+func TestHorizonFollowsSettings(t *testing.T) {
+	worker, came, answer := held(t)
+	defer close(answer)
+	here := pair(t, worker)
+	here.Change(func(given *schema.ProxyOptions) { given.HorizonMost = int64(50e6) })
+	late := begin(t, here.Callers)
+	<-came
+	if got := late(); !strings.HasPrefix(got, "504 ") {
+		t.Errorf("answered %q", got)
+	}
+}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -65,14 +65,14 @@
 // drain brings this proxy to its end, in the time that settings allow.
 func (s *Server) drain(outward []*front, beside *fasthttp.Server) error {
 	told := s.now()
-	way := leavingOf(time.Duration(s.options.Notice), time.Duration(s.options.Drain))
+	way := leavingOf(time.Duration(s.given().Notice), time.Duration(s.given().Drain))
 	if len(outward) == 0 {
 		way.notice, way.work, way.quiet = 0, 0, 0
 	}
 	// Workers here are told as leaving while there is time for other proxies to send elsewhere, but not
 	// before: callers are let in all that while, and the workers' room is missed.
 	parted := false
-	ticker := time.NewTicker(max(time.Millisecond, time.Duration(s.options.Drain)/tickParts))
+	ticker := time.NewTicker(max(time.Millisecond, time.Duration(s.given().Drain)/tickParts))
 	defer ticker.Stop()
 	await := func(from stage) stage {
 		for {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
 	"meadowhinge/internal/daemon"
@@ -46,9 +47,10 @@
 // Server runs a proxy.
 type Server struct {
 	schema.DRPCHopUnimplementedServer
-	options     *schema.ProxyOptions
-	life        uint64 // tells this life from others; settled before any session
-	incarnation uint64 // of what is told of this proxy, above all that was seen of it; 0 until it is settled; guarded by lock
+	options     *schema.ProxyOptions                // as they were at the start
+	live        atomic.Pointer[schema.ProxyOptions] // as they are now, where they may change
+	life        uint64                              // tells this life from others; settled before any session
+	incarnation uint64                              // of what is told of this proxy, above all that was seen of it; 0 until it is settled; guarded by lock
 	address     string
 	lease       time.Duration
 	ends        *link.Ends
@@ -106,6 +108,7 @@
 		}
 	}
 	s := build(ends, frame, given, changes...)
+	frame.Follow(ctx, s.lease, func(now proto.Message) { s.follow(now.(*schema.ProxyOptions)) })
 
 	listener, err := net.Listen("tcp", given.Listen)
 	if err != nil {
@@ -164,6 +167,7 @@
 func build(ends *link.Ends, frame *daemon.Frame, given *schema.ProxyOptions, changes ...Option) *Server {
 	s := &Server{options: given, address: given.Advertise, lease: time.Duration(given.Lease), ends: ends,
 		speeches: speechesOf(changes), log: frame.Log, started: time.Now(), cores: map[string]*schema.Core{}, tellNow: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), asking: map[string]chan *claimTicket{}, draining: frame.Draining}
+	s.live.Store(given)
 	s.life = session.NextIncarnation(0)
 	if s.address == "" {
 		s.address = given.Listen
@@ -183,6 +187,29 @@
 	return s
 }
 
+// given are the settings in force.
+func (s *Server) given() *schema.ProxyOptions { return s.live.Load() }
+
+// follow goes on by settings that have changed. What is under way is not touched by it.
+func (s *Server) follow(now *schema.ProxyOptions) {
+	s.live.Store(now)
+	s.facts.Rebound(now.FailuresMost, time.Duration(now.Ejection))
+	s.trials.Rebound(trialsOf(now))
+	s.carrier.Rebound(boundsOf(now))
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.tie.Seeds(options.List(now.Seeds))
+}
+
+func trialsOf(given *schema.ProxyOptions) dispatch.TrialOptions {
+	return dispatch.TrialOptions{Length: time.Duration(given.Trial), Failures: given.TrialFailures, Times: given.TrialTimes, Excess: given.TrialExcess, Slow: given.TrialSlow}
+}
+
+func boundsOf(given *schema.ProxyOptions) dispatch.Bounds {
+	return dispatch.Bounds{Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
+		ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor), ExtraWindow: time.Duration(given.ExtraWindow)}
+}
+
 // join begins this proxy's sessions with the registries; they end with ctx.
 func (s *Server) join(ctx context.Context) {
 	s.linked = ctx
@@ -191,8 +218,9 @@
 		if serving(s.options) {
 			go s.keepTie(ctx)
 		} else {
-			for i := range options.List(s.options.Seeds) {
-				go s.renew(ctx, i)
+			loops := len(options.List(s.options.Seeds))
+			for i := range loops {
+				go s.renew(ctx, i, loops)
 			}
 			go s.feed(ctx)
 		}
@@ -222,13 +250,12 @@
 		Outdated: func(sequence uint64) bool {
 			return !serving(given) && s.journal.View().Outdated(sequence, s.now(), s.lease/renewParts)
 		}}, int(given.Remembered))
-	s.trials = dispatch.NewTrials(dispatch.TrialOptions{Length: time.Duration(given.Trial), Failures: given.TrialFailures, Times: given.TrialTimes,
-		Excess: given.TrialExcess, Slow: given.TrialSlow}, func() int { return int(s.members.Load()) },
+	s.trials = dispatch.NewTrials(trialsOf(given), func() int { return int(s.members.Load()) },
 		func() dispatch.Guards { return s.view().Setup })
 	s.carrier = (&dispatch.Carrier{Name: given.Name, Incarnation: s.life,
-		Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
-		View:    s.view, Leased: s.gate.Open, Now: s.now, Dice: rand.Float64, Soundness: s.facts, Trials: s.trials, Tally: s.tally,
-		Members: func() int { return int(s.members.Load()) }, ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor), ExtraWindow: time.Duration(given.ExtraWindow),
+		Bounds: boundsOf(given),
+		View:   s.view, Leased: s.gate.Open, Now: s.now, Dice: rand.Float64, Soundness: s.facts, Trials: s.trials, Tally: s.tally,
+		Members: func() int { return int(s.members.Load()) },
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			s.journal.Wait(ctx, func(held Picture) bool { return ready(held.view) })
 		},
@@ -249,7 +276,7 @@
 	defer s.hops.Add(-1)
 	switch inFlight := s.hops.Add(1); {
 	// Beyond the bound a dispatch is refused unrun, and so it is once this proxy is about to end.
-	case inFlight > s.options.Buffer:
+	case inFlight > s.given().Buffer:
 		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.BufferFull)}, nil
 	case s.closing.Load():
 		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_NOT_RUN, Defect: string(defect.Draining)}, nil
@@ -408,7 +435,7 @@
 	}
 	s.came()
 	defer s.calls.Add(-1)
-	if s.calls.Add(1) > s.options.Buffer {
+	if s.calls.Add(1) > s.given().Buffer {
 		s.refuse(head, defect.New(defect.BufferFull, "too many calls in flight"), notRun, reply)
 		return
 	}
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -54,7 +54,7 @@
 // waitAfter is when asking again makes sense after a failure, 0 if it does not.
 func (s *Server) waitAfter(err error) time.Duration {
 	if wait := comeBack[defect.KindOf(err)]; wait != nil {
-		return wait(s.options)
+		return wait(s.given())
 	}
 	return 0
 }
--- a/internal/proxy/refuse_test.go
+++ b/internal/proxy/refuse_test.go
@@ -13,6 +13,7 @@
 func TestEveryRefusalSaysWhenToComeBack(t *testing.T) {
 	given := &schema.ProxyOptions{Lease: int64(8 * time.Second), Ejection: int64(5 * time.Second), HorizonMost: int64(10 * time.Second), Drain: int64(7 * time.Second)}
 	s := &Server{options: given, speeches: speechesOf(nil)}
+	s.live.Store(given)
 	want := map[defect.Kind]string{
 		defect.NoLease: "1", defect.NoWorker: "1", defect.Leaving: "1", defect.WrongInstance: "1", defect.ProxyYoung: "1", defect.StalePlan: "1", defect.VersionBarred: "1",
 		defect.NoMajority: "1", defect.KeyUnclaimed: "1", defect.KeyUnsettled: "2", defect.HorizonPast: "2", defect.BufferFull: "2", defect.Repeated: "2",
--- a/internal/proxy/ties.go
+++ b/internal/proxy/ties.go
@@ -52,7 +52,7 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, address := range options.List(s.options.Seeds) {
+	for _, address := range options.List(s.given().Seeds) {
 		if !seen[address] {
 			seen[address] = true
 			addresses = append(addresses, address)
@@ -69,15 +69,15 @@
 	}
 }
 
-// renew keeps the lease with one of the registries, the i-th of those known.
-func (s *Server) renew(ctx context.Context, i int) {
+// renew keeps the lease with one of the registries, the i-th of those known, of so many loops.
+func (s *Server) renew(ctx context.Context, i, loops int) {
 	ticker := time.NewTicker(s.lease / renewParts)
 	defer ticker.Stop()
 	for {
 		addresses := s.registries()
 		for place, address := range addresses {
-			// With as many loops as seeds, each loop minds the addresses of its own place.
-			if place%len(options.List(s.options.Seeds)) == i {
+			// Each loop minds the addresses of its own place.
+			if place%loops == i {
 				s.renewAt(ctx, address, 0)
 			}
 		}
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
 	"meadowhinge/internal/daemon"
@@ -34,8 +35,9 @@
 // Server runs a registry.
 type Server struct {
 	schema.DRPCRegistryUnimplementedServer
-	options *schema.RegistryOptions
-	order   []string // of the seats as set; nil where the stores agree on them
+	options *schema.RegistryOptions                // as they were at the start
+	live    atomic.Pointer[schema.RegistryOptions] // as they are now, where they may change
+	order   []string                               // of the seats as set; nil where the stores agree on them
 	speech  OperatorSpeech
 	lease   time.Duration
 	address string
@@ -113,12 +115,14 @@
 	for _, change := range changes {
 		change(s)
 	}
+	s.live.Store(proto.Clone(given).(*schema.RegistryOptions))
 	s.fleet = session.NewFleet(given.SourcesMost, s.lease)
 	s.table = NewTable(TableOptions{Seat: given.Seat, Lease: s.lease, SourcesMost: int(given.SourcesMost), CountsMost: int(given.CountsMost), Leaseless: s.stableIsEnough()})
 	s.claims = NewClaims(ClaimsOptions{Lease: s.lease, Window: time.Duration(given.KeyWindow), Most: int(given.ClaimsMost), Seats: len(s.seats())})
 	s.table.Among(len(s.seats()))
 	s.setup, _ = setup.Compile(s.state, 0)
 	s.cores[given.Seat] = &schema.Core{Seat: given.Seat, Address: address, Incarnation: s.born, Area: given.Area}
+	frame.Follow(ctx, s.lease, func(now proto.Message) { s.live.Store(now.(*schema.RegistryOptions)) })
 	s.store = schema.NewDRPCStoreClient(ends.To(ctx, given.Store))
 
 	listener, err := net.Listen("tcp", given.Listen)
@@ -154,7 +158,7 @@
 		return err
 	}
 	frame.Draining.Store(true)
-	draining, cancel := context.WithTimeout(context.Background(), time.Duration(given.Drain))
+	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.given().Drain))
 	defer cancel()
 	return defect.Wrap(outward.ShutdownWithContext(draining), defect.Internal, "operators still waiting at the end of the drain time")
 }
@@ -302,7 +306,7 @@
 	}
 	// Who the seats are is known for good once the stores have told it.
 	if s.agreed == nil {
-		for _, seed := range options.List(s.options.Seeds) {
+		for _, seed := range options.List(s.given().Seeds) {
 			addresses[seed] = true
 		}
 	}
@@ -399,7 +403,7 @@
 		for _, core := range s.agreed {
 			listed = append(listed, &schema.Core{Seat: core.Seat, Address: s.beside(core.Address)})
 		}
-		for _, seed := range options.List(s.options.Seeds) {
+		for _, seed := range options.List(s.given().Seeds) {
 			if len(s.agreed) == 0 {
 				listed = append(listed, &schema.Core{Seat: ipOf(seed), Address: seed})
 			}
@@ -414,6 +418,9 @@
 	return listed
 }
 
+// given are the settings in force, as far as they may change.
+func (s *Server) given() *schema.RegistryOptions { return s.live.Load() }
+
 // stableIsEnough tells whether a change is acknowledged once it is stable.
 func (s *Server) stableIsEnough() bool { return s.options.AcknowledgeAfter == afterStable }
 
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -142,7 +142,7 @@
 		kind, name, _ := strings.Cut(key, "/")
 		change.Expected = append(change.Expected, &schema.Expected{Kind: kind, Name: name, Sequence: sequence})
 	}
-	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.AnswerMost))
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.given().AnswerMost))
 	defer cancel()
 	submitted := s.offer(bounded, change)
 	if submitted == nil {
--- a/internal/registry/speech.go
+++ b/internal/registry/speech.go
@@ -91,7 +91,7 @@
 
 // carryOffer keeps at a change after whoever handed it in has stopped waiting.
 func (s *Server) carryOffer(sum string, one *offered, change *schema.Change) {
-	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.options.AnswerMost))
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(s.given().AnswerMost))
 	defer cancel()
 	submitted := s.offer(bounded, change)
 	if outcome := submitted.GetOutcome(); outcome != nil {
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -134,6 +134,7 @@
 		if duty == nil {
 			duty = release.NewDuty(s.release(), s.options.Seat, s.lease/stepParts)
 		}
+		duty.Rebound(s.release())
 		trials := duty.Trials(compiled)
 		s.takeTrials(trials)
 		counts, heard := s.gather(ctx, trials)
@@ -180,7 +181,7 @@
 
 // release is the duty's options as the settings have them.
 func (s *Server) release() release.Options {
-	given := s.options
+	given := s.given()
 	return release.Options{TrialShare: 100 * given.TrialShare, CallsEnough: uint64(given.CallsEnough), FailuresMost: uint64(given.BrakeFailures), Excess: given.BrakeExcess,
 		Times: given.BrakeTimes, Certain: given.BrakeCertain, SlowTimes: given.BrakeSlow, Steps: int(given.Steps), Sure: given.BrakeSure, FinishAt: given.FinishAt,
 		BadShare: given.BadShare, BadMargin: float64(given.BadMargin)}
--- a/internal/release/duty.go
+++ b/internal/release/duty.go
@@ -135,6 +135,9 @@
 	return func(service string) bool { return judged[service] }, len(judged) > 0
 }
 
+// Rebound sets the bounds that versions and plans are judged by from now on.
+func (d *Duty) Rebound(options Options) { d.options = options }
+
 // NewDuty begins the duty anew at a seat; a plan makes at most one step in least.
 func NewDuty(options Options, seat string, least time.Duration) *Duty {
 	return &Duty{options: options, seat: seat, least: least, guards: map[[2]string]*guard{}, courses: map[string]*course{}, sources: map[sourceKey]*schema.SourceCounts{}}
--- a/internal/session/tie.go
+++ b/internal/session/tie.go
@@ -61,11 +61,17 @@
 
 // NewTie starts from addresses that were given.
 func NewTie(options TieOptions, seeds []string) *Tie {
-	t := &Tie{options: options, seeds: seeds, places: map[string]*place{}}
+	t := &Tie{options: options, places: map[string]*place{}}
+	t.Seeds(seeds)
+	return t
+}
+
+// Seeds takes other addresses to start from. Sessions that are open stay.
+func (t *Tie) Seeds(seeds []string) {
+	t.seeds = seeds
 	for _, address := range seeds {
 		t.at(address)
 	}
-	return t
 }
 
 func (t *Tie) at(address string) *place {
--- a/internal/session/tie_test.go
+++ b/internal/session/tie_test.go
@@ -159,3 +159,22 @@
 		}
 	}
 }
+
+// Seeds given while a proxy runs are tried once nothing known can be reached; the session that is
+// open goes on.
+func TestTieTakesOtherSeeds(t *testing.T) {
+	w := newTied(threeCores, "a", "b", "c")
+	w.until(100)
+	w.tie.Seeds([]string{"d"})
+	w.until(200)
+	if w.tie.Current() != "a" || len(w.log) != 1 {
+		t.Fatalf("in session with %q: %s", w.tie.Current(), strings.Join(w.log, ", "))
+	}
+	for _, address := range []string{"a", "b", "c"} {
+		w.dead[address] = true
+	}
+	w.until(400)
+	if w.tie.Current() != "d" {
+		t.Errorf("in session with %q: %s", w.tie.Current(), strings.Join(w.log, ", "))
+	}
+}
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -120,7 +120,7 @@
 		floor = 1e9
 	}
 	node.carrier = (&dispatch.Carrier{Name: name, Incarnation: node.incarnation,
-		Options: plan.Options{Area: w.areaOf(node.index), HorizonMost: horizonMost, Warmup: 5 * time.Second}, View: view,
+		Bounds: dispatch.Bounds{Options: plan.Options{Area: w.areaOf(node.index), HorizonMost: horizonMost, Warmup: 5 * time.Second}, ExtraRatio: extraRatio, ExtraFloor: floor}, View: view,
 		AwaitView: func(ctx context.Context, ready func(*plan.View) bool) {
 			held.Wait(ctx, func(picture proxy.Picture) bool { return ready(picture.View()) })
 			w.stagger(ctx)
@@ -136,7 +136,7 @@
 			return gate.Await(ctx)
 		}, Lagging: func() { node.lagging.Store(true) },
 		Leased: leased, Members: func() int { return int(node.members.Load()) }, Now: now, Dice: func() float64 { return w.own(name).Float64() }, SendOn: w.sender(node, life), Soundness: node.facts,
-		Trials: node.trials, Tally: node.tally, ExtraRatio: extraRatio, ExtraFloor: floor, Claim: w.claimer(node, life, now), ClaimPause: lease / 64}).Start(remembered)
+		Trials: node.trials, Tally: node.tally, Claim: w.claimer(node, life, now), ClaimPause: lease / 64}).Start(remembered)
 	if w.Options.Serving {
 		w.serveEdge(node)
 	} else {
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
 	"meadowhinge/internal/daemon"
@@ -25,7 +26,7 @@
 // Server runs a seat: its clock, its disk, its links.
 type Server struct {
 	schema.DRPCStoreUnimplementedServer
-	options *schema.StoreOptions
+	options *schema.StoreOptions // as they were at the start
 	ends    *link.Ends
 	log     logr.Logger
 	ctx     context.Context
@@ -33,6 +34,7 @@
 	life    uint64 // tells this process's tickets from those of others
 
 	lock     sync.Mutex
+	live     *schema.StoreOptions // as they are now, where they may change
 	seat     *Seat
 	tickets  map[string]chan any
 	nextID   uint64
@@ -89,9 +91,10 @@
 	if err != nil {
 		return defect.Wrap(err, defect.BadOptions, "listen")
 	}
-	s := &Server{options: given, ends: ends, log: frame.Log, started: time.Now(), life: rand.Uint64(), ctx: ctx, tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
+	s := &Server{options: given, live: given, ends: ends, log: frame.Log, started: time.Now(), life: rand.Uint64(), ctx: ctx, tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
 		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{}, wake: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	s.seat = NewSeat(seatOptions, 0, records)
+	frame.Follow(ctx, seatLooks*seatOptions.Silence, func(now proto.Message) { s.follow(now.(*schema.StoreOptions)) })
 	go s.write(ctx, disk)
 	mux := drpcmux.New()
 	if err := schema.DRPCRegisterStore(mux, s); err != nil {
@@ -126,6 +129,24 @@
 	}
 }
 
+// seatLooks is how many silence bounds lie between two looks at the settings file.
+const seatLooks = 4
+
+// follow goes on by settings that have changed.
+func (s *Server) follow(now *schema.StoreOptions) {
+	s.step(func(at time.Duration) []Action {
+		s.live = now
+		return s.seat.Rebound(at, seatOptionsOf(now))
+	})
+}
+
+// given are the settings in force, as far as they may change.
+func (s *Server) given() *schema.StoreOptions {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.live
+}
+
 // endsOf makes the links' ends: with keys, or plain ones that need none.
 func endsOf(given *schema.StoreOptions) (*link.Ends, error) {
 	if given.Links == plainLinks {
@@ -360,7 +381,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-time.After(time.Duration(s.options.Stall) / retriesPerStall):
+		case <-time.After(time.Duration(s.given().Stall) / retriesPerStall):
 		}
 		s.lock.Lock()
 		// It stands for everything that waits to be written.
@@ -398,9 +419,9 @@
 		return []string{address}, true
 	}
 	if address != "" {
-		return append([]string{address}, options.List(s.options.Seeds)...), true
+		return append([]string{address}, options.List(s.given().Seeds)...), true
 	}
-	return options.List(s.options.Seeds), false
+	return options.List(s.given().Seeds), false
 }
 
 // wire is an open stream of letters to one address.
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -190,6 +190,17 @@
 	now     time.Duration
 }
 
+// Rebound sets other bounds, and whom to ask. Who this seat is, with whom, and how many copies a
+// change needs stay as they were at its start.
+func (s *Seat) Rebound(now time.Duration, options Options) []Action {
+	s.begin(now)
+	held := &s.options
+	held.Seeds, held.Silence, held.Stall = options.Seeds, options.Silence, options.Stall
+	held.EntriesMost, held.OutcomesMost, held.DroppedMost = options.EntriesMost, options.OutcomesMost, options.DroppedMost
+	s.tick()
+	return s.actions
+}
+
 // NewSeat makes a seat from what its disk held; records nil and a new incarnation make an empty one.
 func NewSeat(options Options, incarnation uint64, records []*schema.Record) *Seat {
 	s := &Seat{options: options, incarnation: incarnation, state: setup.State{}, base: setup.State{}, stableState: setup.State{},
--- a/internal/store/seat_test.go
+++ b/internal/store/seat_test.go
@@ -178,3 +178,23 @@
 		t.Errorf("%q holds the duty after the disk of a came back", now)
 	}
 }
+
+// Bounds that are changed while a seat runs count from then on: a seat unheard for the new bound is
+// dead, and who the seats are and how many copies a change needs is as it was.
+func TestSeatsTakeOtherBounds(t *testing.T) {
+	w := newTrio()
+	w.pass(5 * time.Second)
+	for _, name := range trioOrder {
+		options := trioOptions(name)
+		options.Silence, options.Order, options.Losses, options.Name = 300*time.Millisecond, []string{"x"}, 2, "x"
+		w.act(name, w.seats[name].Rebound(w.now, options))
+		if kept := w.seats[name].options; kept.Name != name || len(kept.Order) != 3 || kept.Losses != 0 || kept.Silence != options.Silence {
+			t.Errorf("%s goes by %v", name, kept)
+		}
+	}
+	w.down["a"] = true
+	w.pass(time.Second)
+	if holder := w.seats["c"].Status().Holder; holder != "b" {
+		t.Errorf("a second after a is lost, %q holds the duty", holder)
+	}
+}
