End a freeze or a stalled disk in the simulator when it is mended, not when it was drawn to end

The log of each shows a machine half awake: its freeze was mended, so it answered letters, but its own timer and its disk's syncs had been put off until the drawn end of the freeze, up to 12 s later; the same with a stalled disk. No such fault exists outside: the world's own. Change: who thaws early does at once, once, what it was held up in, calls that wait for it too; a disk whose stall ends goes on with what it was writing. Ruled out: the seats, which did what they should with a member that hears but neither ticks nor syncs.

--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -22,6 +22,7 @@
 	disk        []*schema.Record // synced
 	writing     []store.Persist
 	stalledTo   time.Duration
+	syncs       int // begun
 	refusesTo   time.Duration
 	slowBy      time.Duration // added to every sync at most
 	wakesAt     time.Duration // by its own clock
@@ -144,11 +145,16 @@
 
 // sync finishes the first write after the disk's delay, then takes the next.
 func (w *World) sync(node *seatNode) {
+	node.syncs++
+	serial := node.syncs
 	delay := w.upTo(8*time.Millisecond + node.slowBy)
 	if node.stalledTo > w.now {
 		delay += node.stalledTo - w.now
 	}
 	w.on(&node.machine, delay, func() {
+		if serial != node.syncs {
+			return // the stall that it waited for ended before
+		}
 		if node.stalledTo > w.now {
 			w.sync(node)
 			return
@@ -167,6 +173,15 @@
 	})
 }
 
+// unstall ends a disk's stall, and it goes on at once with what it was writing.
+func (w *World) unstall(node *seatNode) {
+	if node.stalledTo > w.now && len(node.writing) > 0 && node.up {
+		node.stalledTo = 0
+		w.sync(node)
+	}
+	node.stalledTo = 0
+}
+
 // refuse is what the daemon does of a disk that refuses a write.
 func (w *World) refuse(node *seatNode) {
 	w.act(node, node.seat.DiskFailed(node.clock.at(w.now)))
--- a/internal/simulator/play.go
+++ b/internal/simulator/play.go
@@ -287,7 +287,7 @@
 	{"disk stalls", false, true, func(w *World) func() {
 		node := w.seats[w.roll(seatCount)]
 		node.stalledTo = w.now + w.upTo(8*time.Second)
-		return func() { node.stalledTo = 0 }
+		return func() { w.unstall(node) }
 	}},
 	{"disk slow", false, true, func(w *World) func() {
 		node := w.seats[w.roll(seatCount)]
--- a/internal/simulator/seats.go
+++ b/internal/simulator/seats.go
@@ -407,7 +407,7 @@
 	{"disk stalls", 1, passing, func(w *coreWorld) func() {
 		node := w.pick()
 		node.stalledTo = w.now + 3*time.Second + w.upTo(3*time.Second)
-		return func() { node.stalledTo = 0 }
+		return func() { w.unstall(node) }
 	}},
 	{"disk refuses", 1, passing, func(w *coreWorld) func() {
 		node := w.pick()
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -172,6 +172,8 @@
 	up     bool
 	life   int // counts starts, so that events of an earlier life are dropped
 	thawAt time.Duration
+	thaw   chan struct{} // closed once it thaws before that; nil while it is not frozen
+	held   []func()      // what it was held up in
 	clock  clock
 	died   chan struct{} // closed when this life ends
 }
@@ -292,9 +294,20 @@
 // freeze lets a machine do nothing until a time.
 func (w *World) freeze(m *machine, until time.Duration) {
 	w.lock.Lock()
-	defer w.lock.Unlock()
 	m.thawAt = until
 	w.disturb(max(until, w.time()), site(m.name))
+	var held []func()
+	if until > w.time() && m.thaw == nil {
+		m.thaw = make(chan struct{})
+	} else if until <= w.time() && m.thaw != nil {
+		// Who is thawed early does at once what it was held up in.
+		close(m.thaw)
+		held, m.held, m.thaw = m.held, nil, nil
+	}
+	w.lock.Unlock()
+	for _, turn := range held {
+		w.after(0, turn)
+	}
 }
 
 // standing tells whether a machine is up and not frozen.
@@ -315,13 +328,14 @@
 func (w *World) thawed(m *machine, life int) bool {
 	for {
 		w.lock.Lock()
-		left, lives, died := m.thawAt-w.time(), m.up && m.life == life, m.died
+		left, lives, died, thaw := m.thawAt-w.time(), m.up && m.life == life, m.died, m.thaw
 		w.lock.Unlock()
 		if !lives || left <= 0 {
 			return lives
 		}
 		select {
 		case <-died:
+		case <-thaw:
 		case <-time.After(left):
 		}
 	}
@@ -343,14 +357,17 @@
 func (w *World) on(m *machine, delay time.Duration, run func()) {
 	life, _, _ := w.lifeOf(m)
 	var turn func()
+	done := false
 	turn = func() {
-		if !m.up || m.life != life {
+		if done || !m.up || m.life != life {
 			return
 		}
 		if m.thawAt > w.now {
+			m.held = append(m.held, turn)
 			w.after(m.thawAt-w.now, turn)
 			return
 		}
+		done = true
 		run()
 	}
 	w.after(delay, turn)
