Let time pass to the next wake where every order is tried, and placements run beside each other

Cause: TestEveryOrderOfOneKeyAtTwoProxies slept a virtual millisecond at a time while a registry's restart waited for seconds, and judged after each; most of 125 s under -race on a busy machine. Change: threads tell when they park or end, and who plays waits for that; time goes on at once to the next timer. TestPlacement's 18 layouts are subtests that run in parallel.

--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -328,33 +328,40 @@
 		{zones: []int{2, 2, 1}, speeds: []float64{0.6, 1.0, 1.4}, cold: 2},
 		{zones: []int{9, 11, 9}, speeds: []float64{0.7, 0.7, 1.6}, times: 3},
 	}
-	for _, layout := range layouts {
+	for at, layout := range layouts {
 		for _, use := range []float64{0.5, 0.7, 0.95} {
-			played := map[string]*simWorld{}
-			text := fmt.Sprintf("%v %v used %.2f, silent %v, cold %d, times %d:", layout.zones, layout.speeds, use, layout.silent, layout.cold, layout.times)
-			for _, name := range []string{"planned", "random", "own zone", "least in flight"} {
-				options := layout
-				options.use, options.place, options.length, options.shares, options.swing = use, simPlacers[name], 20*time.Second, []float64{.31, .36, .33}, 0.15
-				played[name] = simulate(options)
-				text += fmt.Sprintf("  %s %.3f late %.3f across", name, played[name].shareLate(), played[name].shareCrossed())
-			}
-			t.Log(text)
-			planned := played["planned"]
-			for name, other := range played {
-				if name != "planned" && planned.cost() >= other.cost() {
-					t.Errorf("%s loses less: %s", name, text)
-				}
-			}
-			if planned.shareLate() > played["own zone"].shareLate() || planned.shareLate() > 1.2*played["random"].shareLate() {
-				t.Errorf("late more often: %s", text)
-			}
-			if planned.shareCrossed() > 0.5*played["least in flight"].shareCrossed() {
-				t.Errorf("crosses too much: %s", text)
-			}
+			t.Run(fmt.Sprintf("%d, used %.2f", at, use), func(t *testing.T) {
+				t.Parallel()
+				placedBest(t, layout, use)
+			})
 		}
 	}
 }
 
+func placedBest(t *testing.T, layout simOptions, use float64) {
+	played := map[string]*simWorld{}
+	text := fmt.Sprintf("%v %v used %.2f, silent %v, cold %d, times %d:", layout.zones, layout.speeds, use, layout.silent, layout.cold, layout.times)
+	for _, name := range []string{"planned", "random", "own zone", "least in flight"} {
+		options := layout
+		options.use, options.place, options.length, options.shares, options.swing = use, simPlacers[name], 20*time.Second, []float64{.31, .36, .33}, 0.15
+		played[name] = simulate(options)
+		text += fmt.Sprintf("  %s %.3f late %.3f across", name, played[name].shareLate(), played[name].shareCrossed())
+	}
+	t.Log(text)
+	planned := played["planned"]
+	for name, other := range played {
+		if name != "planned" && planned.cost() >= other.cost() {
+			t.Errorf("%s loses less: %s", name, text)
+		}
+	}
+	if planned.shareLate() > played["own zone"].shareLate() || planned.shareLate() > 1.2*played["random"].shareLate() {
+		t.Errorf("late more often: %s", text)
+	}
+	if planned.shareCrossed() > 0.5*played["least in flight"].shareCrossed() {
+		t.Errorf("crosses too much: %s", text)
+	}
+}
+
 // Where zones hold their own, next to nothing crosses; where one cannot, what it lacks crosses
 // evenly over time, not by turns.
 func TestSpillIsSmooth(t *testing.T) {
--- a/internal/interleave/interleave.go
+++ b/internal/interleave/interleave.go
@@ -16,6 +16,7 @@
 type Run struct {
 	threads []*thread
 	trace   []string
+	stirred chan struct{} // some thread has parked or is done
 }
 
 type thread struct {
@@ -33,22 +34,31 @@
 	go func() {
 		yield := func() {
 			one.parked.Store(true)
+			r.stir()
 			<-one.turn
 		}
 		yield()
 		body(yield)
 		one.done.Store(true)
+		r.stir()
 	}()
 }
 
+func (r *Run) stir() {
+	select {
+	case r.stirred <- struct{}{}:
+	default:
+	}
+}
+
 // Outcome is what all the orders gave.
 type Outcome struct {
 	Orders  int
 	Failure string // the first failure, and the order that led to it
 }
 
-// waitsMost bounds how long threads may wait for the virtual clock in one order.
-const waitsMost = 100000
+// waitMost bounds how long threads may wait for the virtual clock in one order.
+const waitMost = 100 * time.Second
 
 // Explore runs build once for each order. build starts threads and gives a check, which
 // must hold after every step and at the end. It stops at the first failure, or fails the
@@ -64,7 +74,7 @@
 		outcome.Orders++
 		var options []int
 		synctest.Test(t, func(t *testing.T) {
-			run := &Run{}
+			run := &Run{stirred: make(chan struct{}, 1)}
 			check := build(t, run)
 			options = run.play(choices, func() bool {
 				if err := check(); err != nil && outcome.Failure == "" {
@@ -95,8 +105,13 @@
 func (r *Run) play(choices []int, sound func() bool) []int {
 	var options []int
 	going := true
-	for waits := 0; ; {
+	for {
 		synctest.Wait()
+		// What has stirred so far is looked at now.
+		select {
+		case <-r.stirred:
+		default:
+		}
 		if going {
 			going = sound()
 		}
@@ -114,11 +129,12 @@
 			return options
 		}
 		if len(ready) == 0 {
-			// Every thread waits for the clock or for another: let time pass.
-			if waits++; waits > waitsMost {
+			// Every thread waits for the clock or for another: let time pass until one goes on.
+			select {
+			case <-r.stirred:
+			case <-time.After(waitMost):
 				panic("threads wait for each other for ever: " + strings.Join(r.trace, " "))
 			}
-			time.Sleep(time.Millisecond)
 			continue
 		}
 		choice := 0
