--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -200,7 +200,7 @@
 			}
 			w.deliver(&target.machine, &node.machine, func() {
 				// An answer to what a proxy asked before it was killed reaches nobody: the links went with it.
-				if busy = 0; node.journal == journal {
+				if busy = 0; node.journal == journal || w.plant == PlantHaunts {
 					w.apply(node, event)
 				}
 			})
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -224,6 +224,7 @@
 		{PlantFalseNo, []string{RuleNotRun}, Options{Only: edges}},
 		{PlantNoSeen, []string{RuleTwice}, Options{Only: []string{"links that repeat"}}},
 		{PlantRevives, []string{RuleForked}, Options{Only: []string{"edge machine frozen", "edge machine cut off", "core cut off from some proxies"}, Changes: 300 * time.Millisecond}},
+		{PlantHaunts, []string{RuleForked}, Options{Only: []string{"proxy killed", "a herd of proxies killed", "proxy restarted politely", "slow links"}, Changes: 300 * time.Millisecond, Rate: 1}},
 		{PlantLax, []string{RuleSent}, Options{Only: []string{"worker killed, its address another's"}}},
 		{PlantUnheard, []string{RuleLeft}, Options{Only: []string{"worker drained, and goes later"}}},
 		{PlantClaimsAll, []string{RuleSent}, Options{Quiet: true}},
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -43,6 +43,7 @@
 	PlantFalseNo     Plant = "false no: a lost link is taken for one that never opened"
 	PlantNoSeen      Plant = "no memory: the worker's side forgets which requests it has seen"
 	PlantRevives     Plant = "revives: who is behind what was let go gets the difference only"
+	PlantHaunts      Plant = "haunts: an answer that a proxy asked for before it was killed is taken by its next life"
 	PlantLax         Plant = "lax workers: they run what does not bear their token"
 	PlantUnheard     Plant = "unheard: a worker's word that it leaves is not taken"
 	PlantClaimsAll   Plant = "false claims: a peer may speak for any caller"
