Ask for a turn before a body goes to another zone that is likely to be refused there

Change: where the worker turned calls away of late, or another has just refused this one, its proxy is asked without the body. The enquiry waits as the call would, and its turn is kept for the call of that id for a sixteenth of the time left. Asked only where it is likely to spare twice its own size.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/puzpuzpuz/xsync/v4"
+	"google.golang.org/protobuf/proto"
 
 	"meadowhinge/internal/defect"
 	"meadowhinge/internal/plan"
@@ -336,7 +337,7 @@
 				return r.final(), ""
 			}
 			ended.Tries++
-			carried := c.sendOn(ctx, call, ended, *candidate, left)
+			carried := c.sendOn(ctx, call, ended, *candidate, left, r.full > 0)
 			switch carried.Ending {
 			case schema.Ending_ENDING_ANSWERED:
 				ended.Met++
@@ -510,7 +511,43 @@
 	return int64(aim)
 }
 
-func (c *Carrier) sendOn(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration) *schema.Carried {
+// enquiryTimes is how many times what an enquiry takes must be likely to be spared by it.
+const enquiryTimes = 2
+
+// enquire asks whether there is room at a worker in another zone before a body is sent there that is
+// likely to be refused: what is turned away need not have travelled. Nil: it is to be sent.
+func (c *Carrier) enquire(ctx context.Context, carry *schema.Carry, candidate *plan.Candidate, turned bool) *schema.Carried {
+	if candidate.Area == c.Options.Area || len(carry.Body) == 0 {
+		return nil
+	}
+	chance := c.Soundness.Turns(candidate.Instance)
+	// Whom another has just turned away is as likely as not to be turned away here.
+	if turned {
+		chance = max(chance, 0.5)
+	}
+	// A proxy that knows no enquiries takes this for a request that lost its body, and refuses it.
+	enquiry := &schema.Carry{Request: carry.Request, Caller: carry.Caller, Service: carry.Service, Version: carry.Version, Instance: carry.Instance,
+		Checksum: carry.Checksum, LeftNanos: carry.LeftNanos, Route: carry.Route, Rank: carry.Rank, AimNanos: carry.AimNanos, Enquiry: true}
+	if chance*float64(len(carry.Body)) < enquiryTimes*float64(proto.Size(enquiry)) {
+		return nil
+	}
+	carried, err := c.SendOn(ctx, *candidate, enquiry)
+	switch {
+	case err != nil && c.Patient && ctx.Err() != nil:
+		return notRun(defect.HorizonPast, 0)
+	case err != nil:
+		// Nothing that could run was sent.
+		c.Soundness.Lost(candidate.Proxy, c.Now())
+		return notRun(defect.LinkUnopened, 0)
+	case carried.Request != carry.Request || carried.Ending != schema.Ending_ENDING_NOT_RUN || carried.Defect == "":
+		return nil
+	}
+	c.Soundness.Reached(candidate.Proxy)
+	return carried
+}
+
+// sendOn sends a call to a candidate; turned tells whether another has already turned it away.
+func (c *Carrier) sendOn(ctx context.Context, call *Call, ended *Ended, candidate plan.Candidate, left time.Duration, turned bool) *schema.Carried {
 	carry := &schema.Carry{Request: ended.ID + "-" + strconv.Itoa(ended.Tries), Caller: call.Request.Caller, Service: ended.Plan.Service,
 		Version: ended.Plan.Verdict.Version, Instance: candidate.Instance, Method: call.Request.Method, Target: call.Target,
 		Head: call.Head, Body: call.Body, Checksum: crc32.ChecksumIEEE(call.Body), LeftNanos: int64(left),
@@ -532,6 +569,15 @@
 	var status int32
 	sentAt := c.Now()
 	c.Soundness.Begin(candidate.Instance, sentAt)
+	if refusal := c.enquire(bounded, carry, &candidate, turned); refusal != nil {
+		c.Soundness.Ended(candidate.Instance, c.Now(), c.Now()-sentAt, refusal)
+		return refusal
+	}
+	// It may have waited for its turn already.
+	if waited := c.Now() - sentAt; waited > 0 {
+		left -= waited
+		carry.LeftNanos, carry.AimNanos = int64(left), aimLeft(ended.Plan, left)
+	}
 	if len(c.View().Setup.Guards[ended.Plan.Service]) > 0 {
 		tried := c.Trials.Begin(ended.Plan.Service, ended.Plan.Verdict.Version, c.Now())
 		defer func() {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -50,6 +50,7 @@
 	Speech   WorkerSpeech // nil for our own
 	seen     *Seen
 	memory   *Memory
+	kept     *turns
 }
 
 // worksMost is how many lines of work a runner keeps.
@@ -63,7 +64,7 @@
 	if runner.Speech == nil {
 		runner.Speech = OwnSpeech{}
 	}
-	runner.seen, runner.memory = NewSeen(remembered), NewMemory(remembered)
+	runner.seen, runner.memory, runner.kept = NewSeen(remembered), NewMemory(remembered), &turns{kept: map[string]*keptTurn{}}
 	if runner.Works == nil {
 		runner.Works = NewWorks(worksMost)
 	}
@@ -86,6 +87,9 @@
 	if !peer.Speaks(carry.Caller) {
 		return notRun(defect.NotAllowed, 0)
 	}
+	if carry.Enquiry {
+		return r.keep(ctx, carry, arrived, left)
+	}
 	if crc32.ChecksumIEEE(carry.Body) != carry.Checksum {
 		return notRun(defect.Malformed, 0)
 	}
@@ -160,20 +164,44 @@
 	return ask
 }
 
+// await lets a request wait for its turn; nil: it has it.
+func (r *Runner) await(ctx context.Context, held *localWorker, carry *schema.Carry, arrived time.Duration, left func() time.Duration) *schema.Carried {
+	turn, waiter := held.buffer.Arrive(r.Now(), askOf(carry, arrived))
+	if waiter != nil {
+		turn = held.buffer.Await(ctx, waiter, left())
+	}
+	if turn.Kind == "" {
+		return nil
+	}
+	carried := notRun(turn.Kind, 0)
+	carried.BackNanos = int64(turn.Back)
+	return carried
+}
+
+// keep answers an enquiry: it waits as the request would, and its turn is then kept for the request
+// for a part of the time left, so that no body comes which is then refused. Nothing is run.
+func (r *Runner) keep(ctx context.Context, carry *schema.Carry, arrived time.Duration, left func() time.Duration) *schema.Carried {
+	held, _, refusal := r.Workers.find(carry)
+	if refusal != "" {
+		return notRun(refusal, r.View().Setup.Sequence)
+	}
+	if refused := r.await(ctx, held, carry, arrived, left); refused != nil {
+		return refused
+	}
+	r.kept.add(carry.Request, held.buffer, r.Now, left()/keptParts)
+	return notRun("", 0)
+}
+
 // hand lets a request wait for its turn, and gives it to the worker.
 func (r *Runner) hand(ctx context.Context, carry *schema.Carry, arrived time.Duration, left func() time.Duration) *schema.Carried {
 	held, _, refusal := r.Workers.find(carry)
 	if refusal != "" {
 		return notRun(refusal, 0)
 	}
-	turn, waiter := held.buffer.Arrive(r.Now(), askOf(carry, arrived))
-	if waiter != nil {
-		turn = held.buffer.Await(ctx, waiter, left())
-	}
-	if turn.Kind != "" {
-		carried := notRun(turn.Kind, 0)
-		carried.BackNanos = int64(turn.Back)
-		return carried
+	if !r.kept.take(carry.Request, held.buffer) {
+		if refusal := r.await(ctx, held, carry, arrived, left); refusal != nil {
+			return refusal
+		}
 	}
 	began, result := r.Now(), Unrun
 	// From here on it is the worker's time, and its version's doing.
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -34,13 +34,15 @@
 	others float64       // at that time
 	usual  float64       // moving mean of others
 	pace   time.Duration // as told, or else as seen from here; 0 for not known
+	turned float64       // part of the calls of late that were refused for want of room
 }
 
 // Ratios of what is known of workers.
 const (
-	fullParts  = 64   // the part of an ejection for which a worker without room is tried last, if not told
-	usualParts = 16.0 // the part of news that goes into the usual load
-	paceParts  = 8    // the part of news that goes into the pace
+	fullParts   = 64   // the part of an ejection for which a worker without room is tried last, if not told
+	turnedParts = 8    // the part of news that goes into how many are refused
+	usualParts  = 16.0 // the part of news that goes into the usual load
+	paceParts   = 8    // the part of news that goes into the pace
 
 	// A proxy that owes answers and gives none for so many times what its worker takes, and so
 	// long a part of an ejection, is tried last until it gives one; twice as many if it owes one
@@ -217,6 +219,14 @@
 	facts.heard(now, took, carried)
 }
 
+// Turns is the part of the calls sent to a worker of late that were refused for want of room.
+func (s *Soundness) Turns(instance string) float64 {
+	facts := s.of(instance)
+	facts.lock.Lock()
+	defer facts.lock.Unlock()
+	return facts.turned
+}
+
 // turnedAway tells whether a call was refused for want of room or time, by who knows the worker best.
 func turnedAway(carried *schema.Carried) bool {
 	kind := defect.Kind(carried.Defect)
@@ -227,6 +237,10 @@
 func (f *workerFacts) heard(now, took time.Duration, carried *schema.Carried) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	f.turned -= f.turned / turnedParts
+	if turnedAway(carried) {
+		f.turned += 1.0 / turnedParts
+	}
 	// Its proxy knows best how long the worker takes; from here, the way and the wait are in it too.
 	told := time.Duration(carried.PaceNanos)
 	if told == 0 && carried.Ending == schema.Ending_ENDING_ANSWERED {
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -354,7 +354,7 @@
 			<-ctx.Done()
 			return nil, defect.New(defect.LinkLost, "this proxy is dead")
 		}
-		if !given.Recall {
+		if !given.Recall && !given.Enquiry {
 			w.History.dispatched(w.time(), node, given)
 		}
 		if !w.thawed(&node.machine, life) {
