Hand over no more than the machine's own link carries answers away

The quick one's link (3.1 Mbit/s) was then asked for 3.6: counts a second showed answers 100 to 500 ms in it while its buffer saw 50 ms of work. Calls ran out of time, their links were cut and opened anew, the answers to that waited in the same queue; from 18 s on a worker good for 270 calls a second got 30. Ruled out: the processor (0.04 of 0.16 of a core); the worker (idle meanwhile); packing bodies smaller (they are random bytes). Change: the proxy is told its link's rate and reckons how full the link is from what it writes (Road). The buffer hands over what keeps the link busy while the next ones are worked on, waits with the rest in its own order, counts the link's queue into when an answer would come, and tells callers so many slots.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -25,6 +25,8 @@
 	shut    defect.Kind
 	all     pace
 	routes  map[string]*pace
+	road    *Road         // that answers leave by
+	answer  time.Duration // that one takes on it, of late
 }
 
 // Ask is a request that wants to be handed over.
@@ -107,6 +109,12 @@
 	return &Buffer{most: most, slots: slots, routes: map[string]*pace{}}
 }
 
+// leaving has the answers leave by a link.
+func (b *Buffer) leaving(road *Road) *Buffer {
+	b.road = road
+	return b
+}
+
 // limit is how many are handed over at once.
 func (b *Buffer) limit() int {
 	limit := b.most
@@ -116,9 +124,29 @@
 	if b.narrow > 0 {
 		limit = min(limit, b.narrow)
 	}
+	// More answers than the link carries away would only wait there, where none goes before another.
+	if b.answer > 0 && b.all.known {
+		limit = min(limit, 1+int(b.ahead()/b.answer))
+	}
 	return max(1, limit)
 }
 
+// ahead is how much of the link's time answers that are under way may take: what keeps it busy
+// while the next ones are worked on.
+func (b *Buffer) ahead() time.Duration { return b.all.mean + b.all.mean/overlapParts }
+
+// room tells whether one more may be handed over. What is on the link already leaves so much less
+// for answers; but one is always under way, whose end gives the next their turn.
+func (b *Buffer) room() bool {
+	switch {
+	case b.running == 0:
+		return true
+	case b.running >= b.limit():
+		return false
+	}
+	return b.answer == 0 || b.road.Wait()+time.Duration(b.running)*b.answer <= b.ahead()
+}
+
 // work is how long a request of a route takes, and by how much it may well be longer.
 func (b *Buffer) work(route string) (mean, spread time.Duration) {
 	if known := b.routes[route]; known != nil {
@@ -160,7 +188,7 @@
 	if one.work*shortTimes <= b.all.mean {
 		by = one.ask.Horizon
 	}
-	return now + wait + one.work + one.spread - by
+	return now + wait + one.work + one.spread + b.road.Wait() - by
 }
 
 // Arrive gives a request its turn, lets it wait, or refuses it.
@@ -172,7 +200,7 @@
 		return Turn{Kind: b.shut}, nil
 	case now >= ask.Horizon:
 		return Turn{Kind: defect.HorizonPast}, nil
-	case b.running < b.limit() && len(b.waiting) == 0:
+	case b.room() && len(b.waiting) == 0:
 		b.running, b.moved = b.running+1, now
 		return Turn{}, nil
 	}
@@ -302,9 +330,21 @@
 	own.part, own.at = own.partAt(now, span)+float64(took)/float64(b.limit())/float64(span), now
 }
 
+// Left notes how many bytes an answer had.
+func (b *Buffer) Left(bytes int) {
+	if span := b.road.Span(bytes); span > 0 {
+		b.lock.Lock()
+		defer b.lock.Unlock()
+		if b.answer == 0 {
+			b.answer = span
+		}
+		b.answer += (span - b.answer) / meanParts
+	}
+}
+
 // next gives turns as far as there is room.
 func (b *Buffer) next(now time.Duration) {
-	for len(b.waiting) > 0 && b.running < b.limit() {
+	for len(b.waiting) > 0 && b.room() {
 		first := b.waiting[0]
 		b.waiting[0] = nil
 		b.waiting = b.waiting[1:]
@@ -347,5 +387,5 @@
 func (b *Buffer) Load() (running, waiting, slots uint32) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return uint32(b.running), uint32(len(b.waiting)), uint32(b.slots)
+	return uint32(b.running), uint32(len(b.waiting)), uint32(min(b.slots, b.limit()))
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -208,6 +208,7 @@
 	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
 	carried := r.give(ctx, held, carry, left, &result)
 	now := r.Now()
+	held.buffer.Left(len(carried.Head) + len(carried.Body))
 	held.buffer.End(now, carry.Route, result, now-began)
 	work.End(now, now-began, carried)
 	return carried
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -115,7 +115,8 @@
 	Most        int
 	ConnsMost   int
 	BodyMost    int
-	RoomMost    int // bytes of large bodies that are read at once, 0 for enough of them
+	RoomMost    int   // bytes of large bodies that are read at once, 0 for enough of them
+	Road        *Road // that answers leave by
 	Now         func() time.Duration
 	Dial        func(address string) (net.Conn, error)
 	// Untethered: no connection is held to each worker to learn of its end, where workers
@@ -215,7 +216,7 @@
 	w.serial++
 	fresh := &localWorker{instance: fmt.Sprintf("%s/%s/%x.%d", w.options.Proxy, said.Address, w.options.Incarnation, w.serial),
 		address: said.Address, said: said, heardAt: now, tether: tether,
-		conns: &conns{address: said.Address, dial: w.options.Dial, now: w.options.Now}, buffer: NewBuffer(w.options.ConnsMost, int(said.Slots))}
+		conns: &conns{address: said.Address, dial: w.options.Dial, now: w.options.Now}, buffer: NewBuffer(w.options.ConnsMost, int(said.Slots)).leaving(w.options.Road)}
 	if said.Leaving {
 		fresh.buffer.Shut(defect.Leaving)
 	}
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -20,9 +20,13 @@
 	Messages map[string]uint64 `json:"messages"` // that went either way in them
 }
 
+// Tell has whoever wants to know hear of the bytes that go out; it is set before the first link.
+func (e *Ends) Tell(carried func(bytes int)) { e.meter.carried = carried }
+
 // meter counts what goes over links.
 type meter struct {
 	in, out, opened atomic.Uint64
+	carried         func(bytes int) // hears of what goes out; may be nil
 
 	lock             sync.Mutex
 	served, messages map[string]uint64
@@ -50,6 +54,9 @@
 func (m metered) Write(from []byte) (int, error) {
 	count, err := m.Conn.Write(from)
 	m.meter.out.Add(uint64(count))
+	if m.meter.carried != nil {
+		m.meter.carried(count)
+	}
 	return count, err
 }
 
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -36,6 +36,8 @@
 	most     int // connections at once
 	// leaving tells callers to take their connections back with the next answer.
 	leaving *atomic.Bool
+	// carried hears how many bytes of answers were written; may be nil.
+	carried func(bytes int)
 	serve   func(head *Head, body []byte, came time.Time, reply *Reply)
 	refuse  func(head *Head, err error, reply *Reply)
 	// room is how many bytes of large bodies may be held at once; taken is how many are.
@@ -487,12 +489,17 @@
 		_ = t.conn.SetWriteDeadline(t.writeBy)
 	}
 	var err error
+	var count int64
 	if len(body) <= joinMost {
 		out = append(out, body...)
-		_, err = t.conn.Write(out)
+		written, failed := t.conn.Write(out)
+		count, err = int64(written), failed
 	} else {
 		both := net.Buffers{out, body}
-		_, err = both.WriteTo(t.conn)
+		count, err = both.WriteTo(t.conn)
+	}
+	if t.front.carried != nil {
+		t.front.carried(int(count))
 	}
 	t.out = out
 	if cap(t.out) > 2*joinMost {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,6 +56,7 @@
 	ends        *link.Ends
 	log         logr.Logger
 	started     time.Time
+	road        *dispatch.Road // this machine's link, as far as it is known how much it carries
 	speaks      link.Peer
 	speeches    running
 
@@ -172,6 +173,9 @@
 	if s.address == "" {
 		s.address = given.Listen
 	}
+	if s.road = dispatch.NewRoad(given.LinkRate, s.now); s.road != nil {
+		ends.Tell(s.road.Carry)
+	}
 	s.members.Store(given.MembersMost)
 	s.fleet = session.NewFleet(given.MembersMost, s.lease)
 	s.journal = journal.New(EmptyPicture(), eventsKept, s.speeches.fold)
@@ -242,7 +246,7 @@
 	s.speaks = link.Local("proxy", given.Name, speaks)
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.life, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
-		Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
+		Road: s.road, Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
 	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
@@ -408,6 +412,7 @@
 		return nil, defect.Wrap(err, defect.BadOptions, address)
 	}
 	made := newFront(listener, int(s.options.CallersMost), s.options.BodyMost, s.draining, s.bounds)
+	made.carried = s.road.Carry
 	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
 	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
 		s.serve(caller, head, body, came, reply)
