Ask a worker that turns most calls away for not much more than it takes

Back is told to each caller in tens of milliseconds, and each of 63 callers asks every 100: no caller asks too soon. Ruled out: a rank in the wrong order (what workers call for goes first and is served, 215 a second). Change: by worker and route, callers hold what was asked against what was taken, over half an ejection. Beyond twice what is taken, and one, a call is refused by chance on the caller's side, with when there may be room. What costs nothing (the worker beside) and what only one worker may have is asked all the same. Where no more than half is turned away nothing changes.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -333,6 +333,18 @@
 			if replan {
 				break
 			}
+			// Who turns most away is asked less. Where one worker alone may have the call, only that
+			// one can say that it has no room; and to ask the one beside costs nothing.
+			if back, spared := c.Soundness.Spares(candidate.Instance, ended.Plan.Route.Name, c.Now(), c.Dice); spared && pinned == "" && candidate.Proxy != c.Name {
+				carried := notRun(defect.BufferFull, 0)
+				carried.BackNanos = int64(back)
+				r.refused(carried)
+				r.fail(candidate.Instance)
+				if r.full >= fullMost {
+					return r.final(), ""
+				}
+				continue
+			}
 			if !c.mayTry(ended) {
 				return r.final(), ""
 			}
@@ -612,5 +624,6 @@
 	ending, status = carried.Ending, carried.Status
 	endedAt := c.Now()
 	c.Soundness.Ended(candidate.Instance, endedAt, endedAt-sentAt, carried)
+	c.Soundness.Asked(candidate.Instance, ended.Plan.Route.Name, endedAt, carried)
 	return carried
 }
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -35,6 +35,21 @@
 	usual  float64       // moving mean of others
 	pace   time.Duration // as told, or else as seen from here; 0 for not known
 	turned float64       // part of the calls of late that were refused for want of room
+	// taking is by route, for those of which it turned calls away of late.
+	taking map[string]*taking
+}
+
+// taking is of how many calls a worker was asked of late, and how many it took.
+type taking struct {
+	asked, taken float64
+	at           time.Duration
+}
+
+func (t *taking) fade(now, span time.Duration) {
+	if now > t.at {
+		left := math.Exp(-float64(now-t.at) / float64(span))
+		t.asked, t.taken, t.at = t.asked*left, t.taken*left, now
+	}
 }
 
 // Ratios of what is known of workers.
@@ -47,6 +62,13 @@
 	// A proxy that owes answers and gives none for so many times what its worker takes, and so
 	// long a part of an ejection, is tried last until it gives one; twice as many if it owes one
 	// alone, for one call may just take long.
+	// Where a worker takes few calls of a route, it is asked this many times as many as it takes, as
+	// seen over this part of an ejection: what it would turn away costs it and its link as much
+	// as what it tells of it, and the caller is told sooner.
+	askTimes = 2
+	askParts = 2
+	askLeast = 1 // calls that it is taken to have taken besides
+
 	silentTimes = 4
 	silentParts = 25
 )
@@ -227,6 +249,49 @@
 	return facts.turned
 }
 
+// Asked notes whether a worker that was asked took a call of a route.
+func (s *Soundness) Asked(instance, route string, now time.Duration, carried *schema.Carried) {
+	facts, full := s.of(instance), turnedAway(carried)
+	facts.lock.Lock()
+	defer facts.lock.Unlock()
+	one := facts.taking[route]
+	switch {
+	case one == nil && !full:
+		return
+	case one == nil:
+		if facts.taking == nil || len(facts.taking) >= routesMost {
+			facts.taking = map[string]*taking{}
+		}
+		one = &taking{at: now}
+		facts.taking[route] = one
+	}
+	one.fade(now, s.ejection()/askParts)
+	if one.asked++; !full {
+		one.taken++
+	}
+}
+
+// Spares tells whether a worker is better not asked for a call this time, as it turned so many of
+// its route away, and when there may be room. What it is spared counts as asked.
+func (s *Soundness) Spares(instance, route string, now time.Duration, dice plan.Dice) (back time.Duration, spared bool) {
+	facts, found := s.facts.Load(instance)
+	if !found {
+		return 0, false
+	}
+	facts.lock.Lock()
+	defer facts.lock.Unlock()
+	one := facts.taking[route]
+	if one == nil {
+		return 0, false
+	}
+	one.fade(now, s.ejection()/askParts)
+	if over := one.asked - askTimes*(one.taken+askLeast); over <= 0 || dice() >= over/(one.asked+1) {
+		return 0, false
+	}
+	one.asked++
+	return max(time.Duration(facts.full.Load())-now, s.ejection()/fullParts), true
+}
+
 // turnedAway tells whether a call was refused for want of room or time, by who knows the worker best.
 func turnedAway(carried *schema.Carried) bool {
 	kind := defect.Kind(carried.Defect)
