Let a call that is taken while a proxy ends have its answer before that end

Ruled out: the buffer's new order (a call that is too late there is refused, not held). Change: while a proxy ends, the time of a call that it takes is bounded by that end, less a 32nd of the drain time. What has not run by then is refused with when to come back; what may have is answered as unknown. Calls taken before SIGTERM have the whole drain time, which is longer than their deadlines.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -14,6 +14,7 @@
 	quietPart = 8    // of the notice: without a call for so long, none is thought to come any more
 	workPart  = 0.5  // of the notice, in which workers here still get work: what they have at hand ends within the rest
 	tickParts = 64   // how often it is looked at
+	lastParts = 32   // before the end, by which every call has its answer
 )
 
 // stage is how far a proxy is with its leaving.
@@ -62,10 +63,24 @@
 	}
 }
 
+// within is how long a call may take that asks for so long, 0 for not said: one that is taken while
+// the proxy ends has its answer, whatever it is, before the connections are closed.
+func within(asked, overAt, now, drain time.Duration) time.Duration {
+	if overAt <= 0 {
+		return asked
+	}
+	left := max(1, overAt-drain/lastParts-now)
+	if asked <= 0 {
+		return left
+	}
+	return min(asked, left)
+}
+
 // drain brings this proxy to its end, in the time that settings allow.
 func (s *Server) drain(outward []*front, beside *fasthttp.Server) error {
 	told := s.now()
 	way := leavingOf(time.Duration(s.given().Notice), time.Duration(s.given().Drain))
+	s.overAt.Store(int64(told + way.drain))
 	if len(outward) == 0 {
 		way.notice, way.work, way.quiet = 0, 0, 0
 	}
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -45,3 +45,19 @@
 		t.Error("a long notice leaves no time to close")
 	}
 }
+
+// A call that is taken while the proxy ends is answered before its connections are closed.
+func TestWithin(t *testing.T) {
+	const second = time.Second
+	for name, one := range map[string]struct{ asked, overAt, now, want time.Duration }{
+		"not ending":          {4 * second, 0, 9 * second, 4 * second},
+		"time enough":         {second, 20 * second, 17 * second, second},
+		"too long":            {4 * second, 20 * second, 18 * second, 2*second - 100*time.Millisecond},
+		"says nothing":        {0, 20 * second, 18 * second, 2*second - 100*time.Millisecond},
+		"in the last moments": {4 * second, 20 * second, 20 * second, 1},
+	} {
+		if got := within(one.asked, one.overAt, one.now, 3200*time.Millisecond); got != one.want {
+			t.Errorf("%s: %s, want %s", name, got, one.want)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,6 +88,7 @@
 	asking   map[string]chan *claimTicket // claims on their way, by registry; guarded by lock
 	linked   context.Context              // ends with this proxy's links
 	lastCame atomic.Int64                 // when the last call came, since this proxy was told to end
+	overAt   atomic.Int64                 // when this proxy is over, once it was told to end
 	closing  atomic.Bool                  // no dispatch is taken any more
 	draining *atomic.Bool
 }
@@ -438,6 +439,7 @@
 	if taken.Request.Asked > 0 {
 		taken.Request.Asked = max(1, taken.Request.Asked-time.Since(came))
 	}
+	taken.Request.Asked = within(taken.Request.Asked, time.Duration(s.overAt.Load()), s.now(), time.Duration(s.options.Drain))
 	s.came()
 	defer s.calls.Add(-1)
 	if s.calls.Add(1) > s.given().Buffer {
