End a registry only once nobody listens at its address any more

Cause: TestSessionsThroughRestarts failed once more with 'address already in use', on the address of a registry that had just ended: Run came back when its context ended, while another goroutine was about to close the listener. With a part of the loopback net of its own nobody else can have been there. Ruled out: somebody else's port (the net was claimed by this run). Change: Serve comes back once its listener is closed, and a registry's Run waits for that.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -366,7 +366,9 @@
 	for _, role := range roles {
 		allowed[role] = true
 	}
+	closed := make(chan struct{})
 	go func() {
+		defer close(closed)
 		<-ctx.Done()
 		listener.Close()
 	}()
@@ -374,6 +376,8 @@
 		raw, err := listener.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
+				// Whoever comes next at this address can listen there.
+				<-closed
 				return nil
 			}
 			return defect.Wrap(err, defect.Internal, "accept")
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -158,6 +158,9 @@
 		return err
 	}
 	frame.Draining.Store(true)
+	if err := <-served; err != nil {
+		return err
+	}
 	draining, cancel := context.WithTimeout(context.Background(), time.Duration(s.given().Drain))
 	defer cancel()
 	return defect.Wrap(outward.ShutdownWithContext(draining), defect.Internal, "operators still waiting at the end of the drain time")
