--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -360,6 +360,10 @@
 	if !node.table.Grants(w.ageOf(node)) || !w.standing(&beside.machine) {
 		return false
 	}
+	// A planted fault lets each part of a split core have a duty, whose word can then do harm.
+	if w.plant == PlantEasy {
+		return true
+	}
 	age, known := beside.seat.Fresh(beside.clock.at(w.now))
 	return known && age <= w.tableLease()/4
 }
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -51,7 +51,7 @@
 	PlantNoBudget    Plant = "no budget: extra tries are without bound"
 	PlantOpen        Plant = "open: versions and callers are not held against the setup"
 	PlantDeaf        Plant = "deaf brake: neither the proxies nor the duty look at failures"
-	PlantEasy        Plant = "easy brake: the duty finds any version fine"
+	PlantEasy        Plant = "easy brake: the duty finds any version fine, and each part of a split core has one"
 	PlantHairTrigger Plant = "hair trigger: a few failures turn a version back"
 	PlantStays       Plant = "stays: a proxy keeps to a registry however old its setup is"
 	PlantAway        Plant = "away: now and then a whole link is taken for one that never opened"
