Count no answer to a caller on this machine as carried by its link

A proxy that reckons its machine's link counted what callers beside it were answered, its worker's own calls among them; that never leaves the machine, but the worker's buffer then kept its answers back for it. Change: what a caller at this machine's own address is answered takes nothing of the link. Test: TestOnlyAnswersThatLeaveTheMachineTakeItsLink (fails without the change).

--- a/internal/proxy/follow_test.go
+++ b/internal/proxy/follow_test.go
@@ -50,7 +50,7 @@
 }
 
 // begin sends a request on a connection of its own; what it is answered comes later.
-func begin(t *testing.T, address string) func() string {
+func begin(t *testing.T, address string) chan string {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -60,13 +60,24 @@
 	if _, err := io.WriteString(conn, request); err != nil {
 		t.Fatal(err)
 	}
-	return func() string {
-		t.Helper()
+	answered := make(chan string, 1)
+	go func() {
 		line, err := bufio.NewReader(conn).ReadString('\n')
 		if err != nil {
-			t.Fatal(err)
+			line = err.Error()
 		}
-		return strings.TrimSpace(strings.TrimPrefix(line, "HTTP/1.1 "))
+		answered <- strings.TrimSpace(strings.TrimPrefix(line, "HTTP/1.1 "))
+	}()
+	return answered
+}
+
+// await waits until a request is at the worker.
+func await(t *testing.T, came chan struct{}, answered chan string) {
+	t.Helper()
+	select {
+	case <-came:
+	case got := <-answered:
+		t.Fatalf("answered %q before it came to the worker", got)
 	}
 }
 
@@ -76,17 +87,17 @@
 	worker, came, answer := held(t)
 	here := pair(t, worker)
 	first := begin(t, here.Callers)
-	<-came
+	await(t, came, first)
 	here.Change(func(given *schema.ProxyOptions) { given.Buffer, given.Seeds = 1, "127.0.0.1:9" })
-	if got := begin(t, here.Callers)(); !strings.HasPrefix(got, "503 ") {
+	if got := <-begin(t, here.Callers); !strings.HasPrefix(got, "503 ") {
 		t.Errorf("the second call of one that may be in flight was answered %q", got)
 	}
 	here.Change(func(given *schema.ProxyOptions) { given.Buffer, given.Seeds = 2, "127.0.0.1:9,127.0.0.1:10" })
 	second := begin(t, here.Callers)
-	<-came
+	await(t, came, second)
 	close(answer)
-	for _, answered := range []func() string{first, second} {
-		if got := answered(); got != "200 OK" {
+	for _, answered := range []chan string{first, second} {
+		if got := <-answered; got != "200 OK" {
 			t.Errorf("answered %q", got)
 		}
 	}
@@ -102,8 +113,8 @@
 	here := pair(t, worker)
 	here.Change(func(given *schema.ProxyOptions) { given.HorizonMost = int64(50e6) })
 	late := begin(t, here.Callers)
-	<-came
-	if got := late(); !strings.HasPrefix(got, "504 ") {
+	await(t, came, late)
+	if got := <-late; !strings.HasPrefix(got, "504 ") {
 		t.Errorf("answered %q", got)
 	}
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -498,7 +498,7 @@
 		both := net.Buffers{out, body}
 		count, err = both.WriteTo(t.conn)
 	}
-	if t.front.carried != nil {
+	if t.front.carried != nil && !t.beside() {
 		t.front.carried(int(count))
 	}
 	t.out = out
@@ -523,3 +523,10 @@
 	}
 	_, _ = io.CopyN(io.Discard, t.conn, int64(limits.body)*lingerTimes)
 }
+
+// beside tells whether the caller is on this machine: what it is answered never takes the link.
+func (t *talk) beside() bool {
+	caller, isTCP := t.conn.RemoteAddr().(*net.TCPAddr)
+	here, hereTCP := t.conn.LocalAddr().(*net.TCPAddr)
+	return isTCP && hereTCP && caller.IP.Equal(here.IP)
+}
--- a/internal/proxy/front_test.go
+++ b/internal/proxy/front_test.go
@@ -32,6 +32,7 @@
 	leaving atomic.Bool
 	took    chan took
 	held    chan struct{} // what is asked of /held waits for this
+	carried atomic.Int64  // bytes of answers that the machine's link had to carry
 }
 
 // patient bounds every wait of these tests.
@@ -59,6 +60,7 @@
 			reply.Body = []byte(strings.Repeat("x", 4*joinMost))
 		}
 	}
+	one.front.carried = func(bytes int) { one.carried.Add(int64(bytes)) }
 	go one.front.run()
 	t.Cleanup(func() {
 		done := make(chan struct{})
@@ -439,3 +441,33 @@
 		t.Error("connections are still taken")
 	}
 }
+
+// What callers on this machine are answered does not take its link; what others are, does.
+func TestOnlyAnswersThatLeaveTheMachineTakeItsLink(t *testing.T) {
+	for from, wanted := range map[string]bool{"127.0.0.1": false, "127.0.0.2": true} {
+		one := startFront(t, usual)
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		conn, err := dialer.DialContext(t.Context(), "tcp", one.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(patient))
+		reader, sent := bufio.NewReader(conn), 0
+		// The first answer is counted before the second request of its connection is read.
+		for range 2 {
+			if _, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(answer.Body)
+			sent += len(body)
+		}
+		if got := one.carried.Load(); got > 0 != wanted || wanted && got < int64(sent/2) {
+			t.Errorf("answers to %s took %d bytes of the link", from, got)
+		}
+		conn.Close()
+	}
+}
--- a/internal/proxy/path_test.go
+++ b/internal/proxy/path_test.go
@@ -56,7 +56,7 @@
 func pair(t testing.TB, worker string) *proxy.Lone {
 	t.Helper()
 	given := func(name string) *schema.ProxyOptions {
-		return &schema.ProxyOptions{Name: name, Area: "a", Buffer: 2048, CallersMost: 8192, BodyMost: 1 << 20, HorizonMost: int64(10 * time.Second), Lease: int64(8 * time.Second),
+		return &schema.ProxyOptions{Name: name, Area: "a", Buffer: 2048, CallersMost: 64, BodyMost: 1 << 20, HorizonMost: int64(10 * time.Second), Lease: int64(8 * time.Second),
 			MembersMost: 64, ExtraRatio: 0.2, ExtraFloor: 60, Remembered: 12000, Silence: 3, FailuresMost: 5, Ejection: int64(5 * time.Second), Trial: int64(time.Second),
 			TrialFailures: 40, TrialTimes: 2, TrialExcess: 0.02, TrialSlow: 10}
 	}
