Ask another worker where one answers a repeatable call with a failure, for part of the budget

Cause: a worker that fails part of its requests while its health is good answered callers with its 500s though the next worker was sound; an inner call's failure fails the call it was made for. Whatever comes of that try, the caller gets a worker's answer. TestFailedAnswerIsAskedOfAnother holds each bound.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -91,14 +91,14 @@
 	return slot
 }
 
-// Spend takes one extra try if the budget allows it; floor is this process's part of the
+// Spend takes one extra try if so much of the budget allows it; floor is this process's part of the
 // tries allowed besides the ratio.
-func (b *Budget) Spend(now time.Duration, floor float64) bool {
+func (b *Budget) Spend(now time.Duration, floor, part float64) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	current := b.slot(now)
 	extras, calls := b.sum(current.number)
-	if extras+1 > b.ratio*calls+floor {
+	if extras+1 > part*(b.ratio*calls+floor) {
 		return false
 	}
 	current.extras++
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -18,7 +18,7 @@
 				budget.Call(now)
 				calls = append(calls, now)
 			}
-			for budget.Spend(now, floor) {
+			for budget.Spend(now, floor, 1) {
 				if extras = append(extras, now); dice.IntN(3) == 0 {
 					break
 				}
@@ -60,7 +60,7 @@
 				budget.Call(now)
 				calls = append(calls, now)
 			}
-			for budget.Spend(now, floor) {
+			for budget.Spend(now, floor, 1) {
 				if extras = append(extras, now); dice.IntN(3) == 0 {
 					break
 				}
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -93,6 +93,8 @@
 	ExtraFloor float64
 	// ExtraWindow is the time in which extra tries are bounded, 0 for the preset.
 	ExtraWindow time.Duration
+	// ExtraFailed is the part of them for calls that a worker answered with a failure.
+	ExtraFailed float64
 }
 
 // Rebound sets other bounds for what is planned and tried again from now on.
@@ -238,17 +240,21 @@
 	failed map[string]bool // instances not to be tried again
 	full   int             // how many told when they will have room
 	back   int64           // the soonest that any of these has room, 0 for not told
+	paid   bool            // the next try is
 }
 
-// end is how the whole call ends if it ends now: once a dispatch ended unknown, no later
-// refusal may make it "not run".
+// end is how the whole call ends if it ends now: once a dispatch ended unknown, or with a failure
+// for an answer, no later refusal may make it "not run".
 func (r *round) end(kind defect.Kind) *schema.Carried {
-	if r.last.Ending != schema.Ending_ENDING_UNKNOWN {
+	if r.last.Ending == schema.Ending_ENDING_NOT_RUN {
 		r.last = notRun(kind, 0)
 	}
 	return r.final()
 }
 
+// answered tells whether a worker has answered, with a failure.
+func (r *round) answered() bool { return r.last.Ending == schema.Ending_ENDING_ANSWERED }
+
 // final is how the call ends with its last dispatch.
 func (r *round) final() *schema.Carried {
 	if r.last.Ending == schema.Ending_ENDING_NOT_RUN && r.back > 0 {
@@ -266,7 +272,7 @@
 
 // refused notes a refusal that proves that nothing ran.
 func (r *round) refused(carried *schema.Carried) {
-	if r.last.Ending != schema.Ending_ENDING_UNKNOWN {
+	if r.last.Ending == schema.Ending_ENDING_NOT_RUN {
 		r.last = carried
 	}
 	if carried.BackNanos <= 0 {
@@ -280,7 +286,11 @@
 
 // mayTry tells whether a call may be tried once more, by what its route lets and by the fleet's
 // budget.
-func (c *Carrier) mayTry(ended *Ended) bool {
+func (c *Carrier) mayTry(ended *Ended, r *round) bool {
+	if r.paid {
+		r.paid = false
+		return true
+	}
 	if most := ended.Plan.Route.Tries; most > 0 && ended.Met >= most {
 		return false
 	}
@@ -288,7 +298,32 @@
 	if c.ByArrival {
 		before = ended.Met
 	}
-	return before == 0 || c.budget(ended.Plan.Service).Spend(c.Now(), c.bounds.Load().ExtraFloor/float64(max(1, c.Members())))
+	return before == 0 || c.budget(ended.Plan.Service).Spend(c.Now(), c.extraFloor(), 1)
+}
+
+// extraFloor is this proxy's part of the extra tries that the whole fleet has besides the ratio.
+func (c *Carrier) extraFloor() float64 {
+	return c.bounds.Load().ExtraFloor / float64(max(1, c.Members()))
+}
+
+// mayAskAnother tells whether a call that a worker answered with a failure goes to another one, and
+// pays for it. It does where it may run again and can still be answered within its aim, and nobody
+// has refused it: where there is no room, another run takes it from other callers. A version
+// that is being judged answers for its own failures.
+func (c *Carrier) mayAskAnother(ended *Ended, r *round, carried *schema.Carried, left time.Duration) bool {
+	made, bounds := ended.Plan, c.bounds.Load()
+	switch {
+	case bounds.ExtraFailed <= 0 || made.Class != setup.Repeatable || carried.Status < failedFrom || r.answered() || r.full > 0:
+		return false
+	case made.Verdict.Version != c.View().Setup.FallbackOf(made.Service):
+		return false
+	case made.Route.Tries > 0 && ended.Met >= made.Route.Tries:
+		return false
+	case left < time.Duration(carried.PaceNanos) || (made.Aim > 0 && aimLeft(made, left) < carried.PaceNanos):
+		return false
+	}
+	r.paid = c.budget(made.Service).Spend(c.Now(), c.extraFloor(), bounds.ExtraFailed)
+	return r.paid
 }
 
 // carryOut tries the candidates in order until one answers or nothing more may be done. It
@@ -340,12 +375,12 @@
 				carried.BackNanos = int64(back)
 				r.refused(carried)
 				r.fail(candidate.Instance)
-				if r.full >= fullMost {
+				if r.full >= fullMost || r.answered() {
 					return r.final(), ""
 				}
 				continue
 			}
-			if !c.mayTry(ended) {
+			if !c.mayTry(ended, r) {
 				return r.final(), ""
 			}
 			ended.Tries++
@@ -353,9 +388,18 @@
 			switch carried.Ending {
 			case schema.Ending_ENDING_ANSWERED:
 				ended.Met++
-				return carried, candidate.Instance
+				if !c.mayAskAnother(ended, r, carried, ended.Plan.Horizon-(c.Now()-began)) {
+					return carried, candidate.Instance
+				}
+				r.last = carried
+				r.fail(candidate.Instance)
+				continue
 			case schema.Ending_ENDING_UNKNOWN:
 				ended.Met++
+				// A failure for an answer is still an answer.
+				if r.answered() {
+					return r.final(), ""
+				}
 				r.last = carried
 				r.fail(candidate.Instance)
 				// It may have run: only a request that bears repeating is sent again.
@@ -368,6 +412,9 @@
 				ended.Met++
 			}
 			r.refused(carried)
+			if r.answered() {
+				return r.final(), ""
+			}
 			// The other side has a newer setup, by which the plan is too old or its version barred:
 			// a proper call is then planned anew by that setup, not turned away.
 			refusal := defect.Kind(carried.Defect)
@@ -384,7 +431,7 @@
 			}
 		}
 		// Nobody is left to try: news of other workers may be on its way.
-		if !replan && !c.awaitOthers(ctx, ended, r, began, pinned) {
+		if !replan && (r.answered() || !c.awaitOthers(ctx, ended, r, began, pinned)) {
 			break
 		}
 	}
--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -29,6 +29,10 @@
 	}
 }
 
+func failing(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
+	return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 500}, nil
+}
+
 func answering(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
 	return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 200}, nil
 }
@@ -92,22 +96,20 @@
 		ending schema.Ending
 		kind   defect.Kind
 	}{
-		"refused by proxies, then answered":        {once, 0, []ends{full, refusing(defect.HorizonPast, 0, false), unopened, refusing(defect.Leaving, 0, false), answering}, 5, schema.Ending_ENDING_ANSWERED, ""},
-		"no room at two, by their own word":        {repeatable, 9, []ends{full, wait, full, wait, answering}, 4, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
-		"turned away by a worker, with no budget":  {repeatable, 0, []ends{turned, answering}, 1, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
-		"turned away by a worker, with a budget":   {once, 1, []ends{turned, answering}, 2, schema.Ending_ENDING_ANSWERED, ""},
-		"turned away by two, with a budget of one": {once, 1, []ends{turned, turned, answering}, 2, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
-		"turned away by as many as the route lets": {once + `,"tries":2`, 9, []ends{full, turned, full, turned, answering}, 4, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
-		"broken off, once":                         {once, 9, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
-		"broken off, repeatable":                   {repeatable, 1, []ends{breaking, answering}, 2, schema.Ending_ENDING_ANSWERED, ""},
-		"broken off, repeatable, with no budget":   {repeatable, 0, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
-		"broken off, repeatable, one try":          {repeatable + `,"tries":1`, 9, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
-		"broken off, then refused everywhere":      {repeatable, 9, []ends{breaking, full}, 6, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
-		"no answer in all the time there is":       {repeatable, 9, []ends{hanging}, 1, schema.Ending_ENDING_UNKNOWN, defect.HorizonPast},
-		"refused, then no answer, once":            {once, 9, []ends{full, hanging, answering}, 2, schema.Ending_ENDING_UNKNOWN, defect.HorizonPast},
-		"an answer that is a failure is the worker's": {repeatable, 9, []ends{func(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
-			return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 500}, nil
-		}, answering}, 1, schema.Ending_ENDING_ANSWERED, ""},
+		"refused by proxies, then answered":           {once, 0, []ends{full, refusing(defect.HorizonPast, 0, false), unopened, refusing(defect.Leaving, 0, false), answering}, 5, schema.Ending_ENDING_ANSWERED, ""},
+		"no room at two, by their own word":           {repeatable, 9, []ends{full, wait, full, wait, answering}, 4, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
+		"turned away by a worker, with no budget":     {repeatable, 0, []ends{turned, answering}, 1, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
+		"turned away by a worker, with a budget":      {once, 1, []ends{turned, answering}, 2, schema.Ending_ENDING_ANSWERED, ""},
+		"turned away by two, with a budget of one":    {once, 1, []ends{turned, turned, answering}, 2, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
+		"turned away by as many as the route lets":    {once + `,"tries":2`, 9, []ends{full, turned, full, turned, answering}, 4, schema.Ending_ENDING_NOT_RUN, defect.BufferFull},
+		"broken off, once":                            {once, 9, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
+		"broken off, repeatable":                      {repeatable, 1, []ends{breaking, answering}, 2, schema.Ending_ENDING_ANSWERED, ""},
+		"broken off, repeatable, with no budget":      {repeatable, 0, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
+		"broken off, repeatable, one try":             {repeatable + `,"tries":1`, 9, []ends{breaking, answering}, 1, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
+		"broken off, then refused everywhere":         {repeatable, 9, []ends{breaking, full}, 6, schema.Ending_ENDING_UNKNOWN, defect.LinkLost},
+		"no answer in all the time there is":          {repeatable, 9, []ends{hanging}, 1, schema.Ending_ENDING_UNKNOWN, defect.HorizonPast},
+		"refused, then no answer, once":               {once, 9, []ends{full, hanging, answering}, 2, schema.Ending_ENDING_UNKNOWN, defect.HorizonPast},
+		"an answer that is a failure is the worker's": {repeatable, 9, []ends{failing, answering}, 1, schema.Ending_ENDING_ANSWERED, ""},
 		"an answer to another request is no answer": {once, 9, []ends{func(context.Context, *schema.Carry) (*schema.Carried, error) {
 			return &schema.Carried{Request: "other", Ending: schema.Ending_ENDING_ANSWERED, Status: 200}, nil
 		}}, 1, schema.Ending_ENDING_UNKNOWN, defect.BadAnswer},
@@ -134,6 +136,71 @@
 	}
 }
 
+// A failure for an answer goes to one other worker, where the call may run again, in time and for a part
+// of the budget; whatever comes of that, the caller gets a worker's answer.
+func TestFailedAnswerIsAskedOfAnother(t *testing.T) {
+	const repeatable, once = `"class":"repeatable"`, `"class":"once"`
+	slow := func(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
+		time.Sleep(300 * time.Millisecond)
+		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 500, PaceNanos: int64(300 * time.Millisecond)}, nil
+	}
+	for name, one := range map[string]struct {
+		route  string
+		floor  float64
+		part   float64
+		script []ends
+		sent   int
+		status int32
+	}{
+		"answered by another":              {repeatable, 2, 0.5, []ends{failing, answering}, 2, 200},
+		"not once":                         {once, 9, 0.5, []ends{failing, answering}, 1, 500},
+		"not where nothing is set aside":   {repeatable, 9, 0, []ends{failing, answering}, 1, 500},
+		"not beyond its part":              {repeatable, 1, 0.5, []ends{failing, answering}, 1, 500},
+		"not beyond the route's tries":     {repeatable + `,"tries":1`, 9, 0.5, []ends{failing, answering}, 1, 500},
+		"one other only":                   {repeatable, 9, 0.5, []ends{failing, failing, answering}, 2, 500},
+		"the other has no room":            {repeatable, 9, 0.5, []ends{failing, refusing(defect.BufferFull, 9, false), answering}, 2, 500},
+		"the other's answer is lost":       {repeatable, 9, 0.5, []ends{failing, breaking, answering}, 2, 500},
+		"the other has a newer setup":      {repeatable, 9, 0.5, []ends{failing, refusing(defect.StalePlan, 0, false), answering}, 2, 500},
+		"after a lost answer":              {repeatable, 9, 0.5, []ends{breaking, failing, answering}, 3, 200},
+		"not after a refusal for room":     {repeatable, 9, 0.5, []ends{refusing(defect.BufferFull, 9, false), failing, answering}, 2, 500},
+		"in time":                          {repeatable + `,"aim":"700ms"`, 9, 0.5, []ends{slow, answering}, 2, 200},
+		"not where it would come too late": {repeatable + `,"aim":"500ms"`, 9, 0.5, []ends{slow, answering}, 1, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCarrying(t, 6, one.route, one.floor, one.script...)
+				c.Rebound(Bounds{Options: plan.Options{HorizonMost: 10 * time.Second}, ExtraFloor: one.floor, ExtraFailed: one.part})
+				ended := c.Carry(t.Context(), &Call{Target: "/a", Request: plan.Request{Caller: "client", Method: "GET", Path: "/a", Header: func(string) (string, bool) { return "", false }}})
+				if len(c.sent) != one.sent || ended.Err != nil || ended.Carried.Status != one.status || c.waited > 0 {
+					t.Errorf("sent to %v, ended %v %d, waited for news %d times; want %d, %d", c.sent, ended.Err, ended.Carried.Status, c.waited, one.sent, one.status)
+				}
+			})
+		})
+	}
+	// A version on trial answers for its own failures.
+	synctest.Test(t, func(t *testing.T) {
+		c := startCarrying(t, 6, repeatable, 9, failing, answering)
+		c.Rebound(Bounds{Options: plan.Options{HorizonMost: 10 * time.Second}, ExtraFloor: 9, ExtraFailed: 1})
+		item := func(kind, name, body string) *schema.Item {
+			return &schema.Item{Kind: kind, Name: name, Body: []byte(body), Version: &schema.Version{Sequence: 1}}
+		}
+		trying, faults := setup.Compile(setup.State{}.With([]*schema.Item{item("service", "shop", `{"versions":["0","1"],"fallback":"0"}`), item("route", "r", `{"service":"shop","prefix":"/","horizon":"3200ms",`+repeatable+`}`),
+			item("flag", "release.shop", `{"on":true,"salt":"","variations":["0","1"],"offVariation":0,"fallthrough":{"variation":1}}`)}), 1)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		view := &plan.View{Setup: trying, Directory: c.View().Directory}
+		c.View = func() *plan.View { return view }
+		failed, _ := failing(t.Context(), &schema.Carry{})
+		for version, want := range map[string]bool{"0": true, "1": false} {
+			made := &plan.Plan{Route: &setup.Route{}, Service: "shop", Verdict: plan.Verdict{Version: version}, Class: setup.Repeatable}
+			if got := c.mayAskAnother(&Ended{Plan: made}, &round{last: notRun(defect.NoWorker, 0)}, failed, time.Second); got != want {
+				t.Errorf("version %s: asked of another %v", version, got)
+			}
+		}
+	})
+}
+
 // Where every try counts, looking for a first worker is paid for too.
 func TestEveryTryCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -212,7 +212,7 @@
 
 func boundsOf(given *schema.ProxyOptions) dispatch.Bounds {
 	return dispatch.Bounds{Options: plan.Options{Area: given.Area, HorizonMost: time.Duration(given.HorizonMost), Warmup: time.Duration(given.Warmup)},
-		ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor), ExtraWindow: time.Duration(given.ExtraWindow)}
+		ExtraRatio: given.ExtraRatio, ExtraFloor: float64(given.ExtraFloor), ExtraWindow: time.Duration(given.ExtraWindow), ExtraFailed: given.ExtraFailed}
 }
 
 // join begins this proxy's sessions with the registries; they end with ctx.
