Look only at what was taken since, when sessions are told of news

Change: sources are kept in the order in which their news were taken, and a session looks from its place on; what has run out and how many members there are is looked up once for all that ask within a sixty-fourth of a lease. Conclusion: the square is gone; TestNewsByOrder holds the order against a walk through everything.

--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -10,9 +11,10 @@
 
 // Ratios to the lease of how long sources of sessions stay listed.
 const (
-	partedLeases = 1 // after the last session of a proxy ended at its home
-	orphanLeases = 2 // after its home was last heard, if this registry is in touch with the core
-	vouchedParts = 2 // part of a lease within which its setup must have been vouched for, for it to be so
+	partedLeases = 1  // after the last session of a proxy ended at its home
+	orphanLeases = 2  // after its home was last heard, if this registry is in touch with the core
+	vouchedParts = 2  // part of a lease within which its setup must have been vouched for, for it to be so
+	sweptParts   = 64 // part of a lease for which sessions need not look again for what has run out
 )
 
 // roster is the part of a table that is about sessions: a proxy in session need not say again
@@ -20,6 +22,7 @@
 // that had its session, finds the session ended for good, or the home itself is lost.
 type roster struct {
 	place    uint64                   // of the news taken last
+	order    []placed                 // of sources, by place; those taken again since are in it twice
 	sessions map[string]int           // open here, by proxy
 	parted   map[string]time.Duration // when a proxy's last session here ended
 	bare     map[string]*heldSource   // incarnations seen of names, above what is held of them
@@ -29,8 +32,21 @@
 	vouched  time.Duration            // when the setup here was last known to be the newest
 	isFresh  bool
 	others   int // registries beside this one
+	// members are so many since the place and the time at which they were counted.
+	members   int
+	countedTo uint64
+	countedAt time.Duration
 }
 
+// placed is where in the order of all news a source's were taken.
+type placed struct {
+	place uint64
+	name  string
+}
+
+// orderTimes is how many times the sources the order may hold before it is put straight.
+const orderTimes = 2
+
 func newRoster() roster {
 	return roster{sessions: map[string]int{}, parted: map[string]time.Duration{}, bare: map[string]*heldSource{}, reached: map[string]time.Duration{}, direct: map[string]time.Duration{}, hears: map[string][]string{}}
 }
@@ -135,6 +151,13 @@
 		fresh.shown = held.shown
 	}
 	t.sources[source.Name] = fresh
+	t.roster.order = append(t.roster.order, placed{fresh.place, source.Name})
+	if len(t.roster.order) > orderTimes*(len(t.sources)+1) {
+		t.roster.order = slices.DeleteFunc(t.roster.order, func(one placed) bool {
+			held := t.sources[one.name]
+			return held == nil || held.place != one.place
+		})
+	}
 	if bare := t.roster.bare[source.Name]; bare != nil && !newerStamp(bare.source.Stamp, source.Stamp) {
 		delete(t.roster.bare, source.Name)
 	}
@@ -234,13 +257,19 @@
 
 // News lists the sources that a session has not been told of, and moves it on.
 func (t *Table) News(now time.Duration, position *Position) []*schema.Source {
-	t.sweep(now)
+	t.sweepSoon(now)
 	// What a registry no longer hears, it has to be told from the start.
 	if hears := t.roster.hears[position.peer]; position.peer != "" && !slices.Equal(hears, position.hears) {
 		position.hears, position.begun, position.place = hears, false, 0
 	}
 	var news []*schema.Source
-	for name, held := range t.sources {
+	// Every session asks at each piece of news: only what was taken since it last did is looked at.
+	from, _ := slices.BinarySearchFunc(t.roster.order, position.place+1, func(one placed, place uint64) int { return cmp.Compare(one.place, place) })
+	for _, one := range t.roster.order[from:] {
+		name, held := one.name, t.sources[one.name]
+		if held == nil || held.place != one.place {
+			continue
+		}
 		// A proxy knows of itself; it is told only what was said of it since, or in an earlier life.
 		place := held.place
 		if position.peer == "" {
@@ -250,12 +279,18 @@
 			news = append(news, held.source)
 		}
 	}
-	for name, held := range t.roster.bare {
-		if (position.peer != "" || name == position.node) && held.place > position.place && newerStamp(held.source.Stamp, position.vector[name]) &&
-			t.passesOn(position, held.source.Home) {
+	seen := func(name string, held *heldSource) {
+		if held != nil && held.place > position.place && newerStamp(held.source.Stamp, position.vector[name]) && t.passesOn(position, held.source.Home) {
 			news = append(news, held.source)
 		}
 	}
+	if position.peer == "" {
+		seen(position.node, t.roster.bare[position.node])
+	} else {
+		for name, held := range t.roster.bare {
+			seen(name, held)
+		}
+	}
 	slices.SortFunc(news, func(a, b *schema.Source) int { return strings.Compare(a.Name, b.Name) })
 	position.begun, position.place = true, t.roster.place
 	return news
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -68,6 +68,7 @@
 	trials   []*schema.Trial
 	trialsAt time.Duration // when the release duty last handed them out
 	odd      map[string]string
+	sweptAt  time.Duration
 	roster   roster
 }
 
@@ -117,8 +118,16 @@
 	return t.current && (t.options.Leaseless || now >= t.options.Lease)
 }
 
+// sweepSoon sweeps unless that was done just now.
+func (t *Table) sweepSoon(now time.Duration) {
+	if now-t.sweptAt >= t.options.Lease/sweptParts {
+		t.sweep(now)
+	}
+}
+
 // sweep drops what has run out and raises the bar for lagging proxies.
 func (t *Table) sweep(now time.Duration) {
+	t.sweptAt = now
 	for len(t.marks) > 0 && now-t.marks[0].at > t.options.Lease/session.LeaseParts {
 		t.required = max(t.required, t.marks[0].setup)
 		t.marks = t.marks[1:]
@@ -391,8 +400,16 @@
 	return vector
 }
 
-// Members counts the proxies whose session stands.
+// Members counts the proxies whose session stands. All sessions ask at each piece of news, so they
+// are counted once for all of them.
 func (t *Table) Members(now time.Duration) int {
+	if r := &t.roster; r.countedTo != r.place || now-r.countedAt >= t.options.Lease/sweptParts {
+		r.members, r.countedTo, r.countedAt = t.countMembers(now), r.place, now
+	}
+	return t.roster.members
+}
+
+func (t *Table) countMembers(now time.Duration) int {
 	count := 0
 	for _, held := range t.sources {
 		leased := held.source.Home == "" && now-held.at <= t.options.Lease
