Let news between two beats put no sign of life off, so that no session is taken for silent

Cause: a registry sent its sign at a beat only if nothing had been told for nearly a whole beat. News between two beats so put the next sign off to the beat after: up to two beats without a word. A proxy suspects its registry after one and a half, opens another session and takes it; that is news of its home, which puts other signs off. At 400 hollow members this went round for ever: every two seconds each second member changed over (a log of 26 s: 3,077 times "lags", 2,981 sessions taken in exchange). Change: at a beat a sign is sent unless the node can wait for the next beat; a beat that falls into the pause for flocks of news is not lost; and what wakes a session without being news for it sends nothing.

--- a/internal/registry/attend.go
+++ b/internal/registry/attend.go
@@ -76,12 +76,12 @@
 		}()
 	}
 	told := &telling{position: NewPosition(asked.Node, asked.GetCore().GetSeat(), asked.Vector), peer: peer, setup: asked.Setup}
-	for {
+	for onBeat := true; ; {
 		s.lock.Lock()
 		news, worth := s.newsFor(told)
 		moved, beat := s.moved, s.beat
 		s.lock.Unlock()
-		if worth || s.now()-told.at >= time.Duration(asked.BeatNanos)-s.lease/batchParts {
+		if worth || onBeat && signDue(s.now()-told.at, time.Duration(asked.BeatNanos), s.lease) {
 			if err := stream.Send(news); err != nil {
 				return err
 			}
@@ -91,14 +91,28 @@
 		case <-ctx.Done():
 			return nil
 		case <-beat:
+			onBeat = true
 			continue
 		case <-moved:
 		}
 		// News come in flocks: those of a moment are sent together.
 		s.pause(ctx, batchParts)
+		select {
+		case <-beat:
+			onBeat = true
+		default:
+			onBeat = false
+		}
 	}
 }
 
+// signDue tells, at a beat, whether a session's node that was told something so long ago is owed a sign
+// of life now: by the next beat it would have waited for longer than it was promised. News between
+// two beats must not put the next sign off, or whoever hears it would take this registry for silent.
+func signDue(since, promised, lease time.Duration) bool {
+	return since+lease/session.BeatParts > promised+lease/batchParts
+}
+
 // telling is what a session's node has been told.
 type telling struct {
 	position *Position
