Ask another about a failed answer only where the worker failed a twentieth of its calls of late

Change: what the proxy beside tells of the worker decides: below a twentieth of its calls the failure is taken for the call's own.

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -301,6 +301,9 @@
 	return before == 0 || c.budget(ended.Plan.Service).Spend(c.Now(), c.extraFloor(), 1)
 }
 
+// callsOwn is the part of a worker's calls below which its failures are taken for the calls' own.
+const callsOwn = 0.05
+
 // extraFloor is this proxy's part of the extra tries that the whole fleet has besides the ratio.
 func (c *Carrier) extraFloor() float64 {
 	return c.bounds.Load().ExtraFloor / float64(max(1, c.Members()))
@@ -309,7 +312,8 @@
 // mayAskAnother tells whether a call that a worker answered with a failure goes to another one, and
 // pays for it. It does where it may run again and can still be answered within its aim, and nobody
 // has refused it: where there is no room, another run takes it from other callers. A version
-// that is being judged answers for its own failures.
+// that is being judged answers for its own failures, and of a worker that hardly ever fails it is
+// likely the call's own, which another would fail too.
 func (c *Carrier) mayAskAnother(ended *Ended, r *round, carried *schema.Carried, left time.Duration) bool {
 	made, bounds := ended.Plan, c.bounds.Load()
 	switch {
@@ -317,6 +321,8 @@
 		return false
 	case made.Verdict.Version != c.View().Setup.FallbackOf(made.Service):
 		return false
+	case carried.Slots > 0 && float64(carried.Failed) < callsOwn*float64(carried.Ran):
+		return false
 	case made.Route.Tries > 0 && ended.Met >= made.Route.Tries:
 		return false
 	case left < time.Duration(carried.PaceNanos) || (made.Aim > 0 && aimLeft(made, left) < carried.PaceNanos):
--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -33,6 +33,13 @@
 	return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 500}, nil
 }
 
+// failingOf tells of how many calls the worker failed how many.
+func failingOf(ran, failed uint32) ends {
+	return func(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
+		return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 500, Slots: 9, Ran: ran, Failed: failed}, nil
+	}
+}
+
 func answering(_ context.Context, carry *schema.Carry) (*schema.Carried, error) {
 	return &schema.Carried{Request: carry.Request, Ending: schema.Ending_ENDING_ANSWERED, Status: 200}, nil
 }
@@ -157,6 +164,8 @@
 		"not where nothing is set aside":   {repeatable, 9, 0, []ends{failing, answering}, 1, 500},
 		"not beyond its part":              {repeatable, 1, 0.5, []ends{failing, answering}, 1, 500},
 		"not beyond the route's tries":     {repeatable + `,"tries":1`, 9, 0.5, []ends{failing, answering}, 1, 500},
+		"not who hardly ever fails":        {repeatable, 9, 0.5, []ends{failingOf(100, 4), answering}, 1, 500},
+		"who fails some":                   {repeatable, 9, 0.5, []ends{failingOf(100, 5), answering}, 2, 200},
 		"one other only":                   {repeatable, 9, 0.5, []ends{failing, failing, answering}, 2, 500},
 		"the other has no room":            {repeatable, 9, 0.5, []ends{failing, refusing(defect.BufferFull, 9, false), answering}, 2, 500},
 		"the other's answer is lost":       {repeatable, 9, 0.5, []ends{failing, breaking, answering}, 2, 500},
