Let a run of hollow members lose core machines and zones, and time how soon sessions are elsewhere

Settings cores-lost and zones-lost kill a registry and its store, or a zone's with all its members, each for a lease; the report has the time from the loss of a member's registry to a session with another. Settings that contradict leave with 2, named. Killed, not dark: links end at once.

--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -74,10 +74,12 @@
 	Stale       Spans          `json:"stale"`       // since a member last knew its picture to be the newest
 	News        Spans          `json:"news"`        // from a change of a member's workers to its being known, at each other member
 	Back        Spans          `json:"back"`        // from a restart to a setup in use
+	Moved       Spans          `json:"moved"`       // from the loss of a member's registry to a session with another
 	Late        Spans          `json:"late"`        // by how much this process itself was woken late: the machine's doing
 	Unapplied   int            `json:"unapplied"`   // changes that some member had not taken into use at the end
 	Rulings     map[string]int `json:"rulings"`
 	Restarts    int            `json:"restarts"`
+	Losses      int            `json:"losses"`    // of core machines and of zones
 	Items       int            `json:"items"`     // in the setup
 	ItemBytes   int            `json:"itemBytes"` // of their bodies, names and versions
 	Lines       []HollowLine   `json:"lines"`
@@ -118,6 +120,16 @@
 	if given.Workers > 0 && given.Workers < given.Services {
 		faults = append(faults, fmt.Sprintf("workers: %d leave some of the %d services without one", given.Workers, given.Services))
 	}
+	losses := given.CoresLost + given.ZonesLost
+	if need := time.Duration(losses*lossLeases) * time.Duration(given.Lease); need > time.Duration(given.Length) {
+		faults = append(faults, fmt.Sprintf("length: %v are too short for %d losses, which take %v", time.Duration(given.Length), losses, need))
+	}
+	if losses > 0 && given.Restarts > 0 {
+		faults = append(faults, "restarts: cannot be run together with cores-lost and zones-lost")
+	}
+	if given.CoresLost > 0 && given.Seats < seatsToLose {
+		faults = append(faults, fmt.Sprintf("cores-lost: of %d seats none can be lost", given.Seats))
+	}
 	if need, have := hollowNeed(given), memory/memoryPart; memory > 0 && need > have {
 		faults = append(faults, fmt.Sprintf("members: %d with this setup need about %d MB, and half of this machine's memory is %d MB", given.Members, need>>20, have>>20))
 	}
@@ -245,6 +257,7 @@
 	fleet.measuring.Store(true)
 	living.Go(func() { operator.keepChanging(stop) })
 	living.Go(func() { fleet.keepRestarting(stop) })
+	living.Go(func() { fleet.keepLosing(stop) })
 	living.Go(func() { fleet.keepLooking(stop) })
 	late := newSpans()
 	living.Go(func() { keepWatch(stop, late) })
@@ -391,7 +404,8 @@
 			row = &RoleCost{Role: after.role, Served: Rates{}}
 			byRole[after.role] = row
 		}
-		used := (after.cpu - before.cpu) / seconds * 1000
+		// A process that was killed meanwhile counts from its start.
+		used := max(after.cpu-before.cpu, 0) / seconds * 1000
 		row.Processes++
 		row.CPU += used
 		row.CPULargest = max(row.CPULargest, used)
@@ -468,8 +482,8 @@
 		}
 	}
 	r.Acknowledge, r.Apply, r.Everywhere = spansOf(acknowledge), spansOf(apply), spansOf(everywhere)
-	r.Stale, r.News, r.Back = spansOf(fleet.staleness), spansOf(fleet.news), spansOf(fleet.backs)
-	r.Rulings, r.Restarts = maps.Clone(operator.rulings), fleet.restarts
+	r.Stale, r.News, r.Back, r.Moved = spansOf(fleet.staleness), spansOf(fleet.news), spansOf(fleet.backs), spansOf(fleet.moves)
+	r.Rulings, r.Restarts, r.Losses = maps.Clone(operator.rulings), fleet.restarts, fleet.losses
 	r.histograms = map[string]*hdrhistogram.Histogram{"stated to acknowledged": acknowledge, "acknowledged to in use, each member": apply,
 		"stated to in use everywhere": everywhere, "age of members' pictures": fleet.staleness, "news of workers, each member": fleet.news}
 }
@@ -517,12 +531,12 @@
 			fmt.Fprintf(out, "%s, messages a second by call: %s\n", row.Role, strings.Join(parts, ", "))
 		}
 	}
-	fmt.Fprintf(out, "setup: %d items of %d bytes; changes %v, %d not in use everywhere at the end; %d restarts\n", r.Items, r.ItemBytes, r.Rulings, r.Unapplied, r.Restarts)
+	fmt.Fprintf(out, "setup: %d items of %d bytes; changes %v, %d not in use everywhere at the end; %d restarts, %d losses\n", r.Items, r.ItemBytes, r.Rulings, r.Unapplied, r.Restarts, r.Losses)
 	for _, one := range []struct {
 		name  string
 		spans Spans
 	}{{"stated to acknowledged", r.Acknowledge}, {"acknowledged to in use, each member", r.Apply}, {"stated to in use everywhere", r.Everywhere},
-		{"age of members' pictures", r.Stale}, {"news of workers, each member", r.News}, {"restarted to setup in use", r.Back},
+		{"age of members' pictures", r.Stale}, {"news of workers, each member", r.News}, {"restarted to setup in use", r.Back}, {"registry lost to another session", r.Moved},
 		{"this process was woken late by", r.Late}} {
 		fmt.Fprintf(out, "%-36s ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f (%d)\n", one.name, one.spans.P50, one.spans.P90, one.spans.P99, one.spans.Max, one.spans.Count)
 	}
--- a/internal/rehearsal/hollow_members.go
+++ b/internal/rehearsal/hollow_members.go
@@ -74,7 +74,9 @@
 	staleness *hdrhistogram.Histogram
 	news      *hdrhistogram.Histogram
 	backs     *hdrhistogram.Histogram
+	moves     *hdrhistogram.Histogram
 	restarts  int
+	losses    int
 	measuring atomic.Bool
 }
 
@@ -95,7 +97,7 @@
 // newHollowFleet lays out the members; none has joined yet.
 func newHollowFleet(given *schema.HollowOptions, core *Fleet, now func() time.Duration) (*hollowFleet, error) {
 	f := &hollowFleet{given: given, core: core, now: now, dice: rand.New(rand.NewPCG(uint64(given.Seed), 2)),
-		frame: &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}}, staleness: newSpans(), news: newSpans(), backs: newSpans(), named: map[string]*hollowMember{}}
+		frame: &daemon.Frame{Log: logr.Discard(), Draining: &atomic.Bool{}}, staleness: newSpans(), news: newSpans(), backs: newSpans(), moves: newSpans(), named: map[string]*hollowMember{}}
 	for i := range int(given.Members) {
 		settings, err := core.hollowSettings(given, i)
 		if err != nil {
@@ -289,17 +291,111 @@
 		case <-ticker.C:
 		}
 		m := f.members[f.dice.IntN(len(f.members))]
-		held := m.held()
-		held.End()
-		m.lock.Lock()
-		m.before = sumTraffic(m.before, held.Traffic())
-		m.lock.Unlock()
-		if f.join(m) == nil {
+		m.held().End()
+		if f.rejoin(m) == nil {
 			f.restarts++
 		}
 	}
 }
 
+// rejoin brings a member back that was ended.
+func (f *hollowFleet) rejoin(m *hollowMember) error {
+	held := m.held()
+	m.lock.Lock()
+	m.before = sumTraffic(m.before, held.Traffic())
+	m.lock.Unlock()
+	return f.join(m)
+}
+
+// Bounds of losses.
+const (
+	lossLeases  = 2 // each takes so many: it is away for the first, and settles in the second
+	seatsToLose = 3 // a core has at least, of which one can be away
+	moveCheck   = 10 * time.Millisecond
+)
+
+// keepLosing kills core machines, then zones, one after the other and each for a lease, until all
+// that the settings ask for were, or stop closes.
+func (f *hollowFleet) keepLosing(stop <-chan struct{}) {
+	for i := range int(f.given.CoresLost + f.given.ZonesLost) {
+		area, seat := "", i%int(f.given.Seats)
+		if zone := i - int(f.given.CoresLost); zone >= 0 {
+			area, seat = f.core.area(zone%int(f.given.Zones)), -1
+		}
+		if !f.lose(stop, area, seat) {
+			return
+		}
+		f.losses++
+		select {
+		case <-stop:
+			return
+		case <-time.After(f.core.lease):
+		}
+	}
+}
+
+// lose kills a seat, or all that stands in a zone, brings it back after a lease, and notes how soon the
+// members that were in session there have another session. False if stop closed meanwhile.
+func (f *hollowFleet) lose(stop <-chan struct{}, area string, seat int) bool {
+	var lost []*Process
+	gone := map[string]bool{}
+	for i := range f.core.Registries {
+		if i == seat || (area != "" && f.core.area(i) == area) {
+			lost = append(lost, f.core.Registries[i], f.core.Stores[i])
+			gone[fmt.Sprintf("%s:%d", f.core.core(i), portRegistry)] = true
+		}
+	}
+	var ended, moving []*hollowMember
+	for _, m := range f.members {
+		if area != "" && m.settings.Area == area {
+			ended = append(ended, m)
+		} else if gone[m.held().Status().Registry] {
+			moving = append(moving, m)
+		}
+	}
+	at := f.now()
+	for _, process := range lost {
+		process.Kill()
+	}
+	for _, m := range ended {
+		m.held().End()
+	}
+	back, over := time.After(f.core.lease), false
+	for !over {
+		moving = slices.DeleteFunc(moving, func(m *hollowMember) bool {
+			registry := m.held().Status().Registry
+			moved := registry != "" && !gone[registry]
+			if moved {
+				f.note(f.moves, f.now()-at)
+			}
+			return moved
+		})
+		select {
+		case <-stop:
+			over = true
+		case <-back:
+			over = true
+		case <-time.After(moveCheck):
+		}
+	}
+	// What did not find another session in all that time counts as the longest there is.
+	for range moving {
+		f.note(f.moves, f.now()-at)
+	}
+	for _, process := range lost {
+		_ = process.Start()
+	}
+	for _, m := range ended {
+		_ = f.rejoin(m)
+	}
+	select {
+	case <-stop:
+		return false
+	default:
+		return true
+	}
+}
+
 // staleEvery is how often it is looked at how old members' pictures are, and at how many.
 const (
 	staleEvery = time.Second
--- a/internal/rehearsal/hollow_test.go
+++ b/internal/rehearsal/hollow_test.go
@@ -29,6 +29,8 @@
 		{nil, nil},
 		{[]string{"-members=820", "-services=150", "-routes=150", "-zones=6", "-seats=5"}, nil},
 		{[]string{"-releases=5", "-reach=9", "-workers=3"}, []string{"releases", "reach", "workers"}},
+		{[]string{"-cores-lost=2", "-zones-lost=1", "-length=20s", "-restarts=1", "-seats=1"}, []string{"length", "restarts", "cores-lost"}},
+		{[]string{"-cores-lost=1", "-zones-lost=1", "-length=32s"}, nil},
 		{[]string{"-members=5000", "-workers=20000", "-routes=20000"}, []string{"members", "members"}},
 	} {
 		faults := checkHollow(hollowGiven(t, one.args...), 16<<30, 20000)
@@ -94,3 +96,24 @@
 		t.Error(err)
 	}
 }
+
+// Members whose registry is lost take a session with another, those of a lost zone come back, and
+// changes come into use everywhere all the same.
+func TestHollowLosses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("brings up processes")
+	}
+	given := hollowGiven(t, "-members=9", "-changes=60", "-cores-lost=1", "-zones-lost=1", "-length=8s", "-settle=1s", "-lease=2s", "-beat=500ms",
+		"-folder="+t.TempDir(), "-binaries="+buildPlain(t))
+	report, err := RunHollow(t.Context(), given, t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	report.Print(t.Output())
+	if report.Losses != 2 || report.Moved.Count < 3 || report.Back.Count < 3 {
+		t.Errorf("%d losses, %d moved, %d back", report.Losses, report.Moved.Count, report.Back.Count)
+	}
+	if report.Unapplied > 0 || report.Rulings["accepted"] == 0 {
+		t.Errorf("changes %v: %d not in use everywhere", report.Rulings, report.Unapplied)
+	}
+}
