--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -61,6 +61,13 @@
 // failedFrom is the least status with which a worker says that it failed.
 const failedFrom = 500
 
+// A call has run out of time where less than this part of what it was given is left, and far longer than
+// calls take where it ran for so many times its worker's pace.
+const (
+	shortParts   = marginParts / 2
+	overdueTimes = 3
+)
+
 // waitParts is the part of the time left that a dispatch may wait for news before it is refused.
 const waitParts = 8
 
@@ -211,7 +218,7 @@
 			return refusal
 		}
 	}
-	began, result := r.Now(), Unrun
+	began, given, result := r.Now(), left(), Unrun
 	// From here on it is the worker's time, and its version's doing.
 	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
 	carried := r.give(ctx, held, carry, left, &result)
@@ -219,8 +226,9 @@
 	if result == Answered && carried.Status >= failedFrom {
 		result = Failed
 	}
-	// Who called it off cannot know how it would have ended.
-	if ran := carried.Ending != schema.Ending_ENDING_NOT_RUN; ran && r.Soundness != nil && ctx.Err() == nil {
+	// How a call would have ended that had not the time calls take is not known.
+	cutShort := result != Answered && left() < given/shortParts && now-began < overdueTimes*held.buffer.Pace()
+	if ran := carried.Ending != schema.Ending_ENDING_NOT_RUN; ran && r.Soundness != nil && !cutShort {
 		r.Soundness.Ran(carry.Instance, now, result != Answered)
 	}
 	held.buffer.Left(len(carried.Head) + len(carried.Body))
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -277,3 +277,56 @@
 		}
 	})
 }
+
+// What came of a worker's calls is told with each answer: failures, broken answers, and calls that were
+// given up after far longer than calls take; not those that had not the time that calls take.
+func TestWhatIsToldOfAWorker(t *testing.T) {
+	const answers = 20
+	for name, one := range map[string]struct {
+		answer string        // of the calls after those; empty for none
+		given  time.Duration // that calls have
+		failed uint32        // told of so many
+	}{
+		"answers":                {whole(`{"a":1}`), time.Minute, 0},
+		"fails":                  {"HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", time.Minute, 5},
+		"breaks answers off":     {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", 500 * time.Millisecond, 5},
+		"hangs":                  {"", 500 * time.Millisecond, 5},
+		"is not given the time":  {"", 150 * time.Millisecond, 0},
+		"refuses, and runs none": {"HTTP/1.1 421 Misdirected\r\n" + HeaderRefused + ": token\r\nContent-Length: 0\r\n\r\n", time.Minute, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(t)
+				s.runner.Soundness = NewSoundness(5, time.Hour)
+				instance, who := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+				hung := make(chan struct{})
+				defer close(hung)
+				said := whole(`{"a":1}`)
+				who.answer = func(string) string {
+					time.Sleep(100 * time.Millisecond)
+					if said == "" || strings.Contains(said, "10\r\n\r\nabc") {
+						<-hung
+					}
+					return said
+				}
+				run := func(turn int, given time.Duration) *schema.Carried {
+					one := carry(fmt.Sprint("r", turn), instance)
+					one.LeftNanos = int64(given)
+					return s.runner.Run(t.Context(), client, one)
+				}
+				for turn := range answers {
+					if got := run(turn, time.Minute); got.Ending != schema.Ending_ENDING_ANSWERED || got.Failed != 0 || got.Ran != 0 {
+						t.Fatal(got)
+					}
+				}
+				said = one.answer
+				for turn := range 5 {
+					run(answers+turn, one.given)
+				}
+				if ran, failed := s.runner.Soundness.Record(instance, s.now()); failed != one.failed || (failed > 0 && ran != answers+failed) {
+					t.Errorf("told: %d of %d failed", failed, ran)
+				}
+			})
+		})
+	}
+}
