Refuse a second content under one given version instead of confirming both

Cause: `newest` passed over every item whose given version equalled the one held, whatever its content, and the change was accepted. Two operators who sent unlike contents under one number were both confirmed, and one was lost. Its kin: an item set under the version of its own drop; two contents under one version within one call (the later was dropped in silence); and `sumOf`, which left out what the operator said, so that two services that differ only in fields the product makes no use of shared one outcome.

Change: byGiven sorts items into written, without effect and clashing. A clash refuses the whole change as a conflict that names each item and the version held (409 on the platform). Repeats with the same content, also with other spaces or order of fields, and overtaken ones are accepted as before. Also: a store that is alone answers where it stands; it waited for confirmations of nobody.

TestOneSeatAlone fails on the code before.

--- a/internal/registry/speech.go
+++ b/internal/registry/speech.go
@@ -53,11 +53,11 @@
 	outcome *schema.Outcome // once done is closed; nil for not known
 }
 
-// sumOf tells changes apart by what they ask for.
+// sumOf tells changes apart by all that they ask for, down to how the operator said it.
 func sumOf(change *schema.Change) string {
 	sum := sha256.New()
 	for _, item := range change.Items {
-		fmt.Fprintf(sum, "%q %q %d %t %q\n", item.Kind, item.Name, item.Given, item.Deleted, item.Body)
+		fmt.Fprintf(sum, "%q %q %d %t %q %q\n", item.Kind, item.Name, item.Given, item.Deleted, item.Body, item.Said)
 	}
 	for _, one := range change.Expected {
 		fmt.Fprintf(sum, "%q %q %d\n", one.Kind, one.Name, one.Sequence)
--- a/internal/store/accept_test.go
+++ b/internal/store/accept_test.go
@@ -64,23 +64,36 @@
 		want  schema.Ruling
 		taken map[string]uint64 // given version by name
 	}{
-		"higher":                         {[]*schema.Item{item("stands", 8, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 8}},
-		"equal":                          {[]*schema.Item{item("stands", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
-		"lower, a drop":                  {[]*schema.Item{item("stands", 6, "")}, schema.Ruling_RULING_ACCEPTED, nil},
-		"lower, never right":             {[]*schema.Item{item("stands", 6, `{"salt":5}`)}, schema.Ruling_RULING_INVALID, nil},
-		"older than a drop":              {[]*schema.Item{item("dropped", 7, body)}, schema.Ruling_RULING_ACCEPTED, nil},
-		"newer than a drop":              {[]*schema.Item{item("dropped", 9, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"dropped": 9}},
-		"a drop of what never was":       {[]*schema.Item{item("never", 3, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"never": 3}},
-		"over what no operator gave":     {[]*schema.Item{item("ours", 1, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"ours": 1}},
-		"some newer":                     {[]*schema.Item{item("stands", 6, body), item("more", 2, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"more": 2}},
-		"one name twice":                 {[]*schema.Item{item("stands", 9, body), item("stands", 8, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 9}},
-		"one newer that is invalid":      {[]*schema.Item{item("stands", 9, body), route("r", 9)}, schema.Ruling_RULING_INVALID, nil},
-		"one newer beside a broken kind": {[]*schema.Item{item("stands", 9, body), {Kind: "thing", Name: "x", Given: 9}}, schema.Ruling_RULING_INVALID, nil},
+		"higher":                            {[]*schema.Item{item("stands", 8, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 8}},
+		"equal, the same":                   {[]*schema.Item{item("stands", 7, `{"salt":""}`)}, schema.Ruling_RULING_ACCEPTED, nil},
+		"equal, the same with spaces":       {[]*schema.Item{item("stands", 7, `{ "salt" : "" }`)}, schema.Ruling_RULING_ACCEPTED, nil},
+		"equal, another content":            {[]*schema.Item{item("stands", 7, body)}, schema.Ruling_RULING_CONFLICT, nil},
+		"equal, a drop":                     {[]*schema.Item{item("stands", 7, "")}, schema.Ruling_RULING_CONFLICT, nil},
+		"equal, a drop again":               {[]*schema.Item{item("dropped", 7, "")}, schema.Ruling_RULING_ACCEPTED, nil},
+		"equal, beside one newer":           {[]*schema.Item{item("stands", 7, body), item("more", 2, body)}, schema.Ruling_RULING_CONFLICT, nil},
+		"equal, never right":                {[]*schema.Item{item("stands", 7, `{"salt":5}`)}, schema.Ruling_RULING_INVALID, nil},
+		"equal, over what no operator gave": {[]*schema.Item{item("ours", 0, body)}, schema.Ruling_RULING_CONFLICT, nil},
+		"lower, a drop":                     {[]*schema.Item{item("stands", 6, "")}, schema.Ruling_RULING_ACCEPTED, nil},
+		"lower, never right":                {[]*schema.Item{item("stands", 6, `{"salt":5}`)}, schema.Ruling_RULING_INVALID, nil},
+		"older than a drop":                 {[]*schema.Item{item("dropped", 6, body)}, schema.Ruling_RULING_ACCEPTED, nil},
+		"set under a drop's own version":    {[]*schema.Item{item("dropped", 7, body)}, schema.Ruling_RULING_CONFLICT, nil},
+		"newer than a drop":                 {[]*schema.Item{item("dropped", 9, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"dropped": 9}},
+		"a drop of what never was":          {[]*schema.Item{item("never", 3, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"never": 3}},
+		"over what no operator gave":        {[]*schema.Item{item("ours", 1, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"ours": 1}},
+		"some newer":                        {[]*schema.Item{item("stands", 6, body), item("more", 2, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"more": 2}},
+		"one name twice":                    {[]*schema.Item{item("stands", 9, body), item("stands", 8, "")}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 9}},
+		"one name twice, two contents":      {[]*schema.Item{item("stands", 9, body), item("stands", 9, "")}, schema.Ruling_RULING_CONFLICT, nil},
+		"one name twice, the same":          {[]*schema.Item{item("stands", 9, body), item("stands", 9, body)}, schema.Ruling_RULING_ACCEPTED, map[string]uint64{"stands": 9}},
+		"one newer that is invalid":         {[]*schema.Item{item("stands", 9, body), route("r", 9)}, schema.Ruling_RULING_INVALID, nil},
+		"one newer beside a broken kind":    {[]*schema.Item{item("stands", 9, body), {Kind: "thing", Name: "x", Given: 9}}, schema.Ruling_RULING_INVALID, nil},
 	} {
 		entry, _ := Accept(state, nil, &schema.Change{Items: one.items, ByGiven: true}, at(10))
 		if entry.Outcome.Ruling != one.want || len(entry.Items) != len(one.taken) {
 			t.Errorf("%s: %v with %d items (%v)", name, entry.Outcome.Ruling, len(entry.Items), entry.Outcome.Faults)
 		}
+		if one.want == schema.Ruling_RULING_CONFLICT && len(entry.Outcome.Current) == 0 {
+			t.Errorf("%s: the refusal names no item", name)
+		}
 		for _, taken := range entry.Items {
 			if taken.Given != one.taken[taken.Name] {
 				t.Errorf("%s: %s is taken under %d", name, taken.Name, taken.Given)
@@ -93,3 +106,23 @@
 		t.Errorf("written without a version: %v", entry)
 	}
 }
+
+// What the operator said counts, also where the product makes no use of it.
+func TestContentIsWhatWasSaid(t *testing.T) {
+	service := func(said string) *schema.Item {
+		return &schema.Item{Kind: "service", Name: "shop", Given: 7, Body: []byte(`{}`), Said: []byte(said)}
+	}
+	held := service(`{"MaxConns":20,"Name":"shop"}`)
+	held.Version = &schema.Version{Epoch: 1, Sequence: 4}
+	state := setup.State{}.With([]*schema.Item{held})
+	for said, want := range map[string]schema.Ruling{
+		`{"Name":"shop", "MaxConns":20}`: schema.Ruling_RULING_ACCEPTED,
+		`{"MaxConns":21,"Name":"shop"}`:  schema.Ruling_RULING_CONFLICT,
+		`{"Name":"shop"}`:                schema.Ruling_RULING_CONFLICT,
+	} {
+		entry, _ := Accept(state, nil, &schema.Change{Items: []*schema.Item{service(said)}, ByGiven: true}, &schema.Version{Epoch: 1, Sequence: 9})
+		if entry.Outcome.Ruling != want || len(entry.Items) > 0 {
+			t.Errorf("%s: %v", said, entry.Outcome)
+		}
+	}
+}
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -148,6 +148,8 @@
 	s.round++
 	s.barriers = append(s.barriers, barrier{from, s.round})
 	s.sendConfirm()
+	// A seat without others is a majority by itself, and no confirmation will come.
+	s.settleBarriers()
 }
 
 func (s *Seat) sendConfirm() {
@@ -184,7 +186,8 @@
 	entry := &schema.Entry{Version: version, ChangeId: change.Id, Outcome: &schema.Outcome{ChangeId: change.Id, Version: version}}
 	written := change.Items
 	if change.ByGiven {
-		written = newest(state, change.Items)
+		var clashes []*schema.Expected
+		written, clashes = byGiven(state, change.Items)
 		// What can never be right is refused also where a newer version stands in its place.
 		if len(written) < len(change.Items) {
 			if faults := setup.Check(change.Items); len(faults) > 0 {
@@ -192,6 +195,10 @@
 				return entry, before
 			}
 		}
+		if len(clashes) > 0 {
+			entry.Outcome.Ruling, entry.Outcome.Current = schema.Ruling_RULING_CONFLICT, clashes[:min(len(clashes), faultsMost)]
+			return entry, before
+		}
 	} else if entry.Outcome.Current = unexpected(state, change); len(entry.Outcome.Current) > 0 {
 		entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
 		return entry, before
@@ -242,22 +249,3 @@
 	}
 	return current
 }
-
-// newest lists the items whose given version is higher than the held one's, tombstones included;
-// of two under one name the higher, of equals the first.
-func newest(state setup.State, given []*schema.Item) (written []*schema.Item) {
-	place := map[string]int{}
-	for _, item := range given {
-		key := setup.Key(item.Kind, item.Name)
-		if held := state[key]; held != nil && held.Given >= item.Given {
-			continue
-		}
-		if at, twice := place[key]; !twice {
-			place[key] = len(written)
-			written = append(written, item)
-		} else if written[at].Given < item.Given {
-			written[at] = item
-		}
-	}
-	return written
-}
--- /dev/null
+++ b/internal/store/given.go
@@ -0,0 +1,69 @@
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+
+	"meadowhinge/internal/setup"
+	"meadowhinge/schema"
+)
+
+// byGiven compares the items of a change with the state by the versions that operators gave them.
+//
+// An item with a higher version than the one held, tombstones included, is written. One with a
+// lower version was overtaken and changes nothing. Under one version an item has one content: the
+// same content again is a repeat and changes nothing, another content is a clash, by which the
+// whole change must be refused.
+func byGiven(state setup.State, items []*schema.Item) (written []*schema.Item, clashes []*schema.Expected) {
+	latest := map[string]*schema.Item{}
+	for _, item := range items {
+		key := setup.Key(item.Kind, item.Name)
+		held, within := latest[key]
+		if !within {
+			held = state[key]
+		}
+		switch {
+		case held == nil || held.Given < item.Given:
+			latest[key] = item
+		case held.Given == item.Given && !sameContent(held, item):
+			clashes = append(clashes, &schema.Expected{Kind: item.Kind, Name: item.Name, Sequence: held.Version.GetSequence(), Given: held.Given})
+		}
+	}
+	for _, item := range items {
+		if latest[setup.Key(item.Kind, item.Name)] == item {
+			written = append(written, item)
+		}
+	}
+	return written, clashes
+}
+
+// sameContent tells whether two items say the same. What the operator said counts where both
+// items have it: the body holds only what the product makes use of.
+func sameContent(a, b *schema.Item) bool {
+	if a.Deleted || b.Deleted {
+		return a.Deleted == b.Deleted
+	}
+	if len(a.Said) > 0 && len(b.Said) > 0 {
+		return sameJSON(a.Said, b.Said)
+	}
+	return sameJSON(a.Body, b.Body)
+}
+
+// sameJSON compares two texts as JSON: spaces and the order of fields do not count, but numbers
+// count as they were written.
+func sameJSON(a, b []byte) bool {
+	if bytes.Equal(a, b) {
+		return true
+	}
+	first, readFirst := decodeJSON(a)
+	second, readSecond := decodeJSON(b)
+	return readFirst && readSecond && reflect.DeepEqual(first, second)
+}
+
+func decodeJSON(text []byte) (value any, read bool) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	err := decoder.Decode(&value)
+	return value, err == nil
+}
--- a/internal/store/seats_test.go
+++ b/internal/store/seats_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// A seat that is alone is a majority by itself: it decides, and it answers where it stands.
+func TestOneSeatAlone(t *testing.T) {
+	w := newTrio()
+	clear(w.seats)
+	w.order = nil
+	options := trioOptions("a")
+	options.Order, options.Seeds, options.Founders = nil, []string{"a"}, []string{"a"}
+	w.seats["a"], w.order = NewSeat(options, 0, []*schema.Record{Birth(options, 1)}), []string{"a"}
+	w.pass(5 * time.Second)
+	w.accepts(t, "a", "one")
+	for _, action := range w.seats["a"].Stand(w.now, "stand") {
+		if back, answered := action.(ReplyBarrier); answered && !back.Back.Undecided && back.Back.Stable == 1 {
+			return
+		}
+	}
+	t.Error("the seat does not tell where it stands")
+}
+
 // Seats beyond the seeds raise the number that is wanted; a yes then needs three copies.
 func TestSeatsBeyondTheSeeds(t *testing.T) {
 	w := newCore(2, "d", "e")
