--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -145,6 +145,10 @@
 		s.answerBarrier(from, &schema.BarrierBack{Ticket: from.ticket, Undecided: true})
 		return
 	}
+	if s.has(plantReadAlone) {
+		s.answerBarrier(from, &schema.BarrierBack{Ticket: from.ticket, Stable: s.stable})
+		return
+	}
 	s.round++
 	s.barriers = append(s.barriers, barrier{from, s.round})
 	s.sendConfirm()
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -446,7 +446,7 @@
 		return
 	}
 	for _, name := range s.others {
-		if known := s.peers[name]; known != nil && known.vote != nil && setup.Newer(known.vote.Have, s.holds()) {
+		if known := s.peers[name]; known != nil && known.vote != nil && setup.Newer(known.vote.Have, s.holds()) && !s.has(plantStaleLeader) {
 			s.adopt(known.vote)
 		}
 	}
@@ -616,6 +616,9 @@
 		return
 	}
 	if taken := s.takeAll(given.Entries); len(taken) > 0 {
+		if s.has(plantEarlyAcknowledgement) {
+			s.send(from, s.ackLetter(from))
+		}
 		s.persist(&schema.Record{Entries: taken}, afterSync{letters: []*schema.SeatLetter{s.ackLetter(from)}})
 	} else if len(given.Entries) > 0 {
 		s.ackSynced(from)
@@ -669,6 +672,16 @@
 		}
 	}
 	needed := neededOf(s.set, s.options.Losses)
+	if s.has(plantCountLearners) {
+		for _, name := range s.learners() {
+			if learner := s.guests[name]; learner.epoch == s.epoch {
+				reached = append(reached, learner.acked)
+			}
+		}
+	}
+	if s.has(plantFoundersQuorum) {
+		needed = min(needed, plantedFounders/2+1)
+	}
 	if len(reached) < needed {
 		return
 	}
--- a/internal/store/seat.go
+++ b/internal/store/seat.go
@@ -52,6 +52,8 @@
 	OutcomesMost int
 	BufferMost   int
 	DroppedMost  int // tombstones that bear an operator's version and are kept
+
+	planted plantedFault // by tests of the checks
 }
 
 // Ratios to the bounds in Options.
--- a/internal/store/seats.go
+++ b/internal/store/seats.go
@@ -67,13 +67,9 @@
 	return changed
 }
 
-// member tells whether this folder is one of the seats it knows.
+// member tells whether this folder is one of the seats.
 func (s *Seat) member() bool {
-	// Stable seats, newer than those taken here, without this one: it was taken out while it was away.
-	if s.toldSet != nil && setup.Newer(s.toldSet.Taken, s.set.Taken) && !lists(s.toldSet, s.options.Name, s.incarnation, s.founder) {
-		return false
-	}
-	return lists(s.set, s.options.Name, s.incarnation, s.founder)
+	return !s.takenOut() && lists(s.set, s.options.Name, s.incarnation, s.founder)
 }
 
 func (s *Seat) majority() int { return len(s.set.Seats)/2 + 1 }
@@ -176,7 +172,7 @@
 	}
 	delete(asked, s.options.Name)
 	known := s.set.Taken
-	if s.toldSet != nil && setup.Newer(s.toldSet.Taken, known) {
+	if s.toldSet != nil && setup.Newer(s.toldSet.Stable, s.holds()) {
 		known = s.toldSet.Taken
 	}
 	for _, name := range slices.Sorted(maps.Keys(asked)) {
@@ -184,15 +180,21 @@
 	}
 }
 
-// tellSeats answers whoever knows older seats than the stable ones here.
+// tellSeats answers whoever knows other seats than the stable ones here, if those are older, or
+// were taken under an older epoch and so came to nothing.
 func (s *Seat) tellSeats(to string, known *schema.Version) {
-	if s.stableEpoch != 0 && len(s.stableSet.Seats) > 0 && setup.Newer(s.stableSet.Taken, known) {
-		s.send(to, &schema.SeatLetter{Body: &schema.SeatLetter_Seats{Seats: s.stableSet}})
+	if s.stableEpoch == 0 || len(s.stableSet.Seats) == 0 || known.GetEpoch() > s.stableEpoch || proto.Equal(known, s.stableSet.Taken) {
+		return
+	}
+	if setup.Newer(s.stableSet.Taken, known) || known.GetEpoch() < s.stableEpoch {
+		told := proto.Clone(s.stableSet).(*schema.Seats)
+		told.Stable = &schema.Version{Epoch: s.stableEpoch, Sequence: s.stable}
+		s.send(to, &schema.SeatLetter{Body: &schema.SeatLetter_Seats{Seats: told}})
 	}
 }
 
 func (s *Seat) onSeats(told *schema.Seats) {
-	if s.toldSet != nil && !setup.Newer(told.Taken, s.toldSet.Taken) {
+	if s.toldSet != nil && !setup.Newer(told.Stable, s.toldSet.Stable) {
 		return
 	}
 	was := s.member()
@@ -257,9 +259,14 @@
 	s.knock()
 }
 
-// takenOut tells whether this seat was taken out after all that it holds.
+// takenOut tells whether this seat is not among the seats of a stable state that is newer than all
+// it holds. Either it was taken out while it was away, or it was put in by an entry that only it and
+// too few others took, and that came to nothing: in both cases what it takes for the seats is void.
 func (s *Seat) takenOut() bool {
-	return s.toldSet != nil && !lists(s.toldSet, s.options.Name, s.incarnation, s.founder) && setup.Newer(s.toldSet.Taken, s.holds())
+	if s.has(plantInsists) && s.toldSet != nil && !setup.Newer(s.toldSet.Taken, s.set.Taken) {
+		return false
+	}
+	return s.toldSet != nil && setup.Newer(s.toldSet.Stable, s.holds()) && !lists(s.toldSet, s.options.Name, s.incarnation, s.founder)
 }
 
 // learners are those that are kept level by the holder though they have no seat.
