Take an answer without a length as whole where the platform's worker closed its connection

The proxy beside the worker ended every such answer as unknown (502), so that a call that may not be repeated was lost though it had run and been answered.

The product's own speech stays strict (TestAnswersMustBeWhole, "ended by the connection", unchanged).

--- a/internal/dispatch/conns.go
+++ b/internal/dispatch/conns.go
@@ -266,20 +266,43 @@
 func (x *exchange) fill(reader *bufio.Reader) error {
 	x.body = nil
 	header := &x.response.Header
-	// A body that ends when its connection does cannot be told from one cut short.
-	const inChunks = -1
+	const (
+		inChunks = -1
+		toTheEnd = -2 // of its connection
+	)
 	length := header.ContentLength()
 	switch {
 	case x.bodiless(header.StatusCode()):
 		return nil
 	case length == inChunks:
 		return x.chunks(reader, header)
+	case length == toTheEnd && x.said.Unframed:
+		return x.rest(reader)
 	case length < 0 || length > x.most:
 		return defect.New(defect.BadAnswer, "no length, or too much")
 	}
 	return x.more(reader, length, length)
 }
 
+// rest reads a body that ends when its connection does. It is whole if the worker closed the
+// connection, and cut short if the connection was reset or time ran out.
+func (x *exchange) rest(reader *bufio.Reader) error {
+	for {
+		_, err := reader.Peek(1)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return defect.Wrap(err, kindOf(err), "body to the end of the connection")
+		case len(x.body)+reader.Buffered() > x.most:
+			return defect.New(defect.BadAnswer, "too much before the end of the connection")
+		}
+		if err := x.more(reader, reader.Buffered(), x.most); err != nil {
+			return err
+		}
+	}
+}
+
 // chunks reads a body that comes in chunks, up to the end of its tail.
 func (x *exchange) chunks(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for {
--- a/internal/dispatch/speech.go
+++ b/internal/dispatch/speech.go
@@ -26,6 +26,9 @@
 	Elsewhere bool // another worker stands at this address, and did not run it either
 	Stray     bool // it answers another request than ours
 	Closing   bool // the worker gives the connection back with this answer
+	// Unframed lets an answer that tells no length end where the worker closes its connection. Where
+	// it is not set, such an answer is not whole, for it cannot be told from one cut short.
+	Unframed bool
 	// IdleMost is how long the worker keeps a connection that nothing comes on, 0 for not told.
 	IdleMost time.Duration
 	// The worker's load, by its own word; slots 0 for not told.
