--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -19,15 +19,13 @@
 // it has seen itself and by a directory that is old. Workers differ in speed.
 
 type queuedCall struct {
-	from    int // proxy
-	began   time.Duration
-	work    time.Duration
-	sent    time.Duration
-	to      int
-	tried   int
-	crossed int
-	handed  time.Duration
-	order   []int
+	from  int // proxy
+	began time.Duration
+	work  time.Duration
+	sent  time.Duration
+	to    int
+	tried int
+	order []int
 }
 
 type simWorker struct {
@@ -84,7 +82,6 @@
 	workers []*simWorker
 	facts   []*Soundness
 	views   []*plan.View
-	view    *plan.View
 	aim     time.Duration
 
 	calls, late, crossed, refused, lost, failed int
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -384,11 +384,12 @@
 		}
 		go func() {
 			secured, peer, err := e.greet(ctx, raw)
-			defer secured.Close()
 			if err != nil || !allowed[peer.Role] {
+				secured.Close()
 				e.Refused.Add(1)
 				return
 			}
+			defer secured.Close()
 			// An error here is a peer that hung up or sent garbage; only the latter has a wire error.
 			if err := server.ServeOne(context.WithValue(ctx, peerKey{}, peer), secured); err != nil && ctx.Err() == nil && drpc.ProtocolError.Has(err) {
 				e.Refused.Add(1)
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -237,12 +237,6 @@
 	return w.dice.IntN(most)
 }
 
-func (w *World) chance() float64 {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	return w.dice.Float64()
-}
-
 func (w *World) upTo(most time.Duration) time.Duration {
 	if most <= 0 {
 		return 0
--- a/internal/store/planted.go
+++ b/internal/store/planted.go
@@ -5,9 +5,8 @@
 type plantedFault int
 
 const (
-	plantNone plantedFault = iota
 	// plantReadAlone lets the leader tell where it stands without asking a majority.
-	plantReadAlone
+	plantReadAlone plantedFault = iota + 1
 	// plantFoundersQuorum lets as many copies make a change stable as the founders alone needed.
 	plantFoundersQuorum
 	// plantCountLearners lets the copies of seats that are not members yet make a change stable.
