--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -28,6 +28,7 @@
 	"meadowhinge/internal/registry"
 	"meadowhinge/internal/setup"
 	"meadowhinge/internal/statement"
+	"meadowhinge/schema"
 )
 
 // Exit codes: what a script can tell apart.
@@ -412,13 +413,13 @@
 			c.table("SERVICE VERSION AREA STATE LOAD INSTANCE", rows)
 			return nil
 		}),
-		command("status", "status", "show the core: who holds the duty, who grants leases, who lags", nil, 0, func([]string) error {
+		command("status", "status", "show the core: who leads, who the members are, who grants leases, who lags", nil, 0, func([]string) error {
 			var status registry.Status
 			if done, err := c.get("/v1/status", &status); done || err != nil {
 				return err
 			}
 			if store := status.Store; store != nil {
-				fmt.Fprintf(c.out, "store %s: holder %s, epoch %d, stable %d of %d, hears %s\n", store.Seat, store.Holder, store.Epoch, store.Stable, store.Sequence, strings.Join(store.Heard, " "))
+				showReplica(c.out, store)
 			}
 			var rows [][]any
 			for _, one := range status.Registries {
@@ -476,3 +477,30 @@
 	}
 	return exitUsage
 }
+
+// showReplica shows how a store stands among the others.
+func showReplica(out io.Writer, store *schema.ReplicaStatus) {
+	leader := store.Leader
+	if leader == "" {
+		leader = "none known"
+	}
+	var members []string
+	for _, member := range store.GetMembership().GetMembers() {
+		members = append(members, member.Seat)
+	}
+	heard := "no majority heard yet"
+	if store.Vouched {
+		heard = fmt.Sprint("majority heard ", time.Duration(store.MajorityAgeNanos).Round(time.Millisecond), " ago")
+	}
+	fmt.Fprintf(out, "store %s: leader %s, epoch %d, committed %d of %d, %s\n", store.Replica, leader, store.Epoch, store.Committed, store.Sequence, heard)
+	fmt.Fprintf(out, "members (%d of %d wanted): %s; hears %s\n", len(members), store.GetMembership().GetWanted(), strings.Join(members, " "), strings.Join(store.Heard, " "))
+	for _, note := range []struct {
+		told bool
+		text string
+	}{{!store.Member, "this store is no member: it counts for nothing until it is put in"}, {store.Unfit, "this store must not lead: no member, or its disk stalls or refuses"},
+		{len(store.Waiting) > 0, "waiting to become members: " + strings.Join(store.Waiting, " ")}} {
+		if note.told {
+			fmt.Fprintln(out, note.text)
+		}
+	}
+}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	for ctx.Err() == nil {
-		back, err := schema.NewDRPCStoreClient(ends.To(ctx, c.at(i, 1))).Offer(ctx, &schema.Submit{Change: change})
+		back, err := schema.NewDRPCStoreClient(ends.To(ctx, c.at(i, 1))).Propose(ctx, &schema.Proposal{Change: change})
 		if err == nil && !back.Undecided {
 			if back.Outcome.Ruling != schema.Ruling_RULING_ACCEPTED {
 				c.t.Fatal(back.Outcome)
--- a/internal/registry/daemon.go
+++ b/internal/registry/daemon.go
@@ -205,7 +205,7 @@
 		after := s.table.stable
 		s.lock.Unlock()
 		bounded, cancel := context.WithTimeout(ctx, s.lease)
-		back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: int64(s.lease / session.BeatParts)})
+		back, err := s.store.Follow(bounded, &schema.FollowRequest{After: after, WaitNanos: int64(s.lease / session.BeatParts)})
 		cancel()
 		if err != nil {
 			failures++
@@ -218,7 +218,7 @@
 }
 
 // take applies stable news; older news, as from a store that was refilled, changes nothing.
-func (s *Server) take(back *schema.StableBack) {
+func (s *Server) take(back *schema.FollowReply) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if len(back.Cores) > 0 && !sameCores(s.agreed, back.Cores) {
@@ -227,15 +227,15 @@
 		s.table.Among(len(s.seats()))
 		s.announce()
 	}
-	if back.Vouched && back.Stable >= s.table.stable {
+	if back.Vouched && back.Committed >= s.table.stable {
 		s.table.Vouch(s.now() - time.Duration(back.AgeNanos))
 	}
-	if back.Stable <= s.table.stable {
+	if back.Committed <= s.table.stable {
 		return
 	}
 	s.state = s.state.Taking(back.Items, back.Whole)
 	s.fresh = false // compiled again when somebody next asks for it
-	s.table.SetStable(s.now(), back.Stable)
+	s.table.SetStable(s.now(), back.Committed)
 	s.announce()
 }
 
@@ -243,7 +243,7 @@
 func (s *Server) catchUp(ctx context.Context) {
 	for failures := 1; ctx.Err() == nil; failures++ {
 		bounded, cancel := context.WithTimeout(ctx, s.lease/session.LeaseParts)
-		back, err := s.store.Stand(bounded, &schema.Nothing{})
+		back, err := s.store.ReadIndex(bounded, &schema.Nothing{})
 		cancel()
 		if err == nil && !back.Undecided {
 			if back.Unused {
@@ -253,7 +253,7 @@
 			}
 			for ctx.Err() == nil {
 				s.lock.Lock()
-				reached := s.table.stable >= back.Stable
+				reached := s.table.stable >= back.Committed
 				if reached {
 					s.table.SetCurrent()
 					s.announce()
--- a/internal/registry/operators.go
+++ b/internal/registry/operators.go
@@ -173,9 +173,9 @@
 
 // offer hands a change to the store until it is decided. Asking again is safe: the id of a
 // change that was taken gives its first outcome. nil means that it is not known.
-func (s *Server) offer(ctx context.Context, change *schema.Change) *schema.Submitted {
+func (s *Server) offer(ctx context.Context, change *schema.Change) *schema.ProposalReply {
 	for {
-		submitted, err := s.store.Offer(ctx, &schema.Submit{Change: change})
+		submitted, err := s.store.Propose(ctx, &schema.Proposal{Change: change})
 		if err == nil && !submitted.Undecided {
 			return submitted
 		}
@@ -241,8 +241,8 @@
 		}
 		return time.Unix(0, nanos)
 	}
-	shown.Known, shown.Holder = traced.Known, traced.Holder
-	shown.Taken, shown.Synced, shown.Stable = wall(traced.Taken), wall(traced.Synced), wall(traced.Stable)
+	shown.Known, shown.Holder = traced.Known, traced.Leader
+	shown.Taken, shown.Synced, shown.Stable = wall(traced.Appended), wall(traced.Durable), wall(traced.Committed)
 	if traced.Known {
 		shown.Ruling, shown.Sequence, shown.Epoch = rulings[traced.Outcome.Ruling].name, traced.Outcome.Version.Sequence, traced.Outcome.Version.Epoch
 		s.lock.Lock()
@@ -429,7 +429,7 @@
 
 // Status is the core as operators see it.
 type Status struct {
-	Store      *schema.SeatStatus       `json:"store,omitempty"`
+	Store      *schema.ReplicaStatus    `json:"store,omitempty"`
 	Registries []*schema.RegistryStatus `json:"registries"`
 	Cores      []*schema.Core           `json:"cores"`
 	Members    int                      `json:"members"`
--- a/internal/registry/speech.go
+++ b/internal/registry/speech.go
@@ -108,7 +108,7 @@
 // State gives all items as of a moment after the call began.
 func (s *Server) State(ctx context.Context) ([]*schema.Item, bool) {
 	for ctx.Err() == nil {
-		back, err := s.store.Stand(ctx, &schema.Nothing{})
+		back, err := s.store.ReadIndex(ctx, &schema.Nothing{})
 		if err != nil || back.Undecided {
 			s.pause(ctx, retryParts)
 			continue
@@ -117,7 +117,7 @@
 			s.lock.Lock()
 			stable, items, moved := s.table.stable, s.state, s.moved
 			s.lock.Unlock()
-			if stable >= back.Stable {
+			if stable >= back.Committed {
 				return items.Items(), true
 			}
 			select {
--- a/internal/registry/steer.go
+++ b/internal/registry/steer.go
@@ -59,7 +59,7 @@
 	s.lock.Unlock()
 	bounded, cancel := context.WithTimeout(ctx, s.lease/steerParts)
 	defer cancel()
-	back, err := s.store.Follow(bounded, &schema.StableAsk{After: after, WaitNanos: 0})
+	back, err := s.store.Follow(bounded, &schema.FollowRequest{After: after, WaitNanos: 0})
 	if err != nil || !back.Vouched {
 		return
 	}
--- a/internal/rehearsal/random.go
+++ b/internal/rehearsal/random.go
@@ -236,7 +236,7 @@
 // holder is the core machine whose store has the admission duty, as far as it can be asked.
 func (c *cast) holder() int {
 	for _, store := range c.fleet.Stores {
-		var status struct{ Holder string }
+		var status struct{ Leader string }
 		response, err := probes.Get("http://" + store.probe + "/status")
 		if err != nil {
 			continue
@@ -244,7 +244,7 @@
 		_ = json.NewDecoder(response.Body).Decode(&status)
 		response.Body.Close()
 		for i, seat := range c.fleet.seats() {
-			if seat == status.Holder {
+			if seat == status.Leader {
 				return i
 			}
 		}
--- a/internal/simulator/core.go
+++ b/internal/simulator/core.go
@@ -16,7 +16,7 @@
 
 type seatNode struct {
 	machine
-	seat        *store.Seat
+	seat        *store.Replica
 	options     store.Options
 	incarnation uint64
 	disk        []*schema.Record // synced
@@ -69,13 +69,13 @@
 		// Only the first start of all founds anything.
 		node.options.Founders, node.options.Raise = nil, false
 	}
-	node.seat = store.NewSeat(options, node.incarnation, node.disk)
+	node.seat = store.NewReplica(options, node.incarnation, node.disk)
 	w.on(&node.machine, 0, func() { w.tick(node) })
 }
 
 // seatsOf names the seats as one of them knows them.
-func seatsOf(seat *store.Seat) (names []string) {
-	for _, one := range seat.Status().Seats.GetSeats() {
+func seatsOf(seat *store.Replica) (names []string) {
+	for _, one := range seat.Status().Membership.GetMembers() {
 		names = append(names, one.Seat)
 	}
 	return names
@@ -114,11 +114,11 @@
 	for _, action := range actions {
 		switch one := action.(type) {
 		case store.Send:
-			to := w.seatCalled(one.Letter.To)
+			to := w.seatCalled(one.Message.To)
 			if to == nil {
 				continue
 			}
-			letter := proto.Clone(one.Letter).(*schema.SeatLetter)
+			letter := proto.Clone(one.Message).(*schema.ReplicaMessage)
 			w.deliver(&node.machine, &to.machine, func() { w.act(to, to.seat.Deliver(to.clock.at(w.now), letter)) })
 		case store.Persist:
 			one.Record = proto.Clone(one.Record).(*schema.Record)
@@ -127,9 +127,9 @@
 				w.sync(node)
 			}
 		case store.Reply:
-			w.end(node, one.Submitted.Ticket, one.Submitted)
-		case store.ReplyBarrier:
-			w.end(node, one.Back.Ticket, one.Back)
+			w.end(node, one.Result.Ticket, one.Result)
+		case store.ReadIndexReady:
+			w.end(node, one.Result.Ticket, one.Result)
 		}
 	}
 	w.rouse(node)
@@ -204,7 +204,7 @@
 func (w *World) crashSeat(node *seatNode) {
 	// The planted disk said "synced" of records that power loss now takes away.
 	if w.plant == PlantLyingDisk {
-		for lost := 1 + w.roll(3); lost > 0 && len(node.disk) > 1 && node.disk[len(node.disk)-1].Digest == nil; lost-- {
+		for lost := 1 + w.roll(3); lost > 0 && len(node.disk) > 1 && node.disk[len(node.disk)-1].Snapshot == nil; lost-- {
 			node.disk = node.disk[:len(node.disk)-1]
 		}
 	}
@@ -233,7 +233,7 @@
 		if !w.standing(&beside.machine) {
 			return
 		}
-		stable, state := beside.seat.Stable()
+		stable, state := beside.seat.Committed()
 		if stable > node.table.Stable() {
 			news := store.Difference(state, stable, node.table.Stable())
 			node.state = node.state.Taking(news.Items, news.Whole)
@@ -254,7 +254,7 @@
 		}
 		ticket := fmt.Sprint("stand-", w.next())
 		node.beside.tickets[ticket] = func(result any) {
-			back := result.(*schema.BarrierBack)
+			back := result.(*schema.ReadIndexReply)
 			if back.Undecided || asked {
 				return
 			}
@@ -263,12 +263,12 @@
 				node.claims.Unused()
 			}
 			w.every(&node.machine, poll, func() {
-				if node.table.Stable() >= back.Stable {
+				if node.table.Stable() >= back.Committed {
 					node.table.SetCurrent()
 				}
 			})
 		}
-		w.act(node.beside, node.beside.seat.Stand(node.beside.clock.at(w.now), ticket))
+		w.act(node.beside, node.beside.seat.ReadIndex(node.beside.clock.at(w.now), ticket))
 	})
 	for _, other := range w.regs {
 		if other == node {
@@ -439,7 +439,7 @@
 	}
 	ticket := fmt.Sprint("offer-", w.next())
 	node.beside.tickets[ticket] = func(result any) {
-		submitted := result.(*schema.Submitted)
+		submitted := result.(*schema.ProposalReply)
 		if submitted.Undecided {
 			return
 		}
@@ -458,7 +458,7 @@
 			w.acknowledge(node, sequence, func() { then(ruling, sequence) })
 		})
 	}
-	w.act(node.beside, node.beside.seat.Offer(node.beside.clock.at(w.now), &schema.Submit{Ticket: ticket, Change: change}))
+	w.act(node.beside, node.beside.seat.Propose(node.beside.clock.at(w.now), &schema.Proposal{Ticket: ticket, Change: change}))
 }
 
 // acknowledge fences the registries until a majority has no laggard left.
@@ -496,7 +496,7 @@
 // and every registry knows again which keys are claimed.
 func (w *World) coreWhole() bool {
 	for i, node := range w.seats {
-		if !node.up || !node.seat.Status().Counted || node.seat.Status().Synced < w.History.yes {
+		if !node.up || !node.seat.Status().Member || node.seat.Status().Durable < w.History.yes {
 			return false
 		}
 		reg := w.regs[i]
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -351,7 +351,7 @@
 
 // observeSeat holds what a seat shows against what anyone ever showed.
 func (w *World) observeSeat(node *seatNode) {
-	stable, state := node.seat.Stable()
+	stable, state := node.seat.Committed()
 	h := w.History
 	h.lock.Lock()
 	known := h.shown[node.name]
--- a/internal/simulator/play.go
+++ b/internal/simulator/play.go
@@ -202,7 +202,7 @@
 				return
 			}
 			for i, node := range w.seats {
-				if status := node.seat.Status(); !lost && node.up && status.Holder == seatName(i) {
+				if status := node.seat.Status(); !lost && node.up && status.Leader == seatName(i) {
 					lost = true
 					w.crashSeat(node)
 					node.disk = nil
@@ -678,7 +678,7 @@
 		if !node.up {
 			continue
 		}
-		if stable, _ := node.seat.Stable(); stable < yesBefore {
+		if stable, _ := node.seat.Committed(); stable < yesBefore {
 			w.History.breach(RuleLost, "%s shows %d; %d had been acknowledged", node.name, stable, yesBefore)
 		}
 	}
--- a/internal/simulator/seats.go
+++ b/internal/simulator/seats.go
@@ -169,16 +169,16 @@
 			continue
 		}
 		status := node.seat.Status()
-		if status.Counted {
+		if status.Member {
 			seats++
 		}
 		switch {
-		case !status.Counted && len(w.seats) == w.options.Seats:
+		case !status.Member && len(w.seats) == w.options.Seats:
 			return node.name + " does not count"
-		case status.Synced < yes:
+		case status.Durable < yes:
 			return node.name + " has not synced what is acknowledged"
-		case len(status.Seats.Seats) != w.options.Seats || int(status.Seats.Wanted) != w.options.Seats:
-			return fmt.Sprintf("%s knows %d seats of %d", node.name, len(status.Seats.Seats), status.Seats.Wanted)
+		case len(status.Membership.Members) != w.options.Seats || int(status.Membership.Wanted) != w.options.Seats:
+			return fmt.Sprintf("%s knows %d seats of %d", node.name, len(status.Membership.Members), status.Membership.Wanted)
 		}
 	}
 	if seats != w.options.Seats {
@@ -360,7 +360,7 @@
 func (w *coreWorld) offer(node *seatNode, change *schema.Change, decided func(schema.Ruling)) {
 	if w.plant == PlantUnordered {
 		change = &schema.Change{Id: change.Id, Items: change.Items}
-		_, state := node.seat.Stable()
+		_, state := node.seat.Committed()
 		for _, item := range change.Items {
 			if held := state[setup.Key(item.Kind, item.Name)]; held != nil && !held.Deleted {
 				change.Expected = append(change.Expected, &schema.Expected{Kind: item.Kind, Name: item.Name, Sequence: held.Version.Sequence})
@@ -369,7 +369,7 @@
 	}
 	ticket := fmt.Sprint("offer-", w.next())
 	node.tickets[ticket] = func(result any) {
-		submitted := result.(*schema.Submitted)
+		submitted := result.(*schema.ProposalReply)
 		if submitted.Undecided {
 			return
 		}
@@ -385,7 +385,7 @@
 			w.acknowledged(change, submitted.Outcome.Version.Sequence)
 		}
 	}
-	w.act(node, node.seat.Offer(node.clock.at(w.now), &schema.Submit{Ticket: ticket, Change: change}))
+	w.act(node, node.seat.Propose(node.clock.at(w.now), &schema.Proposal{Ticket: ticket, Change: change}))
 	if outcome, taken := node.seat.Accepted(change.Id); w.plant == PlantUnstable && taken && outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
 		w.acknowledged(change, 0)
 	}
@@ -428,20 +428,20 @@
 		}
 	}
 	if w.plant == PlantStaleRead {
-		_, state := node.seat.Stable()
+		_, state := node.seat.Committed()
 		shown(state)
 		return
 	}
 	ticket := fmt.Sprint("stand-", w.next())
 	node.tickets[ticket] = func(result any) {
-		back := result.(*schema.BarrierBack)
+		back := result.(*schema.ReadIndexReply)
 		if back.Undecided {
 			return
 		}
 		var look func()
 		look = func() {
-			stable, state := node.seat.Stable()
-			if stable < back.Stable {
+			stable, state := node.seat.Committed()
+			if stable < back.Committed {
 				w.on(&node.machine, poll, look)
 				return
 			}
@@ -449,7 +449,7 @@
 		}
 		look()
 	}
-	w.act(node, node.seat.Stand(node.clock.at(w.now), ticket))
+	w.act(node, node.seat.ReadIndex(node.clock.at(w.now), ticket))
 }
 
 // judge holds what was read against what had been acknowledged before it was asked for.
@@ -579,7 +579,7 @@
 	ended, entry := false, w.entry
 	w.uponYes = append(w.uponYes, func() {
 		for _, node := range w.core() {
-			if !ended && mend == nil && node.up && !node.lost && "store-"+node.seat.Status().Holder == node.name {
+			if !ended && mend == nil && node.up && !node.lost && "store-"+node.seat.Status().Leader == node.name {
 				node.lost = true
 				entry.nodes = append(entry.nodes, node)
 				mend = w.down(node, disk)
--- a/internal/simulator/serving.go
+++ b/internal/simulator/serving.go
@@ -165,7 +165,7 @@
 	node.sits = map[string]*sitting{}
 	w.every(&node.machine, poll, func() {
 		if beside := node.beside; w.standing(&beside.machine) {
-			if stable, _ := beside.seat.Stable(); stable >= node.table.Stable() {
+			if stable, _ := beside.seat.Committed(); stable >= node.table.Stable() {
 				if age, known := beside.seat.Fresh(beside.clock.at(w.now)); known {
 					node.table.Vouch(w.ageOf(node) - age)
 				}
--- a/internal/store/change.go
+++ b/internal/store/admission.go
@@ -10,67 +10,67 @@
 )
 
 // Offer takes a change from this machine's registry.
-func (s *Seat) Offer(now time.Duration, submit *schema.Submit) []Action {
+func (s *Replica) Propose(now time.Duration, submit *schema.Proposal) []Action {
 	s.begin(now)
 	if outcome, settled := s.OutcomeOf(submit.Change.Id); settled {
-		s.actions = append(s.actions, Reply{&schema.Submitted{Ticket: submit.Ticket, Outcome: outcome}})
+		s.actions = append(s.actions, Reply{&schema.ProposalReply{Ticket: submit.Ticket, Outcome: outcome}})
 		return s.actions
 	}
-	holder := s.holder()
-	switch holder {
+	leader := s.leader()
+	switch leader {
 	case s.options.Name:
-		s.offer(submit, waiter{ticket: submit.Ticket})
+		s.propose(submit, waiter{ticket: submit.Ticket})
 	case "":
-		s.actions = append(s.actions, Reply{&schema.Submitted{Ticket: submit.Ticket, Undecided: true}})
+		s.actions = append(s.actions, Reply{&schema.ProposalReply{Ticket: submit.Ticket, Undecided: true}})
 	default:
-		s.sentOn[submit.Ticket] = sentOn{holder: holder, at: now}
-		s.send(holder, &schema.SeatLetter{Body: &schema.SeatLetter_Submit{Submit: submit}})
+		s.forwarded[submit.Ticket] = forwarded{leader: leader, at: now}
+		s.send(leader, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_Proposal{Proposal: submit}})
 	}
 	return s.actions
 }
 
-// Stand asks for the stable sequence that no later yes can lie below.
-func (s *Seat) Stand(now time.Duration, ticket string) []Action {
+// Stand asks for the committed sequence that no later yes can lie below.
+func (s *Replica) ReadIndex(now time.Duration, ticket string) []Action {
 	s.begin(now)
-	holder := s.holder()
-	switch holder {
+	leader := s.leader()
+	switch leader {
 	case s.options.Name:
-		s.stand(waiter{ticket: ticket})
+		s.readIndex(waiter{ticket: ticket})
 	case "":
-		s.actions = append(s.actions, ReplyBarrier{&schema.BarrierBack{Ticket: ticket, Undecided: true}})
+		s.actions = append(s.actions, ReadIndexReady{&schema.ReadIndexReply{Ticket: ticket, Undecided: true}})
 	default:
-		s.sentOn[ticket] = sentOn{holder: holder, at: now, barrier: true}
-		s.send(holder, &schema.SeatLetter{Body: &schema.SeatLetter_Barrier{Barrier: &schema.Barrier{Ticket: ticket}}})
+		s.forwarded[ticket] = forwarded{leader: leader, at: now, pendingRead: true}
+		s.send(leader, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_ReadIndex{ReadIndex: &schema.ReadIndex{Ticket: ticket}}})
 	}
 	return s.actions
 }
 
-func (s *Seat) answer(to waiter, submitted *schema.Submitted) {
+func (s *Replica) answer(to waiter, submitted *schema.ProposalReply) {
 	if to.to == "" {
 		s.actions = append(s.actions, Reply{submitted})
 		return
 	}
-	s.send(to.to, &schema.SeatLetter{Body: &schema.SeatLetter_Submitted{Submitted: submitted}})
+	s.send(to.to, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_ProposalReply{ProposalReply: submitted}})
 }
 
-func (s *Seat) answerBarrier(to waiter, back *schema.BarrierBack) {
+func (s *Replica) answerBarrier(to waiter, back *schema.ReadIndexReply) {
 	if to.to == "" {
-		s.actions = append(s.actions, ReplyBarrier{back})
+		s.actions = append(s.actions, ReadIndexReady{back})
 		return
 	}
-	s.send(to.to, &schema.SeatLetter{Body: &schema.SeatLetter_BarrierBack{BarrierBack: back}})
+	s.send(to.to, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_ReadIndexReply{ReadIndexReply: back}})
 }
 
-// offer admits a change, as the holder.
-func (s *Seat) offer(submit *schema.Submit, from waiter) {
-	unsettled := int(s.seq - s.stable)
+// offer admits a change, as the leader.
+func (s *Replica) propose(submit *schema.Proposal, from waiter) {
+	unsettled := int(s.seq - s.committed)
 	// Refused before it is admitted, so nothing of it can come into force later.
 	if s.phase != active || s.unfit() || unsettled >= s.options.BufferMost {
-		s.answer(from, &schema.Submitted{Ticket: submit.Ticket, Undecided: true})
+		s.answer(from, &schema.ProposalReply{Ticket: submit.Ticket, Undecided: true})
 		return
 	}
 	if outcome, settled := s.OutcomeOf(submit.Change.Id); settled {
-		s.answer(from, &schema.Submitted{Ticket: submit.Ticket, Outcome: outcome})
+		s.answer(from, &schema.ProposalReply{Ticket: submit.Ticket, Outcome: outcome})
 		return
 	}
 	s.waiters[submit.Change.Id] = append(s.waiters[submit.Change.Id], from)
@@ -81,41 +81,41 @@
 }
 
 // admit gives a change the next sequence and hands it to the others.
-func (s *Seat) admit(change *schema.Change) {
+func (s *Replica) admit(change *schema.Change) {
 	var entry *schema.Entry
 	entry, s.compiled = Accept(s.state, s.compiled, change, &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1})
-	s.take(entry)
+	s.appendOwn(entry)
 }
 
-// purgeParts is the part of the entries kept in which the holder looks for tombstones once, and
+// purgeParts is the part of the entries kept in which the leader looks for tombstones once, and
 // the number of them, of the same bound, that it lets stand.
 const purgeParts = 4
 
-// purge lets tombstones go that every seat has on disk. Whoever is further behind is told the
+// purge lets tombstones go that every replica has on disk. Whoever is further behind is told the
 // whole state, so nothing that was removed comes back. Those that bear an operator's version go
 // only once there are too many: without them an older order would be taken for a new one.
-func (s *Seat) purge() {
+func (s *Replica) purge() {
 	few := uint64(max(1, s.options.EntriesMost/purgeParts))
-	if s.phase != active || s.stable < s.purgeAt {
+	if s.phase != active || s.committed < s.purgeAt {
 		return
 	}
-	s.purgeAt = s.stable + few
-	to := s.stable
-	for _, name := range s.others {
+	s.purgeAt = s.committed + few
+	to := s.committed
+	for _, name := range s.otherMembers {
 		known := s.peers[name]
 		if known.epoch != s.epoch {
 			return
 		}
 		to = min(to, known.acked)
 	}
-	count, dropped := s.stableState.Tombstones()
-	given := s.stableState.PurgedGiven()
+	count, dropped := s.committedState.Tombstones()
+	given := s.committedState.PurgedGiven()
 	if len(dropped) > s.options.DroppedMost {
 		// The oldest go, a part of the bound more than they must, so that it is not done each time.
 		given = max(given, dropped[min(len(dropped)-s.options.DroppedMost+s.options.DroppedMost/purgeParts, len(dropped))-1])
 	}
 	given = min(given, to)
-	if (uint64(count) < few || to <= s.stableState.PurgedTo()) && given <= s.stableState.PurgedGiven() {
+	if (uint64(count) < few || to <= s.committedState.PurgedTo()) && given <= s.committedState.PurgedGiven() {
 		return
 	}
 	item := setup.Purge(to, given)
@@ -126,7 +126,7 @@
 	s.admit(change)
 }
 
-func (s *Seat) answerWaiters() {
+func (s *Replica) answerWaiters() {
 	for _, id := range slices.Sorted(maps.Keys(s.waiters)) {
 		waiting := s.waiters[id]
 		outcome, settled := s.OutcomeOf(id)
@@ -134,51 +134,51 @@
 			continue
 		}
 		for _, one := range waiting {
-			s.answer(one, &schema.Submitted{Ticket: one.ticket, Outcome: outcome})
+			s.answer(one, &schema.ProposalReply{Ticket: one.ticket, Outcome: outcome})
 		}
 		delete(s.waiters, id)
 	}
 }
 
-func (s *Seat) stand(from waiter) {
+func (s *Replica) readIndex(from waiter) {
 	if s.phase != active {
-		s.answerBarrier(from, &schema.BarrierBack{Ticket: from.ticket, Undecided: true})
+		s.answerBarrier(from, &schema.ReadIndexReply{Ticket: from.ticket, Undecided: true})
 		return
 	}
 	if s.has(plantReadAlone) {
-		s.answerBarrier(from, &schema.BarrierBack{Ticket: from.ticket, Stable: s.stable})
+		s.answerBarrier(from, &schema.ReadIndexReply{Ticket: from.ticket, Committed: s.committed})
 		return
 	}
 	s.round++
-	s.barriers = append(s.barriers, barrier{from, s.round})
+	s.pendingReads = append(s.pendingReads, pendingRead{from, s.round})
 	s.sendConfirm()
-	// A seat without others is a majority by itself, and no confirmation will come.
-	s.settleBarriers()
+	// A replica without others is a majority by itself, and no confirmation will come.
+	s.settleReads()
 }
 
-func (s *Seat) sendConfirm() {
-	for _, name := range s.others {
-		s.send(name, &schema.SeatLetter{Body: &schema.SeatLetter_Confirm{Confirm: &schema.Confirm{Epoch: s.epoch, Round: s.round}}})
+func (s *Replica) sendConfirm() {
+	for _, name := range s.otherMembers {
+		s.send(name, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_Confirm{Confirm: &schema.Confirm{Epoch: s.epoch, Round: s.round}}})
 	}
 }
 
-func (s *Seat) settleBarriers() {
-	var left []barrier
-	for _, one := range s.barriers {
+func (s *Replica) settleReads() {
+	var left []pendingRead
+	for _, one := range s.pendingReads {
 		confirmed := 1
-		for _, name := range s.others {
+		for _, name := range s.otherMembers {
 			known := s.peers[name]
 			if known.confirmed >= one.round {
 				confirmed++
 			}
 		}
 		if confirmed >= s.majority() {
-			s.answerBarrier(one.waiter, &schema.BarrierBack{Ticket: one.ticket, Stable: s.stable, Unused: len(s.stableState) == 0})
+			s.answerBarrier(one.waiter, &schema.ReadIndexReply{Ticket: one.ticket, Committed: s.committed, Unused: len(s.committedState) == 0})
 		} else {
 			left = append(left, one)
 		}
 	}
-	s.barriers = left
+	s.pendingReads = left
 }
 
 // faultsMost bounds the reasons that are kept with a refusal: an operator mends them in turn.
@@ -207,7 +207,7 @@
 		entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
 		return entry, before
 	}
-	// A duty that has passed on may not write what its successor has written under a later epoch.
+	// A leadership that has passed on may not write what its successor has written under a later epoch.
 	for _, item := range written {
 		if held := state[setup.Key(item.Kind, item.Name)]; item.Kind == "progress" && !item.Deleted && held != nil && !held.Deleted && setup.DutyOf(item) < setup.DutyOf(held) {
 			entry.Outcome.Ruling = schema.Ruling_RULING_STALE
--- a/internal/store/disk.go
+++ b/internal/store/log.go
@@ -18,7 +18,7 @@
 	"meadowhinge/schema"
 )
 
-// A seat's log is a file that begins with the whole state and goes on with what came after. When
+// A replica's log is a file that begins with the whole state and goes on with what came after. When
 // the state is written whole again, that begins the next file, and only once that one is synced
 // does the one before go. So no name is ever changed and no file is ever shortened but for a torn
 // end: whatever of these a loss of power undoes, the newest file that begins well is the log.
@@ -56,7 +56,7 @@
 	close() error
 }
 
-// Disk is a seat's log of records; what Write returned for is synced.
+// Disk is a replica's log of records; what Write returned for is synced.
 type Disk struct {
 	drive  drive
 	number uint64 // of the log's file
--- a/internal/store/disk_test.go
+++ b/internal/store/log_test.go
@@ -199,7 +199,7 @@
 }
 
 func marked(number int) *schema.Record {
-	return &schema.Record{Promised: uint64(number), PromisedTo: fmt.Sprint("seat-", number)}
+	return &schema.Record{VotedEpoch: uint64(number), VotedFor: fmt.Sprint("replica-", number)}
 }
 
 // session opens a drive's log and writes groups of records to it until power is lost. It gives
@@ -215,7 +215,7 @@
 		group := []*schema.Record{marked(from + 2*step), marked(from + 2*step + 1)}
 		if whole {
 			group = group[1:]
-			group[0].Digest = &schema.Digest{Sequence: group[0].Promised}
+			group[0].Snapshot = &schema.Snapshot{Sequence: group[0].VotedEpoch}
 		}
 		if err := disk.Write(group, whole); err != nil {
 			return read, synced, group, nil
@@ -290,7 +290,7 @@
 	if same(read, certain) {
 		return true
 	}
-	if len(under) > 0 && under[len(under)-1].Digest != nil {
+	if len(under) > 0 && under[len(under)-1].Snapshot != nil {
 		return same(read, under)
 	}
 	return same(read, slices.Concat(certain, under))
@@ -303,7 +303,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	first := &schema.Record{Promised: 1, Digest: &schema.Digest{}}
+	first := &schema.Record{VotedEpoch: 1, Snapshot: &schema.Snapshot{}}
 	if err := disk.Write([]*schema.Record{first}, true); err != nil {
 		t.Fatal(err)
 	}
@@ -323,7 +323,7 @@
 	}
 	on.refuses = false
 	refused(3)
-	whole := &schema.Record{Promised: 4, Digest: &schema.Digest{}}
+	whole := &schema.Record{VotedEpoch: 4, Snapshot: &schema.Snapshot{}}
 	if err := disk.Write([]*schema.Record{whole}, true); err != nil {
 		t.Fatal(err)
 	}
@@ -442,13 +442,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	digest := &schema.Record{Digest: &schema.Digest{Epoch: 4, Sequence: 7}}
-	if err := disk.Write([]*schema.Record{digest}, true); err != nil {
+	snapshot := &schema.Record{Snapshot: &schema.Snapshot{Epoch: 4, Sequence: 7}}
+	if err := disk.Write([]*schema.Record{snapshot}, true); err != nil {
 		t.Fatal(err)
 	}
 	disk.Close()
 	if names, _ := folderDrive(folder).list(); len(names) != 1 {
 		t.Errorf("left: %v", names)
 	}
-	reread(t, folder, []*schema.Record{digest})
+	reread(t, folder, []*schema.Record{snapshot})
 }
--- a/internal/store/model_test.go
+++ b/internal/store/model_test.go
@@ -15,7 +15,7 @@
 	"meadowhinge/schema"
 )
 
-// A model of a core: the real step functions of seats under one clock, with links and disks that
+// A model of a core: the real step functions of members under one clock, with links and disks that
 // take a fixed time, so that a run is decided by its faults alone. A test counts the steps of a run
 // without faults, and then runs it again with each fault at each step.
 
@@ -25,22 +25,22 @@
 	modelStall    = 600 * time.Millisecond
 	modelLink     = 2 * time.Millisecond
 	modelSync     = 3 * time.Millisecond
-	modelCatchUp  = 3 * modelSilence // after its return a seat counts as lost for so long
-	modelOutage   = 4 * modelSilence // how long a seat is away
+	modelCatchUp  = 3 * modelSilence // after its return a replica counts as lost for so long
+	modelOutage   = 4 * modelSilence // how long a replica is away
 	modelRetry    = 100 * time.Millisecond
 	modelBetween  = 40 * time.Millisecond // two calls
 	modelFounding = time.Second
 	modelSettling = 3 * time.Second // after the last fault has ended
 )
 
-// modelEvent is something that happens at a seat at a time.
+// modelEvent is something that happens at a replica at a time.
 type modelEvent struct {
-	at     time.Duration
-	serial int
-	seat   *modelSeat // nil for what happens at no seat
-	life   int
-	kind   modelKind
-	run    func()
+	at      time.Duration
+	serial  int
+	replica *modelReplica // nil for what happens at no replica
+	life    int
+	kind    modelKind
+	run     func()
 }
 
 // modelKind says what faults an event can meet.
@@ -48,7 +48,7 @@
 
 const (
 	plainEvent  modelKind = iota
-	timerEvent            // late where its seat was frozen: what waits in sockets is read first
+	timerEvent            // late where its replica was frozen: what waits in sockets is read first
 	syncEvent             // faults may strike before it
 	letterEvent           // that too, and it may be lost
 )
@@ -69,9 +69,9 @@
 	return last
 }
 
-// modelSeat is a machine with a seat on it.
-type modelSeat struct {
-	*Seat
+// modelReplica is a machine with a replica on it.
+type modelReplica struct {
+	*Replica
 	name        string
 	options     Options
 	incarnation uint64
@@ -90,9 +90,9 @@
 	now     time.Duration
 	serial  int
 	queue   modelQueue
-	seats   []*modelSeat
+	members []*modelReplica
 	losses  int
-	founded int // how many seats there were at first
+	founded int // how many members there were at first
 	planted plantedFault
 	amnesia bool               // planted: a wiped folder passes for the one that was lost
 	cut     map[[2]string]bool // by sender and receiver
@@ -103,18 +103,18 @@
 	open    map[int]func() // by client: notes its call as one without an answer
 	said    []string       // breaches
 	leaders map[uint64]string
-	states  map[uint64]string // by stable sequence
+	states  map[uint64]string // by committed sequence
 }
 
-// newModel founds a core of three seats, and of more that join at the first start. Prepare may
+// newModel founds a core of three members, and of more that join at the first start. Prepare may
 // plant a fault in it.
-func newModel(seats, losses int, prepare func(*model)) *model {
-	m := &model{losses: losses, founded: seats, cut: map[[2]string]bool{}, faultAt: map[int][]func(*modelEvent) bool{},
+func newModel(members, losses int, prepare func(*model)) *model {
+	m := &model{losses: losses, founded: members, cut: map[[2]string]bool{}, faultAt: map[int][]func(*modelEvent) bool{},
 		open: map[int]func(){}, leaders: map[uint64]string{}, states: map[uint64]string{}}
 	if prepare != nil {
 		prepare(m)
 	}
-	for place := range seats {
+	for place := range members {
 		m.add(modelName(place), true)
 	}
 	m.runTo(modelFounding)
@@ -138,47 +138,47 @@
 }
 
 // add starts a machine that has never been there.
-func (m *model) add(name string, founding bool) *modelSeat {
-	seat := &modelSeat{name: name, options: m.options(name)}
-	if founding && slices.Contains(modelFounders(), name) {
-		seat.options.Founders = modelFounders()
+func (m *model) add(name string, foundingMembers bool) *modelReplica {
+	replica := &modelReplica{name: name, options: m.options(name)}
+	if foundingMembers && slices.Contains(modelFounders(), name) {
+		replica.options.Founders = modelFounders()
 	}
-	seat.options.Raise = founding && seat.options.Founders == nil
-	m.seats = append(m.seats, seat)
-	m.start(seat)
-	return seat
+	replica.options.Raise = foundingMembers && replica.options.Founders == nil
+	m.members = append(m.members, replica)
+	m.start(replica)
+	return replica
 }
 
 // start starts a machine. Its seeds are machines of that moment: at the first start the founders,
 // later three that stand.
-func (m *model) start(seat *modelSeat) {
+func (m *model) start(replica *modelReplica) {
 	if m.now > 0 {
-		seat.options.Seeds = nil
+		replica.options.Seeds = nil
 		for _, other := range m.standing()[:min(len(m.standing()), 3)] {
-			seat.options.Seeds = append(seat.options.Seeds, other.name)
+			replica.options.Seeds = append(replica.options.Seeds, other.name)
 		}
 	}
-	options := seat.options
-	if len(seat.disk) == 0 {
-		if !m.amnesia || seat.Seat == nil {
-			seat.incarnation = m.draw()
+	options := replica.options
+	if len(replica.disk) == 0 {
+		if !m.amnesia || replica.Replica == nil {
+			replica.incarnation = m.draw()
 		} else {
 			options.Founders, options.Raise = modelFounders(), false
 		}
-		seat.disk = []*schema.Record{Birth(options, seat.incarnation)}
-		seat.options.Founders, seat.options.Raise = nil, false
+		replica.disk = []*schema.Record{Birth(options, replica.incarnation)}
+		replica.options.Founders, replica.options.Raise = nil, false
 	}
-	seat.Seat = NewSeat(options, seat.incarnation, seat.disk)
-	seat.up, seat.life, seat.started, seat.frozenTo, seat.wakesAt = true, seat.life+1, m.now, 0, 0
-	seat.writing, seat.tickets = nil, map[string]func(any){}
-	m.at(0, seat, plainEvent, func() { m.tick(seat) })
+	replica.Replica = NewReplica(options, replica.incarnation, replica.disk)
+	replica.up, replica.life, replica.started, replica.frozenTo, replica.wakesAt = true, replica.life+1, m.now, 0, 0
+	replica.writing, replica.tickets = nil, map[string]func(any){}
+	m.at(0, replica, plainEvent, func() { m.tick(replica) })
 }
 
-// at lets something happen at a seat after a while, unless that life of it has ended by then.
-func (m *model) at(after time.Duration, seat *modelSeat, kind modelKind, run func()) {
-	event := &modelEvent{at: m.now + after, serial: m.next(), seat: seat, kind: kind, run: run}
-	if seat != nil {
-		event.life = seat.life
+// at lets something happen at a replica after a while, unless that life of it has ended by then.
+func (m *model) at(after time.Duration, replica *modelReplica, kind modelKind, run func()) {
+	event := &modelEvent{at: m.now + after, serial: m.next(), replica: replica, kind: kind, run: run}
+	if replica != nil {
+		event.life = replica.life
 	}
 	heap.Push(&m.queue, event)
 }
@@ -188,11 +188,11 @@
 	for len(m.queue) > 0 && m.queue[0].at <= until {
 		event := heap.Pop(&m.queue).(*modelEvent)
 		m.now = event.at
-		if seat := event.seat; seat != nil {
-			if !seat.up || seat.life != event.life {
+		if replica := event.replica; replica != nil {
+			if !replica.up || replica.life != event.life {
 				continue
 			}
-			if seat.frozenTo > m.now {
+			if replica.frozenTo > m.now {
 				m.postpone(event)
 				continue
 			}
@@ -200,20 +200,20 @@
 		if event.kind >= syncEvent && m.strike(event) {
 			continue
 		}
-		// A fault may have ended that seat's life just now.
-		if seat := event.seat; seat == nil || seat.up && seat.life == event.life && seat.frozenTo <= m.now {
+		// A fault may have ended that replica's life just now.
+		if replica := event.replica; replica == nil || replica.up && replica.life == event.life && replica.frozenTo <= m.now {
 			event.run()
-		} else if seat.up && seat.life == event.life {
+		} else if replica.up && replica.life == event.life {
 			m.postpone(event)
 		}
 	}
 	m.now = until
 }
 
-// postpone lets an event at a frozen seat happen once that goes on: what an operator asks then
-// comes first, then letters, then timers.
+// postpone lets an event at a frozen replica happen once that goes on: what an operator asks then
+// comes first, then messages, then timers.
 func (m *model) postpone(event *modelEvent) {
-	event.at = event.seat.frozenTo + modelLink/2
+	event.at = event.replica.frozenTo + modelLink/2
 	if event.kind == timerEvent {
 		event.at += modelLink
 	}
@@ -229,102 +229,102 @@
 	return dropped
 }
 
-func (m *model) seat(name string) *modelSeat {
-	for _, seat := range m.seats {
-		if seat.name == name {
-			return seat
+func (m *model) replica(name string) *modelReplica {
+	for _, replica := range m.members {
+		if replica.name == name {
+			return replica
 		}
 	}
 	return nil
 }
 
 // standing lists the machines that are not gone for good.
-func (m *model) standing() []*modelSeat {
-	return slices.DeleteFunc(slices.Clone(m.seats), func(seat *modelSeat) bool { return seat.gone })
+func (m *model) standing() []*modelReplica {
+	return slices.DeleteFunc(slices.Clone(m.members), func(replica *modelReplica) bool { return replica.gone })
 }
 
-func (m *model) tick(seat *modelSeat) {
-	seat.wakesAt = 0
-	m.act(seat, seat.Tick(m.now-seat.started))
+func (m *model) tick(replica *modelReplica) {
+	replica.wakesAt = 0
+	m.act(replica, replica.Tick(m.now-replica.started))
 }
 
-func (m *model) act(seat *modelSeat, actions []Action) {
+func (m *model) act(replica *modelReplica, actions []Action) {
 	for _, action := range actions {
 		switch one := action.(type) {
 		case Send:
-			m.post(seat, proto.Clone(one.Letter).(*schema.SeatLetter))
+			m.post(replica, proto.Clone(one.Message).(*schema.ReplicaMessage))
 		case Persist:
 			one.Record = proto.Clone(one.Record).(*schema.Record)
-			if seat.writing = append(seat.writing, one); len(seat.writing) == 1 {
-				m.at(modelSync, seat, syncEvent, func() { m.synced(seat) })
+			if replica.writing = append(replica.writing, one); len(replica.writing) == 1 {
+				m.at(modelSync, replica, syncEvent, func() { m.synced(replica) })
 			}
 		case Reply:
-			m.answer(seat, one.Submitted.Ticket, one.Submitted)
-		case ReplyBarrier:
-			m.answer(seat, one.Back.Ticket, one.Back)
+			m.answer(replica, one.Result.Ticket, one.Result)
+		case ReadIndexReady:
+			m.answer(replica, one.Result.Ticket, one.Result)
 		}
 	}
-	if wakes := seat.Wakes(); seat.wakesAt == 0 || wakes < seat.wakesAt {
-		seat.wakesAt = wakes
-		m.at(max(wakes-(m.now-seat.started), time.Microsecond), seat, timerEvent, func() {
-			if seat.wakesAt == wakes {
-				m.tick(seat)
+	if wakes := replica.Wakes(); replica.wakesAt == 0 || wakes < replica.wakesAt {
+		replica.wakesAt = wakes
+		m.at(max(wakes-(m.now-replica.started), time.Microsecond), replica, timerEvent, func() {
+			if replica.wakesAt == wakes {
+				m.tick(replica)
 			}
 		})
 	}
-	m.observe(seat)
+	m.observe(replica)
 }
 
-func (m *model) answer(seat *modelSeat, ticket string, result any) {
-	if then := seat.tickets[ticket]; then != nil {
-		delete(seat.tickets, ticket)
+func (m *model) answer(replica *modelReplica, ticket string, result any) {
+	if then := replica.tickets[ticket]; then != nil {
+		delete(replica.tickets, ticket)
 		then(result)
 	}
 }
 
-func (m *model) post(from *modelSeat, letter *schema.SeatLetter) {
-	to := m.seat(letter.To)
+func (m *model) post(from *modelReplica, message *schema.ReplicaMessage) {
+	to := m.replica(message.To)
 	if to == nil || m.cut[[2]string{from.name, to.name}] {
 		return
 	}
 	kind := letterEvent
-	if letter.GetPing() != nil {
+	if message.GetHeartbeat() != nil {
 		kind = plainEvent
 	}
-	m.at(modelLink, to, kind, func() { m.act(to, to.Deliver(m.now-to.started, letter)) })
+	m.at(modelLink, to, kind, func() { m.act(to, to.Deliver(m.now-to.started, message)) })
 }
 
-func (m *model) synced(seat *modelSeat) {
-	done := seat.writing[0]
-	seat.writing = seat.writing[1:]
-	seat.keep(done)
-	if len(seat.writing) > 0 {
-		m.at(modelSync, seat, syncEvent, func() { m.synced(seat) })
+func (m *model) synced(replica *modelReplica) {
+	done := replica.writing[0]
+	replica.writing = replica.writing[1:]
+	replica.keep(done)
+	if len(replica.writing) > 0 {
+		m.at(modelSync, replica, syncEvent, func() { m.synced(replica) })
 	}
-	m.act(seat, seat.Synced(m.now-seat.started, done.Mark))
+	m.act(replica, replica.Synced(m.now-replica.started, done.Mark))
 }
 
-func (s *modelSeat) keep(one Persist) {
+func (s *modelReplica) keep(one Persist) {
 	if one.Whole {
 		s.disk = nil
 	}
 	s.disk = append(s.disk, one.Record)
 }
 
-// observe judges what no two seats may ever disagree on.
-func (m *model) observe(seat *modelSeat) {
-	if seat.phase == active {
-		if held := m.leaders[seat.epoch]; held != "" && held != seat.name {
-			m.breach("%s and %s both lead under epoch %d", held, seat.name, seat.epoch)
+// observe judges what no two members may ever disagree on.
+func (m *model) observe(replica *modelReplica) {
+	if replica.phase == active {
+		if held := m.leaders[replica.epoch]; held != "" && held != replica.name {
+			m.breach("%s and %s both lead under epoch %d", held, replica.name, replica.epoch)
 		}
-		m.leaders[seat.epoch] = seat.name
+		m.leaders[replica.epoch] = replica.name
 	}
-	stable, state := seat.Stable()
+	committed, state := replica.Committed()
 	text := stateText(state)
-	if held, known := m.states[stable]; known && held != text {
-		m.breach("under sequence %d %s holds %q; another held %q", stable, seat.name, text, held)
+	if held, known := m.states[committed]; known && held != text {
+		m.breach("under sequence %d %s holds %q; another held %q", committed, replica.name, text, held)
 	}
-	m.states[stable] = text
+	m.states[committed] = text
 }
 
 func stateText(state setup.State) string {
@@ -341,7 +341,7 @@
 
 // ---- operators ----
 
-// write lets an operator send an item until it is decided: at the same seat, or at the next one
+// write lets an operator send an item until it is decided: at the same replica, or at the next one
 // where that is down or does not decide.
 func (m *model) write(place int, item *schema.Item) {
 	client, began := m.next(), m.now
@@ -351,10 +351,10 @@
 	}
 	m.open[client] = func() { note(linearize.Unknown) }
 	id := fmt.Sprint("change-", client)
-	m.call(client, place, func(seat *modelSeat, ticket string) {
-		m.act(seat, seat.Offer(m.now-seat.started, &schema.Submit{Ticket: ticket, Change: &schema.Change{Id: id, ByGiven: true, Items: []*schema.Item{item}}}))
-	}, func(seat *modelSeat, result any) bool {
-		submitted := result.(*schema.Submitted)
+	m.call(client, place, func(replica *modelReplica, ticket string) {
+		m.act(replica, replica.Propose(m.now-replica.started, &schema.Proposal{Ticket: ticket, Change: &schema.Change{Id: id, ByGiven: true, Items: []*schema.Item{item}}}))
+	}, func(replica *modelReplica, result any) bool {
+		submitted := result.(*schema.ProposalReply)
 		switch {
 		case submitted.Undecided:
 			return false
@@ -371,25 +371,25 @@
 func (m *model) read(place int) {
 	client, began := m.next(), m.now
 	m.open[client] = func() {}
-	m.call(client, place, func(seat *modelSeat, ticket string) {
-		m.act(seat, seat.Stand(m.now-seat.started, ticket))
-	}, func(seat *modelSeat, result any) bool {
-		back := result.(*schema.BarrierBack)
+	m.call(client, place, func(replica *modelReplica, ticket string) {
+		m.act(replica, replica.ReadIndex(m.now-replica.started, ticket))
+	}, func(replica *modelReplica, result any) bool {
+		back := result.(*schema.ReadIndexReply)
 		if back.Undecided {
 			return false
 		}
-		// If the seat's life ends before it has that, the read is left without an answer.
+		// If the replica's life ends before it has that, the read is left without an answer.
 		delete(m.open, client)
-		m.readBack(client, began, seat, back.Stable)
+		m.readBack(client, began, replica, back.Committed)
 		return true
 	})
 }
 
-// readBack reads at a seat once that has what the barrier told of.
-func (m *model) readBack(client int, began time.Duration, seat *modelSeat, stable uint64) {
-	reached, state := seat.Stable()
-	if reached < stable {
-		m.at(modelLink, seat, plainEvent, func() { m.readBack(client, began, seat, stable) })
+// readBack reads at a replica once that has what the pendingRead told of.
+func (m *model) readBack(client int, began time.Duration, replica *modelReplica, committed uint64) {
+	reached, state := replica.Committed()
+	if reached < committed {
+		m.at(modelLink, replica, plainEvent, func() { m.readBack(client, began, replica, committed) })
 		return
 	}
 	for place := range modelItems {
@@ -399,20 +399,20 @@
 	}
 }
 
-// call asks seats until one has decided.
-func (m *model) call(client, place int, ask func(seat *modelSeat, ticket string), decided func(seat *modelSeat, result any) bool) {
+// call asks members until one has decided.
+func (m *model) call(client, place int, ask func(replica *modelReplica, ticket string), decided func(replica *modelReplica, result any) bool) {
 	done := false
 	var try func(tried int)
 	try = func(tried int) {
 		if done || m.open[client] == nil {
 			return
 		}
-		// Two tries at a seat, then the next one.
-		seat := m.seats[(place+tried/2)%len(m.seats)]
-		if seat.up {
+		// Two tries at a replica, then the next one.
+		replica := m.members[(place+tried/2)%len(m.members)]
+		if replica.up {
 			ticket := fmt.Sprint("ticket-", m.next())
-			seat.tickets[ticket] = func(result any) { done = done || decided(seat, result) }
-			m.at(0, seat, plainEvent, func() { ask(seat, ticket) })
+			replica.tickets[ticket] = func(result any) { done = done || decided(replica, result) }
+			m.at(0, replica, plainEvent, func() { ask(replica, ticket) })
 		}
 		m.at(modelRetry, nil, plainEvent, func() { try(tried + 1) })
 	}
@@ -453,12 +453,12 @@
 	clear(m.faultAt)
 	m.runTo(max(m.now, m.endOf) + modelSettling)
 	before := len(m.open)
-	for place, seat := range m.seats {
-		if !seat.gone {
+	for place, replica := range m.members {
+		if !replica.gone {
 			m.read(place)
 		}
 	}
-	m.write(slices.Index(m.seats, m.standing()[0]), &schema.Item{Kind: "segment", Name: modelItem(0), Given: 1 << 30, Body: []byte(`{"salt":"last"}`)})
+	m.write(slices.Index(m.members, m.standing()[0]), &schema.Item{Kind: "segment", Name: modelItem(0), Given: 1 << 30, Body: []byte(`{"salt":"last"}`)})
 	m.runTo(m.now + modelSilence)
 	if len(m.open) > 0 {
 		m.breach("%d calls were not decided before and %d at the end", before, len(m.open))
@@ -478,16 +478,16 @@
 // whole tells what the core lacks.
 func (m *model) whole() string {
 	standing := m.standing()
-	for _, seat := range standing {
+	for _, replica := range standing {
 		switch {
-		case !seat.up:
-			return seat.name + " is down"
-		case !seat.member():
-			return seat.name + " is no member"
-		case seat.stable != standing[0].stable:
-			return fmt.Sprintf("%s is at %d, %s at %d", seat.name, seat.stable, standing[0].name, standing[0].stable)
-		case len(seat.set.Seats) != len(standing):
-			return fmt.Sprintf("%s knows %d seats for %d machines", seat.name, len(seat.set.Seats), len(standing))
+		case !replica.up:
+			return replica.name + " is down"
+		case !replica.member():
+			return replica.name + " is no member"
+		case replica.committed != standing[0].committed:
+			return fmt.Sprintf("%s is at %d, %s at %d", replica.name, replica.committed, standing[0].name, standing[0].committed)
+		case len(replica.membership.Members) != len(standing):
+			return fmt.Sprintf("%s knows %d members for %d machines", replica.name, len(replica.membership.Members), len(standing))
 		}
 	}
 	return ""
@@ -495,41 +495,41 @@
 
 // ---- faults ----
 
-// powerLoss ends a seat's process and what it had not synced; kept says how many of the writes
+// powerLoss ends a replica's process and what it had not synced; kept says how many of the writes
 // under way reached the disk all the same.
-func (m *model) powerLoss(seat *modelSeat, kept int) {
-	for _, one := range seat.writing[:min(kept, len(seat.writing))] {
-		seat.keep(one)
+func (m *model) powerLoss(replica *modelReplica, kept int) {
+	for _, one := range replica.writing[:min(kept, len(replica.writing))] {
+		replica.keep(one)
 	}
-	seat.up = false
+	replica.up = false
 }
 
 // lasts notes that a fault goes on for a while.
 func (m *model) lasts(outage time.Duration) { m.endOf = max(m.endOf, m.now+outage) }
 
-// back starts a seat again after a while.
-func (m *model) back(seat *modelSeat, after time.Duration) {
+// back starts a replica again after a while.
+func (m *model) back(replica *modelReplica, after time.Duration) {
 	m.lasts(after)
 	m.at(after, nil, plainEvent, func() {
-		if !seat.up && !seat.gone {
-			m.start(seat)
+		if !replica.up && !replica.gone {
+			m.start(replica)
 		}
 	})
 }
 
-// isolate cuts a seat's links for a while.
-func (m *model) isolate(seat *modelSeat, inward, outward bool) {
-	m.isolateFor(modelOutage, seat, inward, outward)
+// isolate cuts a replica's links for a while.
+func (m *model) isolate(replica *modelReplica, inward, outward bool) {
+	m.isolateFor(modelOutage, replica, inward, outward)
 }
 
-func (m *model) isolateFor(outage time.Duration, seat *modelSeat, inward, outward bool) {
+func (m *model) isolateFor(outage time.Duration, replica *modelReplica, inward, outward bool) {
 	cut := func(is bool) {
-		for _, other := range m.seats {
+		for _, other := range m.members {
 			if inward {
-				m.cut[[2]string{other.name, seat.name}] = is
+				m.cut[[2]string{other.name, replica.name}] = is
 			}
 			if outward {
-				m.cut[[2]string{seat.name, other.name}] = is
+				m.cut[[2]string{replica.name, other.name}] = is
 			}
 		}
 	}
@@ -538,65 +538,65 @@
 	m.lasts(outage)
 }
 
-// modelFault is a fault that strikes one seat.
+// modelFault is a fault that strikes one replica.
 type modelFault struct {
 	name   string
-	strike func(m *model, seat *modelSeat)
+	strike func(m *model, replica *modelReplica)
 }
 
 var modelFaults = []modelFault{
-	{"loses power", func(m *model, seat *modelSeat) {
-		m.powerLoss(seat, 0)
-		m.back(seat, modelOutage)
+	{"loses power", func(m *model, replica *modelReplica) {
+		m.powerLoss(replica, 0)
+		m.back(replica, modelOutage)
 	}},
-	{"loses power for a moment, keeping a write", func(m *model, seat *modelSeat) {
-		m.powerLoss(seat, 1)
-		m.back(seat, modelLink)
+	{"loses power for a moment, keeping a write", func(m *model, replica *modelReplica) {
+		m.powerLoss(replica, 1)
+		m.back(replica, modelLink)
 	}},
 	{"loses its disk", wipeSeat},
-	{"is cut off", func(m *model, seat *modelSeat) { m.isolate(seat, true, true) }},
-	{"hears nothing", func(m *model, seat *modelSeat) { m.isolate(seat, true, false) }},
-	{"is not heard", func(m *model, seat *modelSeat) { m.isolate(seat, false, true) }},
-	{"freezes, and is asked as it thaws", func(m *model, seat *modelSeat) {
-		seat.frozenTo = m.now + modelOutage
+	{"is cut off", func(m *model, replica *modelReplica) { m.isolate(replica, true, true) }},
+	{"hears nothing", func(m *model, replica *modelReplica) { m.isolate(replica, true, false) }},
+	{"is not heard", func(m *model, replica *modelReplica) { m.isolate(replica, false, true) }},
+	{"freezes, and is asked as it thaws", func(m *model, replica *modelReplica) {
+		replica.frozenTo = m.now + modelOutage
 		m.lasts(modelOutage)
-		m.at(modelOutage, nil, plainEvent, func() { m.read(slices.Index(m.seats, seat)) })
+		m.at(modelOutage, nil, plainEvent, func() { m.read(slices.Index(m.members, replica)) })
 	}},
 	{"is replaced", replaceSeat},
-	{"is replaced by plan", func(m *model, seat *modelSeat) {
-		m.add(modelName(len(m.seats)), false)
-		m.at(modelCatchUp, nil, plainEvent, func() { m.remove(seat) })
+	{"is replaced by plan", func(m *model, replica *modelReplica) {
+		m.add(modelName(len(m.members)), false)
+		m.at(modelCatchUp, nil, plainEvent, func() { m.remove(replica) })
 	}},
 }
 
-func wipeSeat(m *model, seat *modelSeat) {
-	m.powerLoss(seat, 0)
-	seat.disk = nil
-	m.back(seat, modelSilence)
+func wipeSeat(m *model, replica *modelReplica) {
+	m.powerLoss(replica, 0)
+	replica.disk = nil
+	m.back(replica, modelSilence)
 }
 
-func replaceSeat(m *model, seat *modelSeat) {
-	m.remove(seat)
-	m.at(modelSilence, nil, plainEvent, func() { m.add(modelName(len(m.seats)), false) })
+func replaceSeat(m *model, replica *modelReplica) {
+	m.remove(replica)
+	m.at(modelSilence, nil, plainEvent, func() { m.add(modelName(len(m.members)), false) })
 }
 
 // remove takes a machine away for good.
-func (m *model) remove(seat *modelSeat) {
-	if seat.up {
-		m.powerLoss(seat, 0)
+func (m *model) remove(replica *modelReplica) {
+	if replica.up {
+		m.powerLoss(replica, 0)
 	}
-	seat.gone = true
+	replica.gone = true
 }
 
 // allLosePower ends every process at one moment.
 func (m *model) allLosePower() {
-	for place, seat := range m.seats {
-		if seat.gone {
+	for place, replica := range m.members {
+		if replica.gone {
 			continue
 		}
-		if seat.up {
-			m.powerLoss(seat, place%2)
+		if replica.up {
+			m.powerLoss(replica, place%2)
 		}
-		m.back(seat, time.Duration(place+1)*modelLink)
+		m.back(replica, time.Duration(place+1)*modelLink)
 	}
 }
--- a/internal/store/daemon.go
+++ b/internal/store/server.go
@@ -23,7 +23,7 @@
 	"meadowhinge/schema"
 )
 
-// Server runs a seat: its clock, its disk, its links.
+// Server runs a replica: its clock, its disk, its links.
 type Server struct {
 	schema.DRPCStoreUnimplementedServer
 	options *schema.StoreOptions // as they were at the start
@@ -34,18 +34,18 @@
 	life    uint64 // tells this process's tickets from those of others
 
 	lock     sync.Mutex
-	live     *schema.StoreOptions // as they are now, where they may change
-	seat     *Seat
+	current  *schema.StoreOptions // as they are now, where they may change
+	replica  *Replica
 	tickets  map[string]chan any
 	nextID   uint64
-	moved    chan struct{} // closed and replaced when the stable state moves
+	moved    chan struct{} // closed and replaced when the committed state moves
 	lastSeen uint64
 	reached  [3]uint64
-	times    map[uint64]*[3]int64 // by sequence: when it was taken, synced, stable
-	outboxes map[string]chan *schema.SeatLetter
-	writes   []Persist     // waiting to be synced; bounded by what the seat admits
+	times    map[uint64]*[3]int64 // by sequence: when it was taken, synced, committed
+	outboxes map[string]chan *schema.ReplicaMessage
+	writes   []Persist     // waiting to be synced; bounded by what the replica admits
 	wake     chan struct{} // tells the writer that there is something to do
-	timer    *time.Timer   // of the seat's next tick
+	timer    *time.Timer   // of the replica's next tick
 	wakeAt   time.Duration
 }
 
@@ -81,8 +81,8 @@
 	if len(order) > 0 && !slices.Contains(order, given.Seat) {
 		return defect.New(defect.BadOptions, "seat: is not in order")
 	}
-	seatOptions := seatOptionsOf(given)
-	disk, records := openDisk(ctx, frame.Log, given, seatOptions, running.under)
+	replicaOptions := replicaOptionsOf(given)
+	disk, records := openDisk(ctx, frame.Log, given, replicaOptions, running.under)
 	if disk == nil {
 		return nil
 	}
@@ -91,10 +91,10 @@
 	if err != nil {
 		return defect.Wrap(err, defect.BadOptions, "listen")
 	}
-	s := &Server{options: given, live: given, ends: ends, log: frame.Log, started: time.Now(), life: rand.Uint64(), ctx: ctx, tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
-		moved: make(chan struct{}), outboxes: map[string]chan *schema.SeatLetter{}, wake: make(chan struct{}, 1), timer: time.NewTimer(0)}
-	s.seat = NewSeat(seatOptions, 0, records)
-	frame.Follow(ctx, seatLooks*seatOptions.Silence, func(now proto.Message) { s.follow(now.(*schema.StoreOptions)) })
+	s := &Server{options: given, current: given, ends: ends, log: frame.Log, started: time.Now(), life: rand.Uint64(), ctx: ctx, tickets: map[string]chan any{}, times: map[uint64]*[3]int64{},
+		moved: make(chan struct{}), outboxes: map[string]chan *schema.ReplicaMessage{}, wake: make(chan struct{}, 1), timer: time.NewTimer(0)}
+	s.replica = NewReplica(replicaOptions, 0, records)
+	frame.Follow(ctx, replicaLooks*replicaOptions.Silence, func(now proto.Message) { s.follow(now.(*schema.StoreOptions)) })
 	go s.write(ctx, disk)
 	mux := drpcmux.New()
 	if err := schema.DRPCRegisterStore(mux, s); err != nil {
@@ -110,7 +110,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- ends.Serve(ctx, listener, mux, "store", "registry") }()
-	frame.Log.V(1).Info("store up", "seat", given.Seat, "listen", given.Listen, "records", len(records))
+	frame.Log.V(1).Info("store up", "replica", given.Seat, "listen", given.Listen, "records", len(records))
 
 	defer s.timer.Stop()
 	for {
@@ -123,20 +123,20 @@
 		case <-s.timer.C:
 			s.step(func(now time.Duration) []Action {
 				s.wakeAt = 0
-				return s.seat.Tick(now)
+				return s.replica.Tick(now)
 			})
 		}
 	}
 }
 
-// seatLooks is how many silence bounds lie between two looks at the settings file.
-const seatLooks = 4
+// replicaLooks is how many silence bounds lie between two looks at the settings file.
+const replicaLooks = 4
 
 // follow goes on by settings that have changed.
 func (s *Server) follow(now *schema.StoreOptions) {
 	s.step(func(at time.Duration) []Action {
-		s.live = now
-		return s.seat.Rebound(at, seatOptionsOf(now))
+		s.current = now
+		return s.replica.Rebound(at, replicaOptionsOf(now))
 	})
 }
 
@@ -144,7 +144,7 @@
 func (s *Server) given() *schema.StoreOptions {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.live
+	return s.current
 }
 
 // endsOf makes the links' ends: with keys, or plain ones that need none.
@@ -157,9 +157,9 @@
 
 const plainLinks = "plain"
 
-// seatOptionsOf makes a seat's options. Without an order seats are named by their IPs, and the
-// seeds are the first seats where all of them start for the first time.
-func seatOptionsOf(given *schema.StoreOptions) Options {
+// replicaOptionsOf makes a replica's options. Without an order members are named by their IPs, and the
+// seeds are the first members where all of them start for the first time.
+func replicaOptionsOf(given *schema.StoreOptions) Options {
 	made := Options{Name: given.Seat, Order: options.List(given.Order), Address: given.Advertise, Losses: int(given.Losses), Draw: draw,
 		Silence: time.Duration(given.Silence), Stall: time.Duration(given.Stall), EntriesMost: int(given.EntriesMost),
 		OutcomesMost: int(given.OutcomesMost), BufferMost: int(given.Buffer), DroppedMost: int(given.DroppedMost)}
@@ -188,9 +188,9 @@
 
 // openDisk opens the log, and writes the first record of an empty one. A disk that refuses is
 // asked again until ctx ends; then it gives nil.
-func openDisk(ctx context.Context, log logr.Logger, given *schema.StoreOptions, seat Options, under func(Log) Log) (Log, []*schema.Record) {
+func openDisk(ctx context.Context, log logr.Logger, given *schema.StoreOptions, replica Options, under func(Log) Log) (Log, []*schema.Record) {
 	for {
-		disk, records, err := tryDisk(log, given, seat, under)
+		disk, records, err := tryDisk(log, given, replica, under)
 		if err == nil {
 			return disk, records
 		}
@@ -198,16 +198,16 @@
 		select {
 		case <-ctx.Done():
 			return nil, nil
-		case <-time.After(seat.Stall / retriesPerStall):
+		case <-time.After(replica.Stall / retriesPerStall):
 		}
 	}
 }
 
-func tryDisk(log logr.Logger, given *schema.StoreOptions, seat Options, under func(Log) Log) (Log, []*schema.Record, error) {
+func tryDisk(log logr.Logger, given *schema.StoreOptions, replica Options, under func(Log) Log) (Log, []*schema.Record, error) {
 	opened, records, err := Open(given.Data)
 	if err != nil && defect.KindOf(err) == defect.DiskCorrupt {
-		// Rot: the seat starts empty and is refilled by the others.
-		log.Error(err, "log is corrupt and set aside; refilling from the other seats")
+		// Rot: the replica starts empty and is refilled by the others.
+		log.Error(err, "log is corrupt and set aside; refilling from the other members")
 		if err = SetAside(given.Data); err == nil {
 			opened, records, err = Open(given.Data)
 		}
@@ -217,7 +217,7 @@
 	}
 	disk := under(opened)
 	if len(records) == 0 {
-		records = []*schema.Record{Birth(seat, draw())}
+		records = []*schema.Record{Birth(replica, draw())}
 		if err := disk.Write(records, true); err != nil {
 			disk.Close()
 			return nil, nil, err
@@ -229,7 +229,7 @@
 // retriesPerStall is how often, in a stall bound, a disk that refuses is asked again.
 const retriesPerStall = 8
 
-// placeOf is where a seat named by its IP stands: every store has the same port.
+// placeOf is where a replica named by its IP stands: every store has the same port.
 func placeOf(given *schema.StoreOptions, name string) string {
 	own, err := netip.ParseAddrPort(given.Listen)
 	place, wrong := netip.ParseAddr(name)
@@ -241,21 +241,23 @@
 
 func (s *Server) soundness() daemon.Soundness {
 	status := s.status()
-	if status.Holder == "" || !status.Counted || status.Unfit {
+	if status.Leader == "" || !status.Member || status.Unfit {
 		return daemon.Soundness{Reason: string(defect.NoMajority)}
 	}
 	return daemon.Soundness{Ready: true}
 }
 
-func (s *Server) status() *schema.SeatStatus {
+func (s *Server) status() *schema.ReplicaStatus {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	status := s.seat.Status()
+	status := s.replica.Status()
 	status.RefusedPeers = s.ends.Refused.Load()
+	age, vouched := s.replica.Fresh(time.Since(s.started))
+	status.Vouched, status.MajorityAgeNanos = vouched, int64(age)
 	return status
 }
 
-// step runs one event through the seat and hands out its actions.
+// step runs one event through the replica and hands out its actions.
 func (s *Server) step(event func(now time.Duration) []Action) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -269,7 +271,7 @@
 		case Send:
 			// A full buffer means the peer is slow or gone; what is lost is sent again.
 			select {
-			case s.outbox(one.Letter.To) <- one.Letter:
+			case s.outbox(one.Message.To) <- one.Message:
 			default:
 			}
 		case Persist:
@@ -279,18 +281,18 @@
 			default:
 			}
 		case Reply:
-			s.end(one.Submitted.Ticket, one.Submitted)
-		case ReplyBarrier:
-			s.end(one.Back.Ticket, one.Back)
+			s.end(one.Result.Ticket, one.Result)
+		case ReadIndexReady:
+			s.end(one.Result.Ticket, one.Result)
 		}
 	}
-	if wakes := s.seat.Wakes(); s.wakeAt == 0 || wakes < s.wakeAt {
+	if wakes := s.replica.Wakes(); s.wakeAt == 0 || wakes < s.wakeAt {
 		s.wakeAt = wakes
 		s.timer.Reset(wakes - time.Since(s.started))
 	}
 	s.noteTimes()
-	if stable, _ := s.seat.Stable(); stable != s.lastSeen {
-		s.lastSeen = stable
+	if committed, _ := s.replica.Committed(); committed != s.lastSeen {
+		s.lastSeen = committed
 		close(s.moved)
 		s.moved = make(chan struct{})
 	}
@@ -299,16 +301,16 @@
 // timesKept is how many sequences the tracer can still be told of.
 const timesKept = 4096
 
-// noteTimes writes down when sequences were first taken, synced and stable here; the caller
+// noteTimes writes down when sequences were first taken, synced and committed here; the caller
 // holds the lock.
 func (s *Server) noteTimes() {
-	now := s.seat.Reached()
+	now := s.replica.Reached()
 	if now == s.reached {
 		return
 	}
 	wall := time.Now().UnixNano()
 	for stage := range now {
-		// A digest can bring many sequences at once; only the last of them were ever asked about.
+		// A snapshot can bring many sequences at once; only the last of them were ever asked about.
 		from := max(s.reached[stage]+1, now[stage]-min(now[stage], timesKept)+1)
 		for sequence := from; sequence <= now[stage]; sequence++ {
 			if s.times[sequence] == nil {
@@ -322,14 +324,14 @@
 }
 
 // Trace tells when a change was where in this store.
-func (s *Server) Trace(_ context.Context, ask *schema.Ask) (*schema.SeatTrace, error) {
+func (s *Server) Trace(_ context.Context, ask *schema.Ask) (*schema.ReplicaTrace, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	trace := &schema.SeatTrace{Seat: s.options.Seat, Holder: s.seat.Status().Holder}
-	trace.Outcome, trace.Known = s.seat.Accepted(ask.ChangeId)
+	trace := &schema.ReplicaTrace{Replica: s.options.Seat, Leader: s.replica.Status().Leader}
+	trace.Outcome, trace.Known = s.replica.Accepted(ask.ChangeId)
 	if trace.Known {
 		if times := s.times[trace.Outcome.Version.Sequence]; times != nil {
-			trace.Taken, trace.Synced, trace.Stable = times[0], times[1], times[2]
+			trace.Appended, trace.Durable, trace.Committed = times[0], times[1], times[2]
 		}
 	}
 	return trace, nil
@@ -369,7 +371,7 @@
 				break // what is left of the batch is in what was written
 			}
 			records = nil
-			s.step(func(now time.Duration) []Action { return s.seat.Synced(now, one.Mark) })
+			s.step(func(now time.Duration) []Action { return s.replica.Synced(now, one.Mark) })
 		}
 	}
 }
@@ -377,7 +379,7 @@
 // rewrite writes the whole state, again and again, to a disk that refused a write.
 func (s *Server) rewrite(ctx context.Context, disk Log) bool {
 	for {
-		s.step(func(now time.Duration) []Action { return s.seat.DiskFailed(now) })
+		s.step(func(now time.Duration) []Action { return s.replica.DiskFailed(now) })
 		select {
 		case <-ctx.Done():
 			return false
@@ -386,30 +388,30 @@
 		s.lock.Lock()
 		// It stands for everything that waits to be written.
 		s.writes = nil
-		s.act(s.seat.Rewrite(time.Since(s.started)))
+		s.act(s.replica.Rewrite(time.Since(s.started)))
 		whole := s.writes[0]
 		s.writes = s.writes[1:]
 		s.lock.Unlock()
 		if disk.Write([]*schema.Record{whole.Record}, true) == nil {
-			s.step(func(now time.Duration) []Action { return s.seat.Synced(now, whole.Mark) })
+			s.step(func(now time.Duration) []Action { return s.replica.Synced(now, whole.Mark) })
 			return true
 		}
 	}
 }
 
-// outbox is where letters for a seat wait to be posted; the caller holds the lock.
-func (s *Server) outbox(name string) chan *schema.SeatLetter {
+// outbox is where messages for a replica wait to be posted; the caller holds the lock.
+func (s *Server) outbox(name string) chan *schema.ReplicaMessage {
 	if s.outboxes[name] == nil {
-		s.outboxes[name] = make(chan *schema.SeatLetter, s.options.Buffer)
+		s.outboxes[name] = make(chan *schema.ReplicaMessage, s.options.Buffer)
 		go s.post(s.ctx, name, s.outboxes[name])
 	}
 	return s.outboxes[name]
 }
 
-// addressesOf finds where a seat is reached: where it last spoke from, else every seed.
+// addressesOf finds where a replica is reached: where it last spoke from, else every seed.
 func (s *Server) addressesOf(name string) (addresses []string, known bool) {
 	s.lock.Lock()
-	address := s.seat.Addresses()[name]
+	address := s.replica.Addresses()[name]
 	s.lock.Unlock()
 	// Seats that are named by their IPs are found by their names.
 	if address == "" && s.options.Order == "" {
@@ -424,18 +426,18 @@
 	return options.List(s.given().Seeds), false
 }
 
-// wire is an open stream of letters to one address.
+// wire is an open stream of messages to one address.
 type wire struct {
 	schema.DRPCStore_DeliverClient
 	end     context.CancelFunc
-	heading *schema.SeatLetter // what its letters have in common
+	heading *schema.ReplicaMessage // what its messages have in common
 }
 
-// post sends letters to one seat, in order, as many at once as are waiting.
-func (s *Server) post(ctx context.Context, name string, outbox chan *schema.SeatLetter) {
+// post sends messages to one replica, in order, as many at once as are waiting.
+func (s *Server) post(ctx context.Context, name string, outbox chan *schema.ReplicaMessage) {
 	wires := map[string]*wire{}
 	for {
-		var letters []*schema.SeatLetter
+		var messages []*schema.ReplicaMessage
 		select {
 		case <-ctx.Done():
 			for _, one := range wires {
@@ -443,21 +445,21 @@
 			}
 			return
 		case first := <-outbox:
-			letters = append(letters, first)
+			messages = append(messages, first)
 		}
-		for more := true; more && len(letters) < int(s.options.Buffer); {
+		for more := true; more && len(messages) < int(s.options.Buffer); {
 			select {
 			case next := <-outbox:
-				letters = append(letters, next)
+				messages = append(messages, next)
 			default:
 				more = false
 			}
 		}
-		// A seat may stand at any seed, or have come back elsewhere; letters name whom they are
+		// A replica may stand at any seed, or have come back elsewhere; messages name whom they are
 		// for, and a store that is not the one meant ignores them.
 		addresses, known := s.addressesOf(name)
 		for _, address := range addresses {
-			if s.carry(ctx, wires, address, letters) && known {
+			if s.carry(ctx, wires, address, messages) && known {
 				break
 			}
 		}
@@ -470,9 +472,9 @@
 	}
 }
 
-// carry sends letters over the wire to an address. One that was open may have broken long since,
+// carry sends messages over the wire to an address. One that was open may have broken long since,
 // so a second is tried.
-func (s *Server) carry(ctx context.Context, wires map[string]*wire, address string, letters []*schema.SeatLetter) bool {
+func (s *Server) carry(ctx context.Context, wires map[string]*wire, address string, messages []*schema.ReplicaMessage) bool {
 	for {
 		open, was := wires[address]
 		if !was {
@@ -482,10 +484,10 @@
 				end()
 				return false
 			}
-			open = &wire{stream, end, &schema.SeatLetter{}}
+			open = &wire{stream, end, &schema.ReplicaMessage{}}
 			wires[address] = open
 		}
-		err := open.Send(&schema.SeatLetters{Letters: open.shorten(letters)})
+		err := open.Send(&schema.ReplicaMessages{Messages: open.shorten(messages)})
 		if err == nil {
 			return true
 		}
@@ -497,51 +499,51 @@
 	}
 }
 
-// shorten leaves out of letters what the one before said too: pings are most of what is sent.
-func (w *wire) shorten(letters []*schema.SeatLetter) (short []*schema.SeatLetter) {
-	for _, letter := range letters {
-		if sameHeading(letter, w.heading) {
-			letter = &schema.SeatLetter{Body: letter.Body}
+// shorten leaves out of messages what the one before said too: heartbeats are most of what is sent.
+func (w *wire) shorten(messages []*schema.ReplicaMessage) (short []*schema.ReplicaMessage) {
+	for _, message := range messages {
+		if sameHeading(message, w.heading) {
+			message = &schema.ReplicaMessage{Body: message.Body}
 		} else {
-			w.heading = &schema.SeatLetter{}
-			lengthen(w.heading, letter)
+			w.heading = &schema.ReplicaMessage{}
+			lengthen(w.heading, message)
 		}
-		short = append(short, letter)
+		short = append(short, message)
 	}
 	return short
 }
 
-func sameHeading(a, b *schema.SeatLetter) bool {
+func sameHeading(a, b *schema.ReplicaMessage) bool {
 	return a.From == b.From && a.To == b.To && a.Address == b.Address && a.Incarnation == b.Incarnation && a.Founder == b.Founder
 }
 
 // lengthen puts back what shorten left out.
-func lengthen(letter, heading *schema.SeatLetter) {
-	letter.From, letter.To, letter.Address, letter.Incarnation, letter.Founder = heading.From, heading.To, heading.Address, heading.Incarnation, heading.Founder
+func lengthen(message, heading *schema.ReplicaMessage) {
+	message.From, message.To, message.Address, message.Incarnation, message.Founder = heading.From, heading.To, heading.Address, heading.Incarnation, heading.Founder
 }
 
-// Deliver takes letters from another seat.
+// Deliver takes messages from another replica.
 func (s *Server) Deliver(stream schema.DRPCStore_DeliverStream) error {
 	peer := link.PeerOf(stream.Context())
-	heading := &schema.SeatLetter{}
+	heading := &schema.ReplicaMessage{}
 	for {
-		letters, err := stream.Recv()
+		messages, err := stream.Recv()
 		if err != nil {
 			return nil // whoever sent them has gone
 		}
-		for _, letter := range letters.Letters {
-			if letter.From == "" {
-				lengthen(letter, heading)
+		for _, message := range messages.Messages {
+			if message.From == "" {
+				lengthen(message, heading)
 			} else {
-				heading = &schema.SeatLetter{}
-				lengthen(heading, letter)
+				heading = &schema.ReplicaMessage{}
+				lengthen(heading, message)
 			}
-			// Only the seat named in the certificate may speak as that seat.
-			if peer.Role != "store" || peer.Name != letter.From {
+			// Only the replica named in the certificate may speak as that replica.
+			if peer.Role != "store" || peer.Name != message.From {
 				s.ends.Refused.Add(1)
-				return defect.New(defect.Stranger, letter.From)
+				return defect.New(defect.Stranger, message.From)
 			}
-			s.step(func(now time.Duration) []Action { return s.seat.Deliver(now, letter) })
+			s.step(func(now time.Duration) []Action { return s.replica.Deliver(now, message) })
 		}
 	}
 }
@@ -571,74 +573,74 @@
 }
 
 // Offer takes a change from the registry of this machine and answers once it is settled.
-func (s *Server) Offer(ctx context.Context, submit *schema.Submit) (*schema.Submitted, error) {
+func (s *Server) Propose(ctx context.Context, submit *schema.Proposal) (*schema.ProposalReply, error) {
 	result, _ := s.await(ctx, func(now time.Duration, ticket string) []Action {
-		return s.seat.Offer(now, &schema.Submit{Ticket: ticket, Change: submit.Change, DutyEpoch: submit.DutyEpoch})
-	}).(*schema.Submitted)
+		return s.replica.Propose(now, &schema.Proposal{Ticket: ticket, Change: submit.Change, DutyEpoch: submit.DutyEpoch})
+	}).(*schema.ProposalReply)
 	if result == nil {
-		result = &schema.Submitted{Undecided: true}
+		result = &schema.ProposalReply{Undecided: true}
 	}
 	return result, nil
 }
 
-// Stand answers with a stable sequence that no yes given before lies above.
-func (s *Server) Stand(ctx context.Context, _ *schema.Nothing) (*schema.BarrierBack, error) {
+// Stand answers with a committed sequence that no yes given before lies above.
+func (s *Server) ReadIndex(ctx context.Context, _ *schema.Nothing) (*schema.ReadIndexReply, error) {
 	result, _ := s.await(ctx, func(now time.Duration, ticket string) []Action {
-		return s.seat.Stand(now, ticket)
-	}).(*schema.BarrierBack)
+		return s.replica.ReadIndex(now, ticket)
+	}).(*schema.ReadIndexReply)
 	if result == nil {
-		result = &schema.BarrierBack{Undecided: true}
+		result = &schema.ReadIndexReply{Undecided: true}
 	}
 	return result, nil
 }
 
 // Inquire tells what became of a change.
-func (s *Server) Inquire(_ context.Context, ask *schema.Ask) (*schema.Submitted, error) {
+func (s *Server) Inquire(_ context.Context, ask *schema.Ask) (*schema.ProposalReply, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	outcome, settled := s.seat.OutcomeOf(ask.ChangeId)
-	return &schema.Submitted{Outcome: outcome, Undecided: !settled}, nil
+	outcome, settled := s.replica.OutcomeOf(ask.ChangeId)
+	return &schema.ProposalReply{Outcome: outcome, Undecided: !settled}, nil
 }
 
-// Follow waits for stable state beyond a sequence and gives what is new.
-func (s *Server) Follow(ctx context.Context, ask *schema.StableAsk) (*schema.StableBack, error) {
+// Follow waits for committed state beyond a sequence and gives what is new.
+func (s *Server) Follow(ctx context.Context, ask *schema.FollowRequest) (*schema.FollowReply, error) {
 	horizon := time.NewTimer(time.Duration(ask.WaitNanos))
 	defer horizon.Stop()
 	for {
 		s.lock.Lock()
-		stable, state := s.seat.Stable()
+		committed, state := s.replica.Committed()
 		moved := s.moved
 		s.lock.Unlock()
-		if stable > ask.After {
-			return s.vouched(Difference(state, stable, ask.After)), nil
+		if committed > ask.After {
+			return s.vouched(Difference(state, committed, ask.After)), nil
 		}
 		select {
 		case <-moved:
 		case <-horizon.C:
-			return s.vouched(&schema.StableBack{Stable: stable}), nil
+			return s.vouched(&schema.FollowReply{Committed: committed}), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
-// vouched adds how fresh the stable state is, and who the seats are.
-func (s *Server) vouched(back *schema.StableBack) *schema.StableBack {
+// vouched adds how fresh the committed state is, and who the members are.
+func (s *Server) vouched(back *schema.FollowReply) *schema.FollowReply {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	age, known := s.seat.Fresh(time.Since(s.started))
-	back.AgeNanos, back.Vouched, back.Cores = int64(age), known, s.seat.Seats()
+	age, known := s.replica.Fresh(time.Since(s.started))
+	back.AgeNanos, back.Vouched, back.Cores = int64(age), known, s.replica.Members()
 	return back
 }
 
 // Difference lists the items of a state newer than a sequence, or all when it is 0.
-func Difference(state setup.State, stable, after uint64) *schema.StableBack {
-	back := &schema.StableBack{Stable: stable}
+func Difference(state setup.State, committed, after uint64) *schema.FollowReply {
+	back := &schema.FollowReply{Committed: committed}
 	back.Items, back.Whole = state.After(after)
 	return back
 }
 
-// Look gives the seat's status.
-func (s *Server) Look(context.Context, *schema.Nothing) (*schema.SeatStatus, error) {
+// Look gives the replica's status.
+func (s *Server) Look(context.Context, *schema.Nothing) (*schema.ReplicaStatus, error) {
 	return s.status(), nil
 }
--- a/internal/store/daemon_test.go
+++ b/internal/store/server_test.go
@@ -50,7 +50,7 @@
 	store := schema.NewDRPCStoreClient(ends.To(ctx, fmt.Sprint(hosts[2], ":", port)))
 	change := &schema.Change{Id: "one", Items: []*schema.Item{{Kind: "segment", Name: "s", Body: []byte(`{"salt":""}`)}}}
 	for {
-		submitted, err := store.Offer(ctx, &schema.Submit{Change: change})
+		submitted, err := store.Propose(ctx, &schema.Proposal{Change: change})
 		if err == nil && submitted.GetOutcome().GetRuling() == schema.Ruling_RULING_ACCEPTED {
 			break
 		}
@@ -58,7 +58,7 @@
 			t.Fatal(submitted, err)
 		}
 	}
-	back, err := store.Follow(ctx, &schema.StableAsk{WaitNanos: int64(5 * time.Second)})
+	back, err := store.Follow(ctx, &schema.FollowRequest{WaitNanos: int64(5 * time.Second)})
 	if err != nil || len(back.Items) != 1 {
 		t.Fatal(back, err)
 	}
