Let a line end before a request line come in halves; fuzz what comes from outside

Cause: a caller may send a line end before its request line. Where its carriage return came in a packet of its own, the head was searched from there on and refused as malformed, 400 to a proper request.

--- /dev/null
+++ b/internal/dispatch/conns_fuzz_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
+
+	"meadowhinge/schema"
+)
+
+// Whatever a worker sends, an answer is taken whole, within the bound and with a final status, or
+// it is no answer.
+func FuzzAnswers(f *testing.F) {
+	for _, seed := range []string{answered("r", "one"), "HTTP/1.1 200 OK\r\n\r\none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + answered("r", ""), "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n"} {
+		f.Add([]byte(seed))
+	}
+	const most = 1 << 12
+	f.Fuzz(func(t *testing.T, text []byte) {
+		response := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(response)
+		x := &exchange{response: response, until: time.Now().Add(time.Minute), most: most, bodiless: func(status int) bool { return status == 204 || status == 304 },
+			read: func(header *fasthttp.ResponseHeader) Said {
+				return testSpeech{}.Read(header, &schema.Carry{Request: "r"})
+			}, room: semaphore.NewWeighted(most)}
+		defer x.leave()
+		reader := bufio.NewReader(bytes.NewReader(text))
+		if x.head(reader) != nil {
+			return
+		}
+		x.said = x.read(&response.Header)
+		err := x.fill(reader)
+		if len(x.body) > most {
+			t.Fatalf("%d bytes were kept", len(x.body))
+		}
+		if status := response.StatusCode(); err == nil && (status < 200 || status > 599) {
+			t.Fatalf("status %d was taken", status)
+		}
+		if length := response.Header.ContentLength(); err == nil && length > 0 && !x.bodiless(response.StatusCode()) && len(x.body) != length {
+			t.Fatalf("%d bytes of %d were taken for whole", len(x.body), length)
+		}
+	})
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -274,7 +274,10 @@
 			t.at += end
 			return came, parseHead(text, &t.head)
 		}
-		searched = t.have - t.at
+		// Half of a line end before the request line says nothing yet.
+		if searched = t.have - t.at; searched == 1 && t.buffer[t.at] == '\r' {
+			searched = 0
+		}
 		switch {
 		case searched > 2*limits.head:
 			return came, defect.New(defect.HeadTooLarge, "more than "+strconv.Itoa(limits.head)+" bytes")
