--- a/cmd/operator/main_test.go
+++ b/cmd/operator/main_test.go
@@ -43,7 +43,7 @@
 	"GET /v1/verdicts":    `[{"flag":"release.shop","variation":"1","reason":"FALLTHROUGH","route":"look","outcome":"answered","calls":12}]`,
 	"GET /v1/workers":     `[{"instance":"p/1","service":"shop","version":"1","area":"a","proxy":"p","load":0,"state":"serving"}]`,
 	"GET /v1/releases":    `[{"name":"to","service":"shop","version":"2","target":50,"over":"10m","pace":"go","state":"ramp","share":20,"measured":19}]`,
-	"GET /v1/status":      `{"registries":[{"seat":"a","grants":true,"stable":7,"claims":4,"claims_count":true,"odd":["proxy p: lease is 9s there, 8s here"]}],"members":5}`,
+	"GET /v1/status":      `{"store":{"replica":"a","leader":"b","epoch":7,"sequence":12,"committed":11,"vouched":true,"majority_age_nanos":250000000,"unfit":true,"heard":["b"],"waiting":["d"],"membership":{"members":[{"seat":"b"},{"seat":"c"}],"wanted":3}},"registries":[{"seat":"a","grants":true,"stable":7,"claims":4,"claims_count":true,"odd":["proxy p: lease is 9s there, 8s here"]}],"members":5}`,
 	"POST /v1/explain":    `{"route":"look","service":"shop","class":"repeatable","horizon":"2s","verdict":{"flag":"release.shop","version":"1","reason":"FALLTHROUGH","setup":7},"pool":["p/1"]}`,
 	"GET /v1/changes/odd": `{`,
 }
@@ -66,6 +66,8 @@
 		{[]string{"workers"}, "", "serving", ""},
 		{[]string{"releases"}, "", "20.0", ""},
 		{[]string{"status"}, "", "SETTINGS CONTRADICT: proxy p: lease", ""},
+		{[]string{"status"}, "", "store a: leader b, epoch 7, committed 11 of 12, majority heard 250ms ago\nmembers (2 of 3 wanted): b c; hears b\nthis store is no member", ""},
+		{[]string{"status"}, "", "waiting to become members: d", ""},
 		{[]string{"explain", "/shop/look"}, "", "version 1, because FALLTHROUGH of flag release.shop, by setup 7", `"path":"/shop/look"`},
 		{[]string{"release", "-service", "shop", "-version", "2", "-target", "40", "new"}, "", "accepted", `target: 40`},
 		{[]string{"release", "-pace", "hold", "to"}, "", "accepted", `pace: \"hold\"`},
--- a/internal/dispatch/carry_test.go
+++ b/internal/dispatch/carry_test.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// Each worker is told how much time is left as the call goes to it, not as it came.
+func TestTimeLeftIsToldAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lost = 300 * time.Millisecond
+		var told []time.Duration
+		note := func(then ends) ends {
+			return func(ctx context.Context, carry *schema.Carry) (*schema.Carried, error) {
+				told = append(told, time.Duration(carry.LeftNanos))
+				time.Sleep(lost)
+				return then(ctx, carry)
+			}
+		}
+		c := startCarrying(t, 6, `"class":"repeatable"`, 9, note(breaking), note(breaking), note(answering))
+		c.Carry(t.Context(), &Call{Target: "/a", Request: plan.Request{Caller: "client", Method: "GET", Path: "/a", Header: func(string) (string, bool) { return "", false }}})
+		if len(told) != 3 {
+			t.Fatalf("sent with %v left", told)
+		}
+		for i := range 2 {
+			if told[i]-told[i+1] < lost {
+				t.Errorf("sent with %v left, then %v later with %v", told[i], lost, told[i+1])
+			}
+		}
+	})
+}
+
 // A failure for an answer goes to one other worker, where the call may run again, in time and for a part
 // of the budget; whatever comes of that, the caller gets a worker's answer.
 func TestFailedAnswerIsAskedOfAnother(t *testing.T) {
--- a/internal/dispatch/conns_test.go
+++ b/internal/dispatch/conns_test.go
@@ -296,6 +296,40 @@
 	}
 }
 
+// A worker may answer before it has read a body, keep the connection and read on later: it then finds
+// the rest of that body, and after it the next request.
+func TestAnsweredBeforeTheBodyIsRead(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 1<<16)
+	read := make(chan string, 2)
+	s := newSocketStage(t, func(conn *net.TCPConn, reader *bufio.Reader, _ int) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get("X-Id")
+			_, _ = conn.Write([]byte(answered(id, id)))
+			rest, err := io.ReadAll(request.Body)
+			read <- string(rest)
+			if err != nil {
+				return
+			}
+		}
+	})
+	for _, id := range []string{"first", "second"} {
+		got := s.run(t, id, func(c *schema.Carry) {
+			c.Method, c.Body = "PUT", []byte(body)
+			c.Checksum = crc32.ChecksumIEEE(c.Body)
+		})
+		if got.Ending != schema.Ending_ENDING_ANSWERED || string(got.Body) != id {
+			t.Errorf("%s ended %v with %s and %q", id, got.Ending, got.Defect, got.Body)
+		}
+		if rest := <-read; rest != body {
+			t.Errorf("%s: the worker read %d bytes of %d", id, len(rest), len(body))
+		}
+	}
+}
+
 // Large answers take turns where there is no room for them at once.
 func TestLargeAnswersTakeTurns(t *testing.T) {
 	const size = 1 << 20
