--- a/internal/store/admission.go
+++ b/internal/store/admission.go
@@ -9,7 +9,7 @@
 	"meadowhinge/schema"
 )
 
-// Offer takes a change from this machine's registry.
+// Propose takes a change from this machine's registry.
 func (s *Replica) Propose(now time.Duration, submit *schema.Proposal) []Action {
 	s.begin(now)
 	if outcome, settled := s.OutcomeOf(submit.Change.Id); settled {
@@ -29,7 +29,7 @@
 	return s.actions
 }
 
-// Stand asks for the committed sequence that no later yes can lie below.
+// ReadIndex asks for the committed sequence that no later yes can lie below.
 func (s *Replica) ReadIndex(now time.Duration, ticket string) []Action {
 	s.begin(now)
 	leader := s.leader()
@@ -61,7 +61,7 @@
 	s.send(to.to, &schema.ReplicaMessage{Body: &schema.ReplicaMessage_ReadIndexReply{ReadIndexReply: back}})
 }
 
-// offer admits a change, as the leader.
+// propose admits a change, as the leader.
 func (s *Replica) propose(submit *schema.Proposal, from waiter) {
 	unsettled := int(s.seq - s.committed)
 	// Refused before it is admitted, so nothing of it can come into force later.
@@ -207,7 +207,7 @@
 		entry.Outcome.Ruling = schema.Ruling_RULING_CONFLICT
 		return entry, before
 	}
-	// A leadership that has passed on may not write what its successor has written under a later epoch.
+	// A release duty that has passed on may not write what its successor has written under a later epoch.
 	for _, item := range written {
 		if held := state[setup.Key(item.Kind, item.Name)]; item.Kind == "progress" && !item.Deleted && held != nil && !held.Deleted && setup.DutyOf(item) < setup.DutyOf(held) {
 			entry.Outcome.Ruling = schema.Ruling_RULING_STALE
--- a/internal/store/deliver.go
+++ b/internal/store/deliver.go
@@ -147,8 +147,8 @@
 	return s.actions
 }
 
-// sender finds who sent a message: one of the members, whose word is counted; or one that asks for a
-// replica or knows newer members, whose is not; or nobody known.
+// sender finds who sent a message: one of the members, whose word is counted; or one that asks to
+// become a member or knows newer ones, whose is not; or nobody known.
 func (s *Replica) sender(message *schema.ReplicaMessage) (known *peer, counted bool) {
 	if lists(s.membership, message.From, message.Incarnation, message.Founder) {
 		known = s.peers[message.From]
--- a/internal/store/election.go
+++ b/internal/store/election.go
@@ -17,7 +17,7 @@
 	return !s.member() || stalled || s.refused
 }
 
-// newerMembers are members that know newer members than this one has taken.
+// newerMembers are replicas that know a newer membership than this one has.
 func (s *Replica) newerMembers() []string {
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(s.outsiders)) {
@@ -28,7 +28,7 @@
 	return names
 }
 
-// mutual lists the fit members heard here that hear this one.
+// mutual lists the members that are heard here, hear this one and are fit.
 func (s *Replica) mutual() []string {
 	var names []string
 	for _, name := range s.otherMembers {
@@ -88,7 +88,7 @@
 	return links+1 >= s.majority()
 }
 
-// preferredLeader names the replica that should hold the leadership: the first that reaches a majority, in the order.
+// preferredLeader names the replica that should lead: the first in the order that reaches a majority.
 func (s *Replica) preferredLeader() string {
 	for _, replica := range s.membership.Members {
 		if s.reachesMajority(replica.Seat) {
@@ -132,15 +132,15 @@
 	return false
 }
 
-// caughtUp tells whether this replica has what another leader has made committed, so that it takes the
-// preferredLeader over without a gap.
+// caughtUp tells whether this replica has what another leader has committed, so that it takes over
+// without a gap.
 func (s *Replica) caughtUp() bool {
 	name := s.leader()
 	known := s.peers[name]
 	return known == nil || known.heartbeat.Epoch == s.epoch && s.seq >= known.heartbeat.Committed
 }
 
-// durableVote is the highest epoch votedEpoch on disk.
+// durableVote is the highest epoch for which a vote is on disk.
 func (s *Replica) durableVote() uint64 {
 	for _, waiting := range s.pending {
 		if waiting.promise != 0 {
@@ -165,12 +165,12 @@
 	s.pendingReads = nil
 }
 
-// promise lets no epoch below count here any more, and this one only for one replica.
+// recordVote lets no epoch below count here any more, and this one only for one replica.
 func (s *Replica) recordVote(epoch uint64, to string) {
 	s.votedEpoch, s.votedFor, s.highest = epoch, to, max(s.highest, epoch)
 }
 
-// campaign asks a majority to promise an epoch of this replica's own.
+// campaign asks a majority to vote for an epoch of this replica's own.
 func (s *Replica) campaign() {
 	s.stepDown()
 	// Epochs are dealt out by replica, so that two members seldom ask for the same one.
@@ -219,7 +219,7 @@
 	s.persist(&schema.Record{VotedEpoch: request.Epoch, VotedFor: from}, afterSync{promise: request.Epoch, asked: request, from: from})
 }
 
-// vote tells a candidate that its epoch is votedEpoch, and what it lacks of the state here.
+// vote tells a candidate that it has this replica's vote, and what it lacks of the state here.
 func (s *Replica) vote(to string, asked *schema.VoteRequest) {
 	vote := &schema.Vote{Epoch: asked.Epoch, Have: s.holds()}
 	switch {
@@ -243,8 +243,8 @@
 	}
 }
 
-// countVotes counts promises. The newest state among them is taken whole, and with it who the members
-// are; with promises of a majority of those, this replica's epoch begins upon that state.
+// countVotes counts the votes. The newest state among them is taken whole, and with it who the members
+// are; with the votes of a majority of those, this replica's epoch begins upon that state.
 func (s *Replica) countVotes() {
 	if s.durableVote() < s.votedEpoch {
 		return
--- a/internal/store/freshness.go
+++ b/internal/store/freshness.go
@@ -6,8 +6,8 @@
 )
 
 // freshness tells when this replica last knew its committed setup to be the newest that anyone was
-// votedEpoch. What was votedEpoch is synced at a majority; so once each of a majority has told how
-// far it is, and all of that is committed here, nothing votedEpoch before they told is missing here.
+// promised. What was promised is durable at a majority; so once each of a majority has told how
+// far it is, and all of that is committed here, nothing promised before they told is missing here.
 // It is a step function of what members tell and how far this one is.
 type freshness struct {
 	members map[string]*vouching
@@ -67,7 +67,7 @@
 }
 
 // Fresh tells how long ago this replica last knew its committed setup to be the newest that anyone
-// was votedEpoch; false if it never has.
+// was promised; false if it never has.
 func (s *Replica) Fresh(now time.Duration) (age time.Duration, known bool) {
 	// An empty replica's word counts for nothing, not even to itself.
 	if !s.member() {
--- a/internal/store/heartbeat.go
+++ b/internal/store/heartbeat.go
@@ -15,7 +15,7 @@
 	return known.heard && s.now-known.heardAt <= s.options.Silence
 }
 
-// pause is the time from one round of heartbeats to the next.
+// heartbeatInterval is the time from one round of heartbeats to the next.
 func (s *Replica) pause() time.Duration {
 	if !s.reachesMajority(s.options.Name) {
 		return s.options.Silence / hurriesPerSilence
@@ -42,7 +42,7 @@
 	}
 }
 
-// said is what a heartbeat tells that must not wait for the next round.
+// news is what a heartbeat tells that must not wait for the next round.
 func (s *Replica) said() string {
 	heartbeat := s.heartbeat()
 	return fmt.Sprint(heartbeat.Heard, heartbeat.Mutual, heartbeat.Unfit, heartbeat.Behind, heartbeat.Leader)
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -13,7 +13,7 @@
 
 // Who the members are is part of the state. They change one at a time: a replica counts the latest
 // members it has taken, and the leader makes others only once those are committed under its own epoch.
-// Two majorities of members that differ by one have a replica in common, so nothing is decided twice.
+// Two majorities of members that differ by one have a member in common, so nothing is decided twice.
 //
 // A replica is a name and the incarnation of its data folder. A folder that was lost leaves another
 // replica of the same name: the old one is taken out and the new one, once it holds the state, is
@@ -74,7 +74,7 @@
 
 func (s *Replica) majority() int { return len(s.membership.Members)/2 + 1 }
 
-// neededOf is how many synced copies make a change committed: a majority, and one more than may be lost.
+// neededOf is how many durable copies make a change committed: a majority, and one more than may be lost.
 func neededOf(members *schema.Membership, losses int) int {
 	return max(len(members.Members)/2+1, min(losses+1, len(members.Members)))
 }
@@ -240,8 +240,8 @@
 }
 
 // startAnew lets this replica be another one, empty, of the same name. It is for a replica that was taken
-// out while it was away and has since votedEpoch an epoch that no leader has: it could never be
-// kept up to date again, and a promise must not be taken back. What it has said of before stays with
+// out while it was away and has since voted for an epoch that no leader has: it could never be
+// kept up to date again, and a vote must not be taken back. What it has said of before stays with
 // its old incarnation, which counts for nothing: it was taken out after all that it holds.
 func (s *Replica) startAnew() {
 	options := s.options
@@ -358,7 +358,7 @@
 	return name
 }
 
-// change lets other members count from the next place in the order on.
+// proposeMembership lets other members count from the next place in the order on.
 func (s *Replica) proposeMembership(members *schema.Membership) {
 	version := &schema.Version{Epoch: s.epoch, Sequence: s.seq + 1}
 	members.Taken = version
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -2,7 +2,7 @@
 // members are that do so.
 //
 // Replica is a step function: an event and the time go in, actions come out. It does no
-// I/O, so the daemon, the simulator and the interleaving checker all run this same code.
+// I/O, so the daemon, the simulator and the model all run this same code.
 package store
 
 import (
@@ -360,10 +360,10 @@
 	s.entries = append([]*schema.Entry(nil), s.entries[cut:]...)
 }
 
-// Stable gives the state that may be shown outside.
+// Committed gives the state that may be shown outside.
 func (s *Replica) Committed() (uint64, setup.State) { return s.committed, s.committedState }
 
-// Seats lists the members as far as they are committed, where they agree on them themselves.
+// Members lists the members as far as they are committed, where they agree on them themselves.
 func (s *Replica) Members() []*schema.Core {
 	if len(s.options.Order) > 0 {
 		return nil
@@ -386,7 +386,7 @@
 	return outcome, found
 }
 
-// Reached is how far this replica has come: taken, synced and committed sequences.
+// Reached is how far this replica has come: appended, durable and committed sequences.
 func (s *Replica) Reached() [3]uint64 { return [3]uint64{s.seq, s.durableSeq, s.committed} }
 
 // Status is what an operator sees of the replica.
--- a/internal/store/replication.go
+++ b/internal/store/replication.go
@@ -150,7 +150,7 @@
 func (s *Replica) onAppendReply(from string, known *peer, counted bool, reply *schema.AppendReply) {
 	if reply.Refused {
 		s.highest = max(s.highest, reply.Higher)
-		// Who has no replica disturbs nobody, unless there is one for it.
+		// Who is no member disturbs nobody, unless there is a place for it.
 		wanted := counted || len(s.membership.Members) < int(s.membership.Wanted)
 		if (s.phase == active || s.phase == beginning) && reply.Higher > s.epoch && wanted {
 			s.stepDown()
@@ -232,7 +232,7 @@
 	}
 }
 
-// take appends an entry of the leader's own and hands it to the others.
+// appendOwn appends an entry of the leader's own and hands it to the others.
 func (s *Replica) appendOwn(entry *schema.Entry) {
 	s.append(entry)
 	s.persist(&schema.Record{Entries: []*schema.Entry{entry}}, afterSync{})
@@ -243,8 +243,8 @@
 	if !s.member() || s.phase != idle || !setup.Newer(&schema.Version{Epoch: snapshot.Epoch, Sequence: snapshot.Sequence}, s.holds()) {
 		return
 	}
-	// Stable state may be taken even under a later promise: a majority has it already, so
-	// whoever was votedEpoch will read it too.
+	// Committed state may be taken even under a later vote: a majority has it already, so
+	// whoever was voted for will read it too.
 	if snapshot.Epoch > s.votedEpoch {
 		s.recordVote(snapshot.Epoch, "")
 	}
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -301,7 +301,7 @@
 // timesKept is how many sequences the tracer can still be told of.
 const timesKept = 4096
 
-// noteTimes writes down when sequences were first taken, synced and committed here; the caller
+// noteTimes writes down when sequences were first appended, durable and committed here; the caller
 // holds the lock.
 func (s *Server) noteTimes() {
 	now := s.replica.Reached()
@@ -413,7 +413,7 @@
 	s.lock.Lock()
 	address := s.replica.Addresses()[name]
 	s.lock.Unlock()
-	// Seats that are named by their IPs are found by their names.
+	// Replicas that are named by their IPs are found by their names.
 	if address == "" && s.options.Order == "" {
 		address = placeOf(s.options, name)
 	}
@@ -572,7 +572,7 @@
 	}
 }
 
-// Offer takes a change from the registry of this machine and answers once it is settled.
+// Propose takes a change from the registry of this machine and answers once it is settled.
 func (s *Server) Propose(ctx context.Context, submit *schema.Proposal) (*schema.ProposalReply, error) {
 	result, _ := s.await(ctx, func(now time.Duration, ticket string) []Action {
 		return s.replica.Propose(now, &schema.Proposal{Ticket: ticket, Change: submit.Change, DutyEpoch: submit.DutyEpoch})
@@ -583,7 +583,7 @@
 	return result, nil
 }
 
-// Stand answers with a committed sequence that no yes given before lies above.
+// ReadIndex answers with a committed sequence that no yes given before lies above.
 func (s *Server) ReadIndex(ctx context.Context, _ *schema.Nothing) (*schema.ReadIndexReply, error) {
 	result, _ := s.await(ctx, func(now time.Duration, ticket string) []Action {
 		return s.replica.ReadIndex(now, ticket)
