Pack calls to a version that is given more of them, so that it shows what it does under load

Change: while a plan by its term is in its ramp, calls to its version fill the workers one after the other, up to four fifths of their slots, the same ones at every proxy. And the trial keeps in reserve what a version may come to while it has all calls for as long as a plan looks at it then.

Tests: TestPackedCallsFillWorkersInTurn, TestBadOnFullWorkersKeepsTheBound.

--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -71,6 +71,8 @@
 	failBefore = 4.0  // calls that it is taken to have served well before any was seen
 	failDoubts = 2.0  // and it is given the benefit of so many standard errors of what was seen
 
+	packUpTo = 0.8 // of its slots that a worker is given where calls are packed
+
 	fullTimes = 2.0 // a worker that was full is for calls that have this many times its pace left beside the wait
 
 	candidatesMost = 8 // a plan has no more; who is through with them makes another
@@ -117,7 +119,10 @@
 // place picks workers for a call, in the order in which to try them: of the own zone first unless
 // that would make the call late, the likely quickest in front; then those without room, then
 // those that fail.
-func place(pool []Candidate, aim time.Duration, options Options, facts Facts, now time.Duration, dice Dice) []Candidate {
+//
+// Packed, the calls of all proxies go to as few workers as have room for them: so each of these shows
+// what it does under load, though there is less to do than the pool has room for.
+func place(pool []Candidate, packed bool, aim time.Duration, options Options, facts Facts, now time.Duration, dice Dice) []Candidate {
 	if len(pool) == 0 {
 		return nil
 	}
@@ -140,6 +145,11 @@
 		p.groups[near], p.groups[far] = p.groups[far], p.groups[near]
 	}
 	chosen := make([]Candidate, 0, min(len(p.looked), candidatesMost))
+	if packed {
+		if first := p.takeFirstWithRoom(); first >= 0 {
+			chosen = append(chosen, pool[first])
+		}
+	}
 	for _, group := range p.groups {
 		for len(group) > 0 && len(chosen) < candidatesMost {
 			best := p.draw(group)
@@ -151,6 +161,28 @@
 	return chosen
 }
 
+// takeFirstWithRoom takes, of the workers that tell their slots and have room by the bound for
+// packing, the first by name, so that all proxies take the same; it gives its place in the pool, -1 for
+// none.
+func (p *placing) takeFirstWithRoom() int {
+	best, from, place := -1, 0, 0
+	for _, group := range []int{near, far} {
+		for i, looked := range p.groups[group] {
+			one := &p.looked[looked]
+			room := float64(one.seen.InFlight)+one.seen.Others+1 <= packUpTo*float64(one.seen.Slots)
+			if room && (best < 0 || p.pool[one.at].Instance < p.pool[best].Instance) {
+				best, from, place = one.at, group, i
+			}
+		}
+	}
+	if best >= 0 {
+		group := p.groups[from]
+		group[place] = group[len(group)-1]
+		p.groups[from] = group[:len(group)-1]
+	}
+	return best
+}
+
 // look rates workers from a place in the pool on, at most so many near and far ones, and sorts
 // them into groups.
 func (p *placing) look(start, nearMost, farMost int) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -144,7 +144,7 @@
 	if request.Idempotency != "" && made.Class == setup.Once {
 		made.Candidates = rendezvous(pool, request.Caller+"\x00"+request.Idempotency, func(one *Candidate) bool { return facts.See(one, now).Unreached })
 	} else {
-		made.Candidates = place(pool, made.Aim, options, facts, now, dice)
+		made.Candidates = place(pool, view.Setup.Proving(made.Service, verdict.Version), made.Aim, options, facts, now, dice)
 	}
 	return made, nil
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -358,3 +358,33 @@
 		t.Errorf("%+v, %v", made, err)
 	}
 }
+
+// Where a version is to show how it bears its calls, all proxies fill its workers one after the other;
+// who fails, or is not reached, is passed by, and where none has room the usual order holds.
+func TestPackedCallsFillWorkersInTurn(t *testing.T) {
+	pool := workers("w2", "far1", "w1")
+	for i := range pool {
+		pool[i].Slots, pool[i].Pace = 10, 10*time.Millisecond
+	}
+	dice := rand.New(rand.NewPCG(1, 2)).Float64
+	for name, one := range map[string]struct {
+		facts facts
+		want  string
+	}{
+		"all idle":                   {facts{}, "far1"},
+		"one has its part":           {facts{inFlight: map[string]int{"far1": 8}}, "w1"},
+		"one nearly has":             {facts{inFlight: map[string]int{"far1": 7}}, "far1"},
+		"two have theirs":            {facts{inFlight: map[string]int{"far1": 8, "w1": 9}}, "w2"},
+		"one is not reached":         {facts{lost: map[string]bool{"far1": true}}, "w1"},
+		"all are beyond their parts": {facts{inFlight: map[string]int{"far1": 9, "w1": 9, "w2": 9}}, ""},
+	} {
+		for _, area := range []string{"near", "far"} {
+			for range 50 {
+				got := place(pool, true, 0, Options{Area: area, HorizonMost: time.Second}, one.facts, time.Second, dice)
+				if len(got) != len(pool) || one.want != "" && got[0].Instance != one.want {
+					t.Fatalf("%s, from %s: %v first of %d, want %s", name, area, got[0].Instance, len(got), one.want)
+				}
+			}
+		}
+	}
+}
--- a/internal/release/term.go
+++ b/internal/release/term.go
@@ -53,7 +53,7 @@
 		return o.TrialShare
 	}
 	turn := seen.Turn.Seconds()
-	reserve := (probeShare/100.0*backTurns + backTurns) * turn
+	reserve := (probeShare/100.0*backTurns + wholeTurns) * turn
 	calls := o.BadShare*over.Seconds()*seen.Rate + o.BadMargin - reserve*seen.Rate
 	return max(trialFloor*o.TrialShare, min(o.TrialShare, 100*calls/(seen.Rate*o.FinishAt*over.Seconds())))
 }
--- a/internal/release/term_test.go
+++ b/internal/release/term_test.go
@@ -172,9 +172,9 @@
 	}
 }
 
-// A version that fails only under load, and then only one call in twenty-five, shows that with all
-// calls alone. It must not come to more than its part of all calls, and must not take over.
-func TestBadUnderLoadKeepsTheBound(t *testing.T) {
+// underLoad lets a version fail so many of each four dozen calls, but only once it has all of a
+// service's calls, and tells how its plan stands and how many calls it came to.
+func underLoad(t *testing.T, failing uint64) (stands setup.Progress, calls, most uint64) {
 	const rate, over = 250, 14 * time.Second
 	w := termWorldOf(t)
 	w.work("1", 4000, 8, 20*time.Millisecond, 0)
@@ -182,20 +182,36 @@
 	ticks := 0
 	for time.Duration(w.progress().Elapsed) < over && w.progress().State != Done && w.progress().State != Back {
 		w.run(125*time.Millisecond, rate, func() (uint64, time.Duration) {
-			if ticks++; w.progress().Share < 100 || ticks%4 != 0 {
+			if ticks++; w.progress().Share < 100 || ticks%4 != 0 && failing < 12 {
 				return 0, 20 * time.Millisecond
 			}
-			return 5, 20 * time.Millisecond
+			return failing, 20 * time.Millisecond
 		})
+		if proves := w.compiled().Proving("shop", "2"); proves != (w.progress().State == Ramp) {
+			t.Fatalf("at %v it is told to prove itself: %t", w.progress(), proves)
+		}
 	}
-	calls := uint64(0)
 	for key, line := range w.works {
 		if key[0] == "2" {
 			calls += line.Calls
 		}
 	}
-	if most := uint64(0.1*rate*over.Seconds()) + 50; w.progress().State != Back || calls > most {
-		t.Errorf("the plan stands at %v after %d calls, of which %d are allowed", w.progress(), calls, most)
+	return w.progress(), calls, uint64(0.1*rate*over.Seconds()) + 50
+}
+
+// A version that fails only under load, and then only one call in twenty-five, shows that with all
+// calls alone. It must not come to more than its part of all calls, and must not take over.
+func TestBadUnderLoadKeepsTheBound(t *testing.T) {
+	if stands, calls, most := underLoad(t, 5); stands.State != Back || calls > most {
+		t.Errorf("the plan stands at %v after %d calls, of which %d are allowed", stands, calls, most)
+	}
+}
+
+// One that fails two calls in five once its workers are full, as they are where calls are packed,
+// keeps the bound.
+func TestBadOnFullWorkersKeepsTheBound(t *testing.T) {
+	if stands, calls, most := underLoad(t, 12); stands.State != Back || calls > most {
+		t.Errorf("the plan stands at %v after %d calls, of which %d are allowed", stands, calls, most)
 	}
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -231,6 +231,16 @@
 	return nil
 }
 
+// rampState is the state of a plan whose version is given more calls to show what it does with them.
+const rampState = "ramp"
+
+// Proving tells whether a plan that goes by its term gives a version more calls just now, to see how
+// it bears them.
+func (s *Setup) Proving(service, version string) bool {
+	planned, progress := s.Releases[service], s.Progress[service]
+	return planned != nil && progress != nil && planned.By == ByTerm && planned.Service == service && planned.Version == version && progress.State == rampState
+}
+
 // FallbackOf names a service's fallback version.
 func (s *Setup) FallbackOf(service string) string {
 	if one := s.Services[service]; one != nil {
