--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -385,8 +385,9 @@
 		go func() {
 			secured, peer, err := e.greet(ctx, raw)
 			if err != nil || !allowed[peer.Role] {
-				secured.Close()
+				// Counted first: whoever sees the end may look at the count.
 				e.Refused.Add(1)
+				secured.Close()
 				return
 			}
 			defer secured.Close()
