Notice when a caller leaves while its call is under way, and count it; nothing acts on it yet

A connection is read on by a goroutine of its own while its call is carried out; that read is the one that would wait for the next request anyway. The end of a stream is asked back with an interim answer, for a caller may have closed its sending side only. status shows counts of departures at the proxy that took the call and at the worker's.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -49,10 +49,14 @@
 	Works    *Works
 	// Soundness keeps what workers here came to, to be told with each answer; nil for not at all.
 	Soundness *Soundness
-	Speech    WorkerSpeech // nil for our own
-	seen      *Seen
-	memory    *Memory
-	kept      *turns
+	// Departures counts calls whose callers left; nil for not at all. A repeatable run may go on for
+	// OverrunMost after that was known.
+	Departures  *Departures
+	OverrunMost time.Duration
+	Speech      WorkerSpeech // nil for our own
+	seen        *Seen
+	memory      *Memory
+	kept        *turns
 }
 
 // worksMost is how many lines of work a runner keeps.
@@ -80,6 +84,9 @@
 	if runner.Works == nil {
 		runner.Works = NewWorks(worksMost)
 	}
+	if runner.Departures == nil {
+		runner.Departures = &Departures{}
+	}
 	return &runner
 }
 
@@ -221,8 +228,10 @@
 	began, given, result := r.Now(), left(), Unrun
 	// From here on it is the worker's time, and its version's doing.
 	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
+	leaving := followCaller(ctx, r.Now)
 	carried := r.give(ctx, held, carry, left, &result)
 	now := r.Now()
+	r.noteDeparture(leaving, carry, carried, now)
 	if result == Answered && carried.Status >= failedFrom {
 		result = Failed
 	}
@@ -237,6 +246,18 @@
 	return carried
 }
 
+// noteDeparture counts what became of a call whose caller left while it was handed over or run.
+func (r *Runner) noteDeparture(leaving *departure, carry *schema.Carry, carried *schema.Carried, now time.Duration) {
+	at, left := leaving.end()
+	switch {
+	case !left || carried.Ending == schema.Ending_ENDING_NOT_RUN:
+	case carry.Once:
+		r.Departures.Kept.Add(1)
+	default:
+		r.Departures.ranOn(now-at, r.OverrunMost)
+	}
+}
+
 // marginParts is the part of the time left that a worker is not given: its word that time ran
 // out for it then still comes, and the connection stays.
 const marginParts = 64
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/socket"
 )
 
@@ -38,8 +39,10 @@
 	leaving *atomic.Bool
 	// carried hears how many bytes of answers were written; may be nil.
 	carried func(bytes int)
-	serve   func(head *Head, body []byte, came time.Time, reply *Reply)
-	refuse  func(head *Head, err error, reply *Reply)
+	// departures counts callers that leave while a call of theirs is under way.
+	departures *dispatch.Departures
+	serve      func(head *Head, body []byte, came time.Time, reply *Reply)
+	refuse     func(head *Head, err error, reply *Reply)
 	// room is how many bytes of large bodies may be held at once; taken is how many are.
 	room  int64
 	taken atomic.Int64
@@ -62,7 +65,7 @@
 )
 
 func newFront(listener net.Listener, most int, room int64, leaving *atomic.Bool, bounds func() bounds) *front {
-	return &front{listener: listener, bounds: bounds, most: most, room: room, leaving: leaving, talks: map[*talk]struct{}{}, gone: make(chan struct{})}
+	return &front{listener: listener, bounds: bounds, most: most, room: room, leaving: leaving, talks: map[*talk]struct{}{}, gone: make(chan struct{}), departures: &dispatch.Departures{}}
 }
 
 // run takes connections until the listener is closed.
@@ -168,15 +171,24 @@
 	writeBy time.Time
 	quietAt atomic.Int64 // since when nothing is owed on it, 0 while a request is
 	head    Head
-	held    int64 // bytes of a large body that are counted
-	reply   Reply
-	out     []byte
+	// While a call is under way the buffer is its watch's, which tells here what came.
+	watching   bool
+	watchEnded chan watched
+	inputEnded atomic.Bool // the caller sends nothing more on this connection
+	// writing guards who may write: the watch until the answer is on its way, then nobody else.
+	writing   sync.Mutex
+	answering bool
+	gone      bool  // the caller left while its call was under way
+	extended  bool  // the watch moved the deadline for reading
+	held      int64 // bytes of a large body that are counted
+	reply     Reply
+	out       []byte
 }
 
 func (t *talk) run() {
 	defer t.front.leave(t)
 	defer t.conn.Close()
-	t.buffer = make([]byte, firstRead)
+	t.buffer, t.watchEnded = make([]byte, firstRead), make(chan watched, 1)
 	for t.exchange() {
 	}
 }
@@ -205,8 +217,13 @@
 		}
 		return false
 	}
+	t.startWatch()
 	t.front.serve(&t.head, body, came, &t.reply)
-	closes := t.head.closes || t.front.leaving.Load()
+	t.beginAnswer()
+	if t.inputEnded.Load() && !t.gone {
+		t.front.departures.HalfClosed.Add(1)
+	}
+	closes := t.head.closes || t.front.leaving.Load() || t.inputEnded.Load()
 	return t.write(closes) == nil && !closes
 }
 
@@ -224,7 +241,15 @@
 
 // fill reads what is there into the buffer, which has room for at least one byte.
 func (t *talk) fill() error {
-	count, err := t.conn.Read(t.buffer[t.have:])
+	var count int
+	var err error
+	if t.watching {
+		count, err = t.takeWatched()
+	}
+	// A deadline that the watch met may have been moved since.
+	if count == 0 && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		count, err = t.conn.Read(t.buffer[t.have:])
+	}
 	t.have += count
 	if count > 0 {
 		return nil
@@ -235,14 +260,21 @@
 	return err
 }
 
+// resetBuffer makes room for what comes next, where nothing that came is left. A buffer that one large
+// head needed is not kept for the small ones after it.
+func (t *talk) resetBuffer() {
+	t.at, t.have = 0, 0
+	if len(t.buffer) > firstRead {
+		t.buffer = make([]byte, firstRead)
+	}
+}
+
 // readHead reads a request's head, and tells when its first byte was seen.
 func (t *talk) readHead(limits bounds) (time.Time, error) {
 	t.head = Head{Fields: t.head.Fields[:0], kept: t.head.kept[:0]}
 	if t.at == t.have {
-		t.at, t.have = 0, 0
-		// A buffer that one large head needed is not kept for the small ones after it.
-		if len(t.buffer) > firstRead {
-			t.buffer = make([]byte, firstRead)
+		if !t.watching {
+			t.resetBuffer()
 		}
 		now := time.Now()
 		t.wait(now, limits.quiet)
@@ -485,12 +517,7 @@
 		out = append(out, "Connection: close\r\n"...)
 	}
 	out = append(out, "\r\n"...)
-	// A caller that reads nothing for long is not waited for.
-	quiet := t.front.bounds().quiet
-	if now := time.Now(); t.writeBy.Sub(now) < quiet/2 {
-		t.writeBy = now.Add(quiet)
-		_ = t.conn.SetWriteDeadline(t.writeBy)
-	}
+	t.boundWrite()
 	var err error
 	var count int64
 	if len(body) <= joinMost {
@@ -512,6 +539,15 @@
 	return err
 }
 
+// boundWrite bounds how long a write may take: a caller that reads nothing for long is not waited for.
+func (t *talk) boundWrite() {
+	quiet := t.front.bounds().quiet
+	if now := time.Now(); t.writeBy.Sub(now) < quiet/2 {
+		t.writeBy = now.Add(quiet)
+		_ = t.conn.SetWriteDeadline(t.writeBy)
+	}
+}
+
 // linger reads on for a while after a refusal: a connection closed on unread bytes is reset,
 // and the caller would never see why.
 func (t *talk) linger(limits bounds) {
--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -20,6 +20,7 @@
 	Host   string
 	Fields []Field
 
+	old      bool  // HTTP/1.0
 	closes   bool  // the caller wants no more on this connection
 	chunked  bool  // the body comes in chunks
 	length   int64 // of the body, if not
@@ -119,6 +120,7 @@
 	}
 	lengths, encodings, hosts := 0, 0, 0
 	old := strings.HasSuffix(line, " HTTP/1.0")
+	into.old = old
 	for {
 		line, rest, found = strings.Cut(rest, "\r\n")
 		if !found {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,6 +44,10 @@
 	workersMost = 256
 )
 
+// overrunParts is the part of the longest time that a call may take, for which a repeatable call may go on at
+// its worker once its caller is known to be gone.
+const overrunParts = 20
+
 // Server runs a proxy.
 type Server struct {
 	schema.DRPCHopUnimplementedServer
@@ -65,8 +69,9 @@
 	runner  *dispatch.Runner
 	carrier *dispatch.Carrier
 	tally   *dispatch.Tally
-	calls   atomic.Int64 // in flight, of callers here
-	hops    atomic.Int64 // in flight, from other proxies
+	left    dispatch.Departures // of callers while their calls were under way
+	calls   atomic.Int64        // in flight, of callers here
+	hops    atomic.Int64        // in flight, from other proxies
 	facts   *dispatch.Soundness
 	trials  *dispatch.Trials
 
@@ -248,7 +253,7 @@
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.life, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
 		Road: s.road, Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
-	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, Soundness: s.facts, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
+	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, Soundness: s.facts, Departures: &s.left, OverrunMost: time.Duration(given.HorizonMost) / overrunParts, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
 		},
@@ -312,6 +317,8 @@
 	Refused  uint64           `json:"refusedPeers"`
 	InCalls  int              `json:"callsInFlight"`
 	HopCalls int              `json:"hopsInFlight"`
+
+	Departures dispatch.DepartureCounts `json:"departures"` // of callers before their calls were answered
 }
 
 func (s *Server) status() Status {
@@ -325,7 +332,7 @@
 	registry, age, vouched := s.picture()
 	return Status{Registry: registry, Vouched: vouched, AgeMS: age.Milliseconds(), Known: known, Name: s.options.Name, Setup: held.setup.Sequence, Leased: s.gate.Open(), LeaseMS: (s.granted.Until() - s.now()).Milliseconds(),
 		Members: s.members.Load(), Sources: len(held.sources), Workers: s.workers.List(), Refused: s.ends.Refused.Load(),
-		InCalls: int(s.calls.Load()), HopCalls: int(s.hops.Load())}
+		InCalls: int(s.calls.Load()), HopCalls: int(s.hops.Load()), Departures: s.left.Counts()}
 }
 
 // ShownEvent is an event of the journal, in short.
@@ -414,6 +421,7 @@
 	}
 	made := newFront(listener, int(s.options.CallersMost), s.options.BodyMost, s.draining, s.bounds)
 	made.carried = s.road.Carry
+	made.departures = &s.left
 	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
 	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
 		s.serve(caller, head, body, came, reply)
