--- a/cmd/rehearsal/hollow.go
+++ b/cmd/rehearsal/hollow.go
@@ -27,6 +27,11 @@
 	if err != nil {
 		return options.Exit(program, err, os.Stderr), true
 	}
+	return places(program, folder, binaries)
+}
+
+// places settles where a run writes and where its programs are.
+func places(program string, folder, binaries *string) (code int, done bool) {
 	if *folder == "" {
 		made, err := os.MkdirTemp("", "rehearsal-")
 		if err != nil {
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -21,7 +21,7 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
-var words = map[string]func(args []string) int{"hollow": hollow, "slopes": slopes, "calls": calls}
+var words = map[string]func(args []string) int{"hollow": hollow, "slopes": slopes, "calls": calls, "soak": soak}
 
 func run(args []string) int {
 	if len(args) > 1 && args[0] == rehearsal.StandInStore {
@@ -62,21 +62,8 @@
 		fmt.Fprintf(os.Stderr, "rehearsal: no play is called %q; there are %s\n", *play, strings.Join(rehearsal.PlayNames(), ", "))
 		return 2
 	}
-	if *folder == "" {
-		made, err := os.MkdirTemp("", "rehearsal-")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "rehearsal:", err)
-			return 1
-		}
-		*folder = made
-	}
-	if *binaries == "" {
-		self, err := os.Executable()
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "rehearsal:", err)
-			return 1
-		}
-		*binaries = filepath.Dir(self)
+	if code, done := places("rehearsal", folder, binaries); done {
+		return code
 	}
 	var standing func(*rehearsal.Fleet)
 	if *keep {
--- a/internal/dispatch/departures.go
+++ b/internal/dispatch/departures.go
@@ -45,6 +45,18 @@
 		Kept: d.Kept.Load(), HandedLate: d.HandedLate.Load(), Overrun: d.Overrun.Load(), LongestMS: time.Duration(d.longest.Load()).Milliseconds()}
 }
 
+// Add adds other counts; of the longest run the longer counts.
+func (c *DepartureCounts) Add(other DepartureCounts) {
+	c.Noticed += other.Noticed
+	c.HalfClosed += other.HalfClosed
+	c.Dropped += other.Dropped
+	c.Stopped += other.Stopped
+	c.Kept += other.Kept
+	c.HandedLate += other.HandedLate
+	c.Overrun += other.Overrun
+	c.LongestMS = max(c.LongestMS, other.LongestMS)
+}
+
 // Violations is how often what must hold did not.
 func (c DepartureCounts) Violations() uint64 { return c.HandedLate + c.Overrun }
 
--- a/internal/rehearsal/caller.go
+++ b/internal/rehearsal/caller.go
@@ -139,27 +139,25 @@
 	case err != nil:
 		entry.Outcome = "unknown"
 	default:
-		c.read(&entry, response)
+		entry.read(response.StatusCode(), func(name string) string { return string(response.Header.Peek(name)) }, response.Body())
 	}
 	note(c.ledger, &c.ledger.Calls, entry)
 	return entry
 }
 
 // read takes the proxy's word for what happened, and checks the answer itself.
-func (c *Caller) read(entry *CallEntry, response *fasthttp.Response) {
-	entry.Status = response.StatusCode()
-	entry.Outcome = string(response.Header.Peek(dispatch.HeaderOutcome))
-	entry.Version = string(response.Header.Peek(dispatch.HeaderVersion))
-	entry.Setup, _ = strconv.ParseUint(string(response.Header.Peek(dispatch.HeaderSetup)), 10, 64)
-	entry.Tries, _ = strconv.Atoi(string(response.Header.Peek(dispatch.HeaderTries)))
-	if entry.Outcome == "answered" {
+func (e *CallEntry) read(status int, header func(name string) string, body []byte) {
+	e.Status, e.Outcome, e.Version = status, header(dispatch.HeaderOutcome), header(dispatch.HeaderVersion)
+	e.Setup, _ = strconv.ParseUint(header(dispatch.HeaderSetup), 10, 64)
+	e.Tries, _ = strconv.Atoi(header(dispatch.HeaderTries))
+	if e.Outcome == "answered" {
 		var got standin.Reply
-		if json.Unmarshal(response.Body(), &got) == nil {
-			entry.Echoed, entry.Worker, entry.Whole = got.Op, got.Worker, got.Whole()
+		if json.Unmarshal(body, &got) == nil {
+			e.Echoed, e.Worker, e.Whole = got.Op, got.Worker, got.Whole()
 		}
 		return
 	}
 	var refusal struct{ Defect, Outcome string }
-	_ = json.Unmarshal(response.Body(), &refusal)
-	entry.Defect, entry.Outcome = refusal.Defect, refusal.Outcome
+	_ = json.Unmarshal(body, &refusal)
+	e.Defect, e.Outcome = refusal.Defect, refusal.Outcome
 }
--- a/internal/rehearsal/deployment.go
+++ b/internal/rehearsal/deployment.go
@@ -56,6 +56,15 @@
 			{"stock", "orders", "/orders/stock", "GET", false, 0.3, true},
 			{"ranking", "search", "/search/ranking", "GET", false, 0.4, true},
 		}},
+	// As many processes as one machine bears beside its other work.
+	"wide": {Name: "wide", Edges: 120, Cores: 3, Areas: 4, Rate: 240, Internal: 0.2,
+		Services: []ServicePlan{{"shop", 60}, {"saves", 60}},
+		Routes: []RoutePlan{
+			{"shop-buy", "shop", "/shop/buy", "POST", true, 0.4, false},
+			{"shop-look", "shop", "/shop/look", "GET", false, 0.3, false},
+			{"save-commit", "saves", "/saves/commit", "POST", true, 0.3, false},
+			{"check-slot", "saves", "/saves/slot", "GET", false, 1, true},
+		}},
 	"small": {Name: "small", Edges: 6, Cores: 3, Areas: 2, Rate: 60, Internal: 0.2,
 		Services: []ServicePlan{{"shop", 3}, {"saves", 3}},
 		Routes: []RoutePlan{
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -48,10 +48,13 @@
 	done chan struct{}
 }
 
-// Start runs the process.
+// Start runs the process, unless it runs already.
 func (p *Process) Start() error {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if p.running() {
+		return nil
+	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
 	if err != nil {
 		return defect.Wrap(err, defect.DiskFailed, p.log)
@@ -71,16 +74,24 @@
 	return nil
 }
 
-// Signal sends a signal to the process, and to no other.
-func (p *Process) Signal(signal syscall.Signal) {
-	p.lock.Lock()
-	defer p.lock.Unlock()
+// running tells whether the process runs; the caller holds the lock.
+func (p *Process) running() bool {
 	if p.cmd == nil {
-		return
+		return false
 	}
 	select {
 	case <-p.done:
+		return false
 	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process, and to no other.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.running() {
 		_ = p.cmd.Process.Signal(signal)
 	}
 }
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -18,7 +18,9 @@
 }
 
 // away tells whether a call was turned away with the mesh's own error, or lost with its proxy.
-func (c *CallEntry) away() bool { return c.Outcome != "answered" && c.Outcome != "unsent" }
+func (c *CallEntry) away() bool {
+	return c.Outcome != "answered" && c.Outcome != "unsent" && c.Outcome != outcomeLeft
+}
 
 // examplesMost bounds what is printed of each rule.
 const examplesMost = 5
@@ -249,6 +251,44 @@
 			f.breach("%s", lost)
 		}
 	}},
+	{"a call that a worker is at is answered, whatever is planned", func(l *Ledger, _ *Deployment, f *Finding) {
+		runs := runsByOp(l)
+		for _, call := range l.Calls {
+			if call.Outcome != "unknown" || call.Status != 0 || len(runs[call.Op]) == 0 {
+				continue
+			}
+			if f.Judged++; l.blamed(call) == "" {
+				f.breach("%s at %s, sent at %v, ended without an answer at %v; it ran: %v", call.Op, call.Proxy, call.Sent, call.Got, runs[call.Op])
+			}
+		}
+	}},
+	{"workers are freed when the callers of repeatable calls leave", func(l *Ledger, _ *Deployment, f *Finding) {
+		if l.DepartBound == 0 {
+			return
+		}
+		ends := map[string][]EndEntry{}
+		for _, end := range l.Ends {
+			ends[end.Op] = append(ends[end.Op], end)
+		}
+		for _, call := range l.Calls {
+			if call.Outcome != outcomeLeft || call.Once || l.muted(call.Sent, call.Got+l.DepartBound) {
+				continue
+			}
+			for _, end := range ends[call.Op] {
+				if f.Judged++; end.At > call.Got+l.DepartBound {
+					f.breach("%s ran at %s for %v after its caller left at %v", call.Op, end.Worker, end.At-call.Got, call.Got)
+				}
+			}
+		}
+	}},
+	{"no proxy counts a breach of what must hold of departures", func(l *Ledger, _ *Deployment, f *Finding) {
+		for life, counts := range l.Departures {
+			f.Judged += int(counts.Noticed + counts.Dropped + counts.Stopped + counts.Kept)
+			for range counts.Violations() {
+				f.breach("%s: %+v", life, counts)
+			}
+		}
+	}},
 	{"no proper call is turned away without cause", func(l *Ledger, _ *Deployment, f *Finding) {
 		if !l.Timed {
 			return
@@ -286,6 +326,19 @@
 	return ""
 }
 
+// muteAfter is how long after the end of a fault that holds up what proxies tell each other its traces last.
+const muteAfter = 3 * time.Second
+
+// muted tells whether word from one proxy to another may have been held up at some time of a span.
+func (l *Ledger) muted(from, to time.Duration) bool {
+	for _, fault := range l.Faults {
+		if fault.Mute && fault.At < to && (fault.End == 0 || fault.End+muteAfter > from) {
+			return true
+		}
+	}
+	return false
+}
+
 func runsByOp(l *Ledger) map[string][]RunEntry {
 	runs := map[string][]RunEntry{}
 	for _, run := range l.Runs {
--- a/internal/rehearsal/ledger.go
+++ b/internal/rehearsal/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"meadowhinge/internal/dispatch"
 )
 
 // CallEntry is one request as its caller saw it.
@@ -40,6 +42,14 @@
 	Ill     bool          `json:"ill"` // it failed, or was far too slow
 }
 
+// EndEntry is the end of a run that was asked to take its time.
+type EndEntry struct {
+	Op     string        `json:"op"`
+	Worker string        `json:"worker"`
+	At     time.Duration `json:"at"`
+	Broken bool          `json:"broken"` // its connection ended before it did
+}
+
 // BadEntry is a version that is bad from a time on.
 type BadEntry struct {
 	Service string        `json:"service"`
@@ -92,6 +102,7 @@
 	End   time.Duration `json:"end,omitempty"`   // 0: when the next fault came
 	Costs bool          `json:"costs,omitempty"` // it may turn callers away
 	Core  bool          `json:"core,omitempty"`  // it takes a core machine, which costs nothing alone
+	Mute  bool          `json:"mute,omitempty"`  // it holds up what proxies tell each other
 }
 
 // Ledger is all that was seen from outside the mesh.
@@ -99,6 +110,7 @@
 	lock    sync.Mutex
 	Calls   []CallEntry
 	Runs    []RunEntry
+	Ends    []EndEntry
 	Changes []ChangeEntry
 	Leaves  []LeaveEntry
 	Shown   []ShownEntry
@@ -109,6 +121,10 @@
 	// more where the machine is not to be trusted with time.
 	LeaveBound time.Duration
 	Lease      time.Duration
+	// DepartBound is how long a worker may go on with a repeatable call after its caller left; 0 for not judged.
+	DepartBound time.Duration
+	// Departures are the counts of each life of each proxy, as far as they could be asked for.
+	Departures map[string]dispatch.DepartureCounts
 	// Timed: callers turned away without cause are breaches, not only counted.
 	Timed bool
 	// Survived is how many acknowledged changes were there at the end; Lost are the others.
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -12,10 +12,11 @@
 
 // Play is a piece of faults, each at its part of the length of the load.
 type Play struct {
-	relayEdges bool // links between edges go through relays too, so that they can be cut
-	releases   bool // flags start with the old version only, and plans move them
-	disks      bool // stores run on a disk that can be made slow
-	random     bool // faults are drawn by the seed
+	relayEdges bool  // links between edges go through relays too, so that they can be cut
+	releases   bool  // flags start with the old version only, and plans move them
+	disks      bool  // stores run on a disk that can be made slow
+	pace       *pace // faults are drawn by the seed, at a pace
+	leavers    bool  // some callers leave before they are answered
 	acts       []act
 }
 
@@ -45,7 +46,8 @@
 	"gone":     {releases: true, acts: brakingGone},
 	"load":     {releases: true, acts: brakingLoad},
 	"long":     {acts: long},
-	"random":   {relayEdges: true, disks: true, random: true},
+	"random":   {relayEdges: true, disks: true, pace: &pace{every: 6 * time.Second, lasts: 12 * time.Second, closing: 25 * time.Second, most: 8}},
+	"soak":     {relayEdges: true, disks: true, leavers: true, pace: &pace{every: 800 * time.Millisecond, lasts: 4 * time.Second, closing: 5 * time.Second, most: 3}},
 }
 
 // PlayNames lists the plays.
@@ -53,8 +55,8 @@
 
 // play goes through a piece and waits for the end of the load's time.
 func (c *cast) play(piece *Play, length time.Duration, say func(string, ...any)) {
-	if piece.random {
-		c.randomly(length, say)
+	if piece.pace != nil {
+		c.randomly(piece.pace, length, say)
 		return
 	}
 	start := c.now()
--- a/internal/rehearsal/random.go
+++ b/internal/rehearsal/random.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,6 +24,33 @@
 
 func nothing() {}
 
+// mute are the faults that hold up what proxies tell each other.
+var mute = map[string]bool{"proxy killed": true, "a herd of proxies killed": true, "proxy frozen": true, "edge machine cut off": true,
+	"link between two edges lost one way": true, "lossy links of an edge": true}
+
+// seriesMost is how many processes a series takes at the most, and seriesGap is between two of them.
+const (
+	seriesMost = 4
+	seriesGap  = 400 * time.Millisecond
+)
+
+// series does something to proxies one after the other, without waiting for the one before; the second
+// function waits for all.
+func (c *cast) series(dice *rand.Rand, do func(*Process)) (string, func()) {
+	first, count := c.machine(dice), 2+dice.IntN(seriesMost-1)
+	var names []string
+	var doing sync.WaitGroup
+	for i := range count {
+		proxy := c.fleet.Proxies[(first+i)%len(c.fleet.Proxies)]
+		names = append(names, proxy.Name)
+		doing.Go(func() {
+			time.Sleep(time.Duration(i) * seriesGap)
+			do(proxy)
+		})
+	}
+	return strings.Join(names, " "), doing.Wait
+}
+
 // machine draws a proxy, and core draws a core machine.
 func (c *cast) machine(dice *rand.Rand) int { return dice.IntN(c.options.Deployment.Edges) }
 func (c *cast) core(dice *rand.Rand) int    { return dice.IntN(c.options.Deployment.Cores) }
@@ -108,6 +136,19 @@
 		}()
 		return proxy.Name, func() { <-done }
 	}},
+	{"proxies restarted politely in series", false, false, func(c *cast, dice *rand.Rand) (string, func()) {
+		return c.series(dice, func(proxy *Process) {
+			proxy.Stop(15 * time.Second)
+			_ = proxy.Start()
+		})
+	}},
+	{"settings changed in series", false, false, func(c *cast, dice *rand.Rand) (string, func()) {
+		failures := strconv.Itoa(5 + dice.IntN(4))
+		return c.series(dice, func(proxy *Process) {
+			_ = proxy.configure(map[string]string{"failures-most": failures})
+			proxy.Signal(syscall.SIGHUP)
+		})
+	}},
 	{"proxy killed", true, false, func(c *cast, dice *rand.Rand) (string, func()) {
 		proxy := c.fleet.Proxies[c.machine(dice)]
 		proxy.Kill()
@@ -274,16 +315,17 @@
 	return true
 }
 
-// Ratios of the random play.
-const (
-	drawEvery = 6 * time.Second // mean time between two faults
-	drawLasts = 12 * time.Second
-	closing   = 25 * time.Second // of the length that is left free of new faults
-)
+// pace is how densely faults are drawn.
+type pace struct {
+	every   time.Duration // mean time between two faults
+	lasts   time.Duration // the longest that one lasts
+	closing time.Duration // of the length that is left free of new faults
+	most    int           // at once
+}
 
 // randomly draws faults by the seed, lets them come and go in combination, mends all, and
 // measures how long the fleet then takes to be back.
-func (c *cast) randomly(length time.Duration, say func(string, ...any)) {
+func (c *cast) randomly(pace *pace, length time.Duration, say func(string, ...any)) {
 	dice := rand.New(rand.NewPCG(c.options.Seed, 77))
 	type pending struct {
 		at    time.Duration
@@ -293,7 +335,7 @@
 	}
 	var open []pending
 	start, coreBusy := c.now(), false
-	next := start + time.Duration(dice.Int64N(int64(drawEvery)))
+	next := start + time.Duration(dice.Int64N(int64(pace.every)))
 	finish := func(one pending) {
 		one.end()
 		c.ledger.lock.Lock()
@@ -301,7 +343,7 @@
 		c.ledger.lock.Unlock()
 		say("%6.1f s:   over: %s", c.now().Seconds(), c.ledger.Faults[one.entry].What)
 	}
-	for c.now()-start < length-closing {
+	for c.now()-start < length-pace.closing {
 		time.Sleep(100 * time.Millisecond)
 		for i := 0; i < len(open); i++ {
 			if one := open[i]; c.now() >= one.at {
@@ -320,13 +362,13 @@
 		if c.now() < next {
 			continue
 		}
-		next = c.now() + time.Duration(dice.Int64N(int64(2*drawEvery)))
+		next = c.now() + time.Duration(dice.Int64N(int64(2*pace.every)))
 		chosen := drawnFaults[dice.IntN(len(drawnFaults))]
-		lasts := time.Duration(dice.Int64N(int64(drawLasts)))
-		if chosen.core && coreBusy {
+		lasts := time.Duration(dice.Int64N(int64(pace.lasts)))
+		if len(open) >= pace.most || (chosen.core && coreBusy) {
 			continue
 		}
-		entry := FaultEntry{What: chosen.what, At: c.now(), Costs: chosen.costs, Core: chosen.core}
+		entry := FaultEntry{What: chosen.what, At: c.now(), Costs: chosen.costs, Core: chosen.core, Mute: mute[chosen.what]}
 		c.ledger.lock.Lock()
 		c.ledger.Faults = append(c.ledger.Faults, entry)
 		place := len(c.ledger.Faults) - 1
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"meadowhinge/internal/defect"
+	"meadowhinge/internal/dispatch"
 )
 
 // Options say what to rehearse.
@@ -31,6 +32,8 @@
 	Delay      time.Duration // that a worker takes for a request
 	Rate       float64       // multiplies the deployment's rate
 	LeaveBound time.Duration
+	// DepartBound is how long a worker may go on with a repeatable call after its caller left; 0 for not judged.
+	DepartBound time.Duration
 	// Timed judges what hangs on how fast the machine is: who was turned away without cause.
 	Timed bool
 	Out   io.Writer
@@ -66,6 +69,8 @@
 	Survived int          `json:"survived"`
 	Shares   []ShareEntry `json:"shares,omitempty"`
 	Breaches int          `json:"breaches"`
+	// Departures is what the proxies counted of callers that left.
+	Departures dispatch.DepartureCounts `json:"departures"`
 }
 
 // Phase is what callers got from one fault to the next.
@@ -129,7 +134,7 @@
 	}()
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	ledger := &Ledger{LeaveBound: o.LeaveBound, Timed: o.Timed, Lease: o.Lease}
+	ledger := &Ledger{LeaveBound: o.LeaveBound, DepartBound: o.DepartBound, Timed: o.Timed, Lease: o.Lease}
 	for _, process := range append(append([]*Process(nil), fleet.Stores...), fleet.Registries...) {
 		if err := process.Start(); err != nil {
 			return nil, err
@@ -208,6 +213,15 @@
 			}()
 		}
 	}
+	if piece.leavers {
+		for edge, here := range callers {
+			for i := range leaversEach {
+				leaver := NewLeaver(here[0], fleet.CallerAddress(edge, clientKind), i)
+				own := rand.New(rand.NewPCG(o.Seed, dice.Uint64()))
+				calling.Go(func() { leaver.Run(stopCalls, own) })
+			}
+		}
+	}
 	for _, name := range []string{"ann", "ben"} {
 		changing.Add(1)
 		own := NewOperator(name, fleet, ledger, now)
@@ -216,6 +230,7 @@
 			own.Storm(stopChanges, 500*time.Millisecond, piece.releases)
 		}()
 	}
+	changing.Go(func() { cast.watchDepartures(stopChanges) })
 	changing.Add(2)
 	go func() {
 		defer changing.Done()
@@ -245,6 +260,7 @@
 		_, _ = operator.Shown(core)
 	}
 	cast.survived()
+	cast.noteDepartures()
 	for _, worker := range cast.workers {
 		worker.Kill()
 	}
@@ -252,7 +268,7 @@
 	stopped = true
 	report := cast.report(loaded, before, after)
 	report.Unclean, report.Resources = unclean, cast.resources
-	report.BackSeconds, report.Survived = cast.back.Seconds(), ledger.Survived
+	report.BackSeconds, report.Survived, report.Departures = cast.back.Seconds(), ledger.Survived, ledger.departures()
 	return report, nil
 }
 
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,6 +123,7 @@
 	if struck && ill.Load == 0 {
 		time.Sleep(ill.Delay)
 	}
+	w.work(call, op)
 	w.answer(call, op)
 	switch {
 	case !struck:
@@ -134,6 +137,29 @@
 	}
 }
 
+// work takes as long as a request asks, or until the connection that it came on ends.
+func (w *Worker) work(call *fasthttp.RequestCtx, op string) {
+	asked, err := strconv.Atoi(string(call.Request.Header.Peek(lastsHeader)))
+	if err != nil {
+		return
+	}
+	conn, ended := call.Conn(), make(chan bool, 1)
+	go func() {
+		// A proxy sends nothing before it has its answer, so what can be read is the end.
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	}()
+	broken := false
+	select {
+	case broken = <-ended:
+	case <-time.After(time.Duration(asked) * time.Millisecond):
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		broken = <-ended
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+	note(w.ledger, &w.ledger.Ends, EndEntry{op, w.name, w.now(), broken})
+}
+
 // directPath is for calls past the mesh.
 const directPath = "/direct"
 
