--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -10,7 +10,7 @@
 
 // Ratios to the time that SIGTERM leaves.
 const (
-	takePart  = 0.75 // in which calls are still taken, if they go on coming
+	takePart  = 0.65 // in which calls are still taken, if they go on coming
 	quietPart = 8    // of the notice: without a call for so long, none is thought to come any more
 	workPart  = 0.5  // of the notice, in which workers here still get work: what they have at hand ends within the rest
 	tickParts = 64   // how often it is looked at
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -21,8 +21,8 @@
 		"a call is in flight once noticed": {taking, 2000 * ms, 500 * ms, 1, taking},
 		"one came just now":                {taking, 2000 * ms, 1900 * ms, 0, taking},
 		"the last came a while ago":        {taking, 2300 * ms, 2000 * ms, 0, closing},
-		"calls come all the time":          {taking, 2990 * ms, 2980 * ms, 5, taking},
-		"and must be stopped":              {taking, 3000 * ms, 2980 * ms, 5, closing},
+		"calls come all the time":          {taking, 2590 * ms, 2580 * ms, 5, taking},
+		"and must be stopped":              {taking, 2600 * ms, 2580 * ms, 5, closing},
 		"those taken are in flight":        {closing, 3500 * ms, 2980 * ms, 1, closing},
 		"they have ended":                  {closing, 3500 * ms, 2980 * ms, 0, over},
 		"they have not":                    {closing, 4000 * ms, 2980 * ms, 1, over},
@@ -41,7 +41,7 @@
 		t.Error("where nobody has to notice the workers part at once")
 	}
 	// A notice longer than the time there is does not eat it all up.
-	if short := leavingOf(5000*ms, 4000*ms); short.next(taking, 3000*ms, 0, 0) != closing {
+	if short := leavingOf(5000*ms, 4000*ms); short.next(taking, 2600*ms, 0, 0) != closing {
 		t.Error("a long notice leaves no time to close")
 	}
 }
