--- a/internal/dispatch/departures.go
+++ b/internal/dispatch/departures.go
@@ -16,6 +16,7 @@
 type Departures struct {
 	Noticed    atomic.Uint64 // callers found gone while their call was under way
 	HalfClosed atomic.Uint64 // callers that ended only their sending side, and still read
+	Told       atomic.Uint64 // callers known to be gone at the worker's proxy, while it was handing their call over or it ran
 	Dropped    atomic.Uint64 // calls taken out of a worker's queue, unrun
 	Stopped    atomic.Uint64 // runs of repeatable calls that were ended for it
 	Kept       atomic.Uint64 // runs of calls that may not be repeated, which went on to their end
@@ -31,6 +32,7 @@
 type DepartureCounts struct {
 	Noticed    uint64 `json:"noticed"`
 	HalfClosed uint64 `json:"halfClosed"`
+	Told       uint64 `json:"told"`
 	Dropped    uint64 `json:"dropped"`
 	Stopped    uint64 `json:"stopped"`
 	Kept       uint64 `json:"kept"`
@@ -41,7 +43,7 @@
 
 // Counts gives the counts as they are now.
 func (d *Departures) Counts() DepartureCounts {
-	return DepartureCounts{Noticed: d.Noticed.Load(), HalfClosed: d.HalfClosed.Load(), Dropped: d.Dropped.Load(), Stopped: d.Stopped.Load(),
+	return DepartureCounts{Noticed: d.Noticed.Load(), HalfClosed: d.HalfClosed.Load(), Told: d.Told.Load(), Dropped: d.Dropped.Load(), Stopped: d.Stopped.Load(),
 		Kept: d.Kept.Load(), HandedLate: d.HandedLate.Load(), Overrun: d.Overrun.Load(), LongestMS: time.Duration(d.longest.Load()).Milliseconds()}
 }
 
@@ -49,6 +51,7 @@
 func (c *DepartureCounts) Add(other DepartureCounts) {
 	c.Noticed += other.Noticed
 	c.HalfClosed += other.HalfClosed
+	c.Told += other.Told
 	c.Dropped += other.Dropped
 	c.Stopped += other.Stopped
 	c.Kept += other.Kept
@@ -107,6 +110,7 @@
 		return
 	}
 	d.at = max(1, d.now())
+	d.counts.Told.Add(1)
 	if d.limited && d.most > 0 {
 		d.timer = time.AfterFunc(d.most, d.late)
 	}
--- a/internal/dispatch/departures_test.go
+++ b/internal/dispatch/departures_test.go
@@ -65,8 +65,8 @@
 		kind   defect.Kind
 		counts DepartureCounts
 	}{
-		"repeatable": {false, schema.Ending_ENDING_UNKNOWN, defect.CallerGone, DepartureCounts{Stopped: 1}},
-		"once":       {true, schema.Ending_ENDING_ANSWERED, "", DepartureCounts{Kept: 1}},
+		"repeatable": {false, schema.Ending_ENDING_UNKNOWN, defect.CallerGone, DepartureCounts{Told: 1, Stopped: 1}},
+		"once":       {true, schema.Ending_ENDING_ANSWERED, "", DepartureCounts{Told: 1, Kept: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -197,7 +197,7 @@
 			held := worker.next(t)
 			leave(conn)
 			eventuallyHolds(t, "noticed", func() bool { return m.here.Departures().Noticed == 1 })
-			eventuallyHolds(t, "told", func() bool { return m.there.Runs() == 1 })
+			eventuallyHolds(t, "told", func() bool { return m.there.Departures().Told == 1 })
 			close(held.release)
 			if !happens(held.done) {
 				t.Error("it was broken off")
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -89,19 +89,9 @@
 
 // Waiting is how many calls wait for the worker beside the proxy.
 func (l *Lone) Waiting() uint32 {
-	_, waiting := l.load()
-	return waiting
-}
-
-// Runs is how many calls the worker beside the proxy is at.
-func (l *Lone) Runs() uint32 {
-	running, _ := l.load()
-	return running
-}
-
-func (l *Lone) load() (running, waiting uint32) {
+	waiting := uint32(0)
 	for _, worker := range l.workers.List() {
-		running, waiting, _, _ = l.workers.Load(worker.Instance)
+		_, waiting, _, _ = l.workers.Load(worker.Instance)
 	}
-	return running, waiting
+	return waiting
 }
--- a/internal/proxy/front_test.go
+++ b/internal/proxy/front_test.go
@@ -280,8 +280,8 @@
 	quiet := func() (count int) {
 		counter.front.lock.Lock()
 		defer counter.front.lock.Unlock()
-		for one := range counter.front.talks {
-			if one.quietAt.Load() != 0 {
+		for one := range counter.front.connections {
+			if one.idleSince.Load() != 0 {
 				count++
 			}
 		}
--- a/internal/proxy/head_fuzz_test.go
+++ b/internal/proxy/head_fuzz_test.go
@@ -27,7 +27,7 @@
 // A line end before a request line is let be, also where its halves come apart.
 func TestLineEndInHalves(t *testing.T) {
 	for _, before := range []string{"", "\r\n", "\r\n\r\n"} {
-		one := &talk{front: newFront(nil, 1, 1, nil, nil), conn: &dripping{text: before + "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"}, buffer: make([]byte, firstRead)}
+		one := &connection{front: newFront(nil, 1, 1, nil, nil), conn: &dripping{text: before + "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"}, buffer: make([]byte, firstRead)}
 		if _, err := one.readHead(usual); err != nil || one.head.Target != "/a" {
 			t.Errorf("%q before: %q, %v", before, one.head.Target, err)
 		}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -33,92 +33,92 @@
 
 // startWatch begins to watch the connection. Where bytes of a next request have come already there is
 // no need: its caller waits for that one.
-func (t *talk) startWatch() {
-	if t.at < t.have {
+func (c *connection) startWatch() {
+	if c.at < c.have {
 		return
 	}
-	t.resetBuffer()
-	t.answering = false
-	t.watching = true
-	go t.watch(t.buffer, t.head.old)
+	c.resetBuffer()
+	c.answering = false
+	c.watching = true
+	go c.watch(c.buffer, c.head.old)
 }
 
 // watch reads into the connection's empty buffer until something comes, or the connection ends.
-func (t *talk) watch(into []byte, old bool) {
+func (c *connection) watch(into []byte, old bool) {
 	for {
-		count, err := t.conn.Read(into)
+		count, err := c.conn.Read(into)
 		// The deadline was for requests; a call may take longer.
-		if count == 0 && errors.Is(err, os.ErrDeadlineExceeded) && t.extend() {
+		if count == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
 			continue
 		}
 		if count == 0 && err != nil {
-			t.ended(err, old)
+			c.ended(err, old)
 		}
-		t.watchEnded <- watched{count, err}
+		c.watchEnded <- watched{count, err}
 		return
 	}
 }
 
 // extend moves the deadline for reading while a call is under way; false once it is answered.
-func (t *talk) extend() bool {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	if t.answering {
+func (c *connection) extend() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.answering {
 		return false
 	}
-	_ = t.conn.SetReadDeadline(time.Now().Add(t.front.bounds().quiet))
-	t.extended = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.front.bounds().quiet))
+	c.extended = true
 	return true
 }
 
 // ended finds out what the end of a connection means for the call under way. Callers of HTTP/1.0 know
 // no interim answers, and hardly one of them closes one side only.
-func (t *talk) ended(err error, old bool) {
+func (c *connection) ended(err error, old bool) {
 	if errors.Is(err, io.EOF) && !old {
-		t.inputEnded.Store(true)
-		if t.reads() {
+		c.inputEnded.Store(true)
+		if c.reads() {
 			return
 		}
 	}
-	t.left()
+	c.left()
 }
 
 // left ends the call under way, for its caller is gone; unless it has been answered.
-func (t *talk) left() {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	if !t.answering {
-		t.gone = true
-		t.end()
-		t.front.departures.Noticed.Add(1)
+func (c *connection) left() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if !c.answering {
+		c.gone = true
+		c.end()
+		c.front.departures.Noticed.Add(1)
 	}
 }
 
 // reads tells whether a caller that sends nothing more still reads: it is sent an interim answer, and
 // did not reset the connection on it by the time that its call is answered.
-func (t *talk) reads() bool {
-	sent, err := t.sendInterim()
+func (c *connection) reads() bool {
+	sent, err := c.sendInterim()
 	if err != nil {
 		return false
 	}
-	return !sent || !t.awaitReset()
+	return !sent || !c.awaitReset()
 }
 
 // sendInterim sends the interim answer, unless the final one is on its way.
-func (t *talk) sendInterim() (sent bool, err error) {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	if t.answering {
+func (c *connection) sendInterim() (sent bool, err error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.answering {
 		return false, nil
 	}
-	t.boundWrite()
-	_, err = io.WriteString(t.conn, interim)
+	c.boundWrite()
+	_, err = io.WriteString(c.conn, interim)
 	return true, err
 }
 
 // awaitReset waits until the other side resets the connection; false if this side ends it before.
-func (t *talk) awaitReset() bool {
-	plain, is := t.conn.(syscall.Conn)
+func (c *connection) awaitReset() bool {
+	plain, is := c.conn.(syscall.Conn)
 	if !is {
 		return false
 	}
@@ -132,7 +132,7 @@
 			reset = failed(handle)
 			return reset
 		})
-		if reset || err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !t.extend() {
+		if reset || err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
 			return reset
 		}
 	}
@@ -145,18 +145,18 @@
 }
 
 // takeWatched gives what the watch came to.
-func (t *talk) takeWatched() (int, error) {
-	result := <-t.watchEnded
-	t.watching = false
+func (c *connection) takeWatched() (int, error) {
+	result := <-c.watchEnded
+	c.watching = false
 	return result.count, result.err
 }
 
 // beginAnswer ends the watch's right to write and to move the deadline.
-func (t *talk) beginAnswer() {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	t.answering = true
-	if t.extended {
-		t.readBy, t.extended = time.Time{}, false
+func (c *connection) beginAnswer() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.answering = true
+	if c.extended {
+		c.readBy, c.extended = time.Time{}, false
 	}
 }
