--- a/internal/dispatch/departures_test.go
+++ b/internal/dispatch/departures_test.go
@@ -203,3 +203,36 @@
 		}
 	})
 }
+
+// A caller leaves at the very moment of its answer: whichever comes first, the next call on the same worker gets an
+// answer of its own, and no connection is left that a call was cut off on.
+func TestDeparturesCrossAnswers(t *testing.T) {
+	const rounds, took = 300, 100 * time.Millisecond
+	ended := map[schema.Ending]int{}
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStage(t)
+			instance, who := s.enter(t, "127.0.0.1:1", "shop", "1", "token")
+			who.answer = func(request string) string {
+				time.Sleep(took)
+				return whole(`{"request":"` + request + `"}`)
+			}
+			ctx, leave := context.WithCancel(t.Context())
+			time.AfterFunc(took, leave)
+			first, second := carry("r1", instance), carry("r2", instance)
+			first.Once, second.Once = false, false
+			got := s.runner.Run(ctx, client, first)
+			ended[got.Ending]++
+			if got.Ending == schema.Ending_ENDING_ANSWERED && string(got.Body) != `{"request":"r1"}` {
+				t.Errorf("the first got %q", got.Body)
+			}
+			if got = s.runner.Run(t.Context(), client, second); got.Ending != schema.Ending_ENDING_ANSWERED || string(got.Body) != `{"request":"r2"}` {
+				t.Errorf("the second ended %v with %q: %q", got.Ending, got.Defect, got.Body)
+			}
+			if counts := s.runner.Departures.Counts(); counts.Violations() > 0 {
+				t.Errorf("counted %+v", counts)
+			}
+		})
+	}
+	t.Logf("the first ended %v", ended)
+}
