--- /dev/null
+++ b/internal/link/called_off_test.go
@@ -0,0 +1,76 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"storj.io/drpc/drpcmux"
+
+	"meadowhinge/internal/link"
+	"meadowhinge/schema"
+)
+
+// waiting answers a request named "stays" at once, and any other when its caller is gone.
+type waiting struct {
+	schema.DRPCHopUnimplementedServer
+	came chan struct{}
+	gone chan struct{}
+}
+
+func (w *waiting) Run(ctx context.Context, carry *schema.Carry) (*schema.Carried, error) {
+	if carry.Request != "stays" {
+		w.came <- struct{}{}
+		<-ctx.Done()
+		w.gone <- struct{}{}
+	}
+	return &schema.Carried{Request: carry.Request}, nil
+}
+
+// A call that is called off ends at the other side too, and costs no other call anything: its link is not met
+// by one that comes next, however soon that is.
+func TestCalledOffCallsCostNoOthers(t *testing.T) {
+	const rounds, beside = 300, 4
+	server := &waiting{came: make(chan struct{}, rounds), gone: make(chan struct{}, rounds)}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterHop(mux, server); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	there, here := link.Plain("proxy", "there", nil), link.Plain("proxy", "here", nil)
+	go func() { _ = there.Serve(ctx, listener, mux, "proxy") }()
+	t.Cleanup(here.Close)
+	call := func(ctx context.Context, request string) error {
+		_, err := schema.NewDRPCHopClient(here.To(ctx, listener.Addr().String())).Run(ctx, &schema.Carry{Request: request})
+		return err
+	}
+	for range rounds {
+		leaving, leave := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- call(leaving, "leaves") }()
+		<-server.came
+		leave()
+		var others sync.WaitGroup
+		for range beside {
+			others.Go(func() {
+				if err := call(ctx, "stays"); err != nil {
+					t.Errorf("one that stayed: %v", err)
+				}
+			})
+		}
+		if err := <-ended; err == nil {
+			t.Error("a call that was called off was answered")
+		}
+		if err := call(ctx, "stays"); err != nil {
+			t.Errorf("the next: %v", err)
+		}
+		others.Wait()
+		<-server.gone
+	}
+}
