Let callers leave in the simulated world, and judge for how long workers go on for them

A world can have a part of its callers leave. The word of it takes the link's time, is lost with the link, and may overtake the call. In a world without faults a repeatable run must end within half a second of it; in any world the proxies' own counts of breaches stay 0, and all other rules hold. A proxy that does not tell the other one is a plant, and is seen. Other worlds draw and play as before.

Calls of 300 ms in a calm world run past their deadline at times, with callers that leave or without: that is why the calm world's take 100.

--- a/internal/simulator/cast.go
+++ b/internal/simulator/cast.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -238,7 +239,19 @@
 			w.observed(one, fails)
 			w.lock.Unlock()
 		}
-		time.Sleep(took)
+		next := make(chan struct{})
+		if w.Options.Leaving > 0 {
+			done := false
+			done, next = labour(reader, took)
+			w.History.ended(w.time(), op, request.Header.Get(dispatch.HeaderRequest))
+			if !done {
+				w.eased(one)
+				return
+			}
+		} else {
+			close(next)
+			time.Sleep(took)
+		}
 		w.eased(one)
 		body, _ := json.Marshal(standin.NewReply(op, one.name, "xxxxxxxxxxxxxxxxxxxx"))
 		status := "200 OK"
@@ -254,6 +267,7 @@
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body); err != nil {
 			return
 		}
+		<-next
 	}
 }
 
@@ -391,12 +405,24 @@
 	}
 	done := make(chan *dispatch.Ended, 1)
 	carrier := node.carrier
+	ctx, leave := context.WithCancel(called(fmt.Sprint(one.id, "/", ask)))
+	// Elsewhere what a caller gave up goes on, as its proxy cannot tell.
+	defer func() {
+		if w.Options.Leaving > 0 {
+			leave()
+		}
+	}()
+	var leaves <-chan time.Time
+	if after, does := w.leaveAfter(one, ask); does {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		leaves = timer.C
+	}
 	go func() {
 		// What comes to a frozen machine waits there, and so does what it would answer.
 		if !w.thawed(&node.machine, life) {
 			return
 		}
-		ctx := called(fmt.Sprint(one.id, "/", ask))
 		if w.time() > entry.sent {
 			w.stagger(ctx)
 		}
@@ -414,6 +440,9 @@
 		if ended.Carried != nil {
 			entry.outcome = dispatch.OutcomeName(ended.Carried.Ending)
 		}
+	case <-leaves:
+		leave()
+		entry.outcome = outcomeLeft
 	case <-died:
 		entry.outcome = "unknown"
 	case <-patience.C:
--- a/internal/simulator/edge.go
+++ b/internal/simulator/edge.go
@@ -105,7 +105,7 @@
 	conns := node.conns
 	node.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: name, Incarnation: node.incarnation, Area: w.areaOf(node.index), Silence: 3, Most: 64, ConnsMost: 256,
 		BodyMost: 1 << 16, Now: now, Dial: func(address string) (net.Conn, error) { return w.dial(address, conns) }}, func() { w.workersChanged(node, life) })
-	node.runner = dispatch.NewRunner(dispatch.Runner{Workers: node.workers, Soundness: node.facts, View: view, Leased: leased, Now: now,
+	node.runner = dispatch.NewRunner(dispatch.Runner{Workers: node.workers, Soundness: node.facts, View: view, Leased: leased, Now: now, OverrunMost: lease / 16,
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			if held.View().Sequence() < sequence && !w.Options.Serving {
 				held.Wait(ctx, func(picture proxy.Picture) bool { return picture.Sequence() >= sequence })
@@ -136,7 +136,7 @@
 			return gate.Await(ctx)
 		}, Lagging: func() { node.lagging.Store(true) },
 		Leased: leased, Members: func() int { return int(node.members.Load()) }, Now: now, Dice: func() float64 { return w.own(name).Float64() }, SendOn: w.sender(node, life), Soundness: node.facts,
-		Trials: node.trials, Tally: node.tally, Claim: w.claimer(node, life, now), ClaimPause: lease / 64}).Start(remembered)
+		Patient: w.Options.Leaving > 0, Trials: node.trials, Tally: node.tally, Claim: w.claimer(node, life, now), ClaimPause: lease / 64}).Start(remembered)
 	if w.Options.Serving {
 		w.serveEdge(node)
 	} else {
@@ -165,6 +165,7 @@
 }
 
 func (w *World) endProxy(node *proxyNode) {
+	w.History.judgeDepartures(node)
 	w.fall(&node.machine)
 	node.open.Store(false)
 	node.conns.close()
@@ -371,6 +372,7 @@
 		case answer := <-answers:
 			return answer.carried, answer.err
 		case <-ctx.Done():
+			w.hangUp(node, candidate.Proxy, given.Request)
 			return nil, defect.New(defect.LinkLost, "no answer in time")
 		}
 	}
@@ -477,7 +479,11 @@
 		go runner.Run(context.Background(), stranger, forged)
 	}
 	done := make(chan *schema.Carried, 1)
-	go func() { done <- runner.Run(called(carry.Request), peer, carry) }()
+	ctx := called(carry.Request)
+	if w.Options.Leaving > 0 {
+		ctx = w.linkedCall(carry.Request)
+	}
+	go func() { done <- runner.Run(ctx, peer, carry) }()
 	go func() {
 		select {
 		case carried := <-done:
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -44,6 +44,7 @@
 	at      time.Duration
 	ask     int
 	request string // the dispatch
+	ended   time.Duration
 }
 
 // faultEntry is a fault and how long it went on.
@@ -80,6 +81,8 @@
 	Purges     int // how often tombstones were let go
 	purgedTo   uint64
 	HeldCalls  int
+	Left       int                      // callers that left before they were answered
+	Departures dispatch.DepartureCounts // of all lives of proxies
 	world      *World
 	yeses      []shown // by time, the highest acknowledged setup
 	yes        uint64
@@ -117,6 +120,7 @@
 	RuleRuling    = "a ruling changed"
 	RuleRecovery  = "not back within the bound"
 	RuleGood      = "a good version was turned back"
+	RuleGone      = "a worker went on for a caller that had left"
 	breachesShown = 5
 )
 
@@ -222,7 +226,7 @@
 		h.breach(RuleSent, "%v: %s ran %s (%s) as from %q", now, one.name, id, request, caller)
 		return
 	}
-	wanted.runs = append(wanted.runs, runEntry{one, now, ask, request})
+	wanted.runs = append(wanted.runs, runEntry{one, now, ask, request, 0})
 	if at, left := h.left[one.token]; left && bound && now > at+standin.LeftBound {
 		h.breach(RuleLeft, "%v: %s ran %s %v after it left", now, one.name, id, now-at)
 	}
@@ -284,9 +288,13 @@
 	entry.got = now
 	one.asks = append(one.asks, entry)
 	h.Asked++
-	if entry.outcome == "unsent" {
+	switch entry.outcome {
+	case "unsent":
 		h.Unsent++
 		return
+	case outcomeLeft:
+		h.Left++
+		return
 	}
 	if entry.ended == nil {
 		h.away(entry, "connection lost")
@@ -439,6 +447,7 @@
 			}
 			h.breach(RuleTwice, "%s (keyed %v) ran %d times: %s; asked %s", id, one.keyed, len(one.runs), strings.Join(runs, ", "), one.told())
 		}
+		h.judgeLeft(one)
 		for ask, entry := range one.asks {
 			calls[one.service] = append(calls[one.service], entry.sent)
 			for _, run := range one.runs {
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -13,9 +13,10 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 40, "how many seeds to run")
-	first = flag.Uint64("first", 1, "the first seed; with -seeds 1 it replays one")
-	free  = flag.Bool("free", false, "only faults that may turn nobody away, one at a time")
+	seeds        = flag.Int("seeds", 40, "how many seeds to run")
+	leavingSeeds = flag.Int("leaving-seeds", 6, "how many seeds of worlds whose callers leave")
+	first        = flag.Uint64("first", 1, "the first seed; with -seeds 1 it replays one")
+	free         = flag.Bool("free", false, "only faults that may turn nobody away, one at a time")
 )
 
 // run plays a seed in a bubble of its own.
@@ -103,6 +104,31 @@
 	t.Logf("%d seeds, %d of %d decisions in touch: %s", *seeds, sum.Touched, sum.Decisions, sum.summary())
 }
 
+// Callers that leave while their calls wait or run: in a calm world each worker is freed in time, and with all faults
+// every other rule holds besides.
+func TestLeavingCallers(t *testing.T) {
+	for name, options := range map[string]Options{
+		"calm":   {Quiet: true, Leaving: 0.3, Work: 100 * time.Millisecond, Length: 20 * time.Second},
+		"faults": {Leaving: 0.3, Work: 100 * time.Millisecond, Length: 30 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := *first; seed < *first+uint64(*leavingSeeds); seed++ {
+				t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+					t.Parallel()
+					h := run(t, seed, PlantNone, options)
+					for _, rule := range h.rules() {
+						t.Errorf("%s: %s", rule, strings.Join(h.Breaches[rule], "\n\t"))
+					}
+					if h.Left < 20 || h.Departures.Stopped+h.Departures.Dropped == 0 || h.Departures.Kept == 0 {
+						t.Errorf("only %d callers left: %+v", h.Left, h.Departures)
+					}
+					t.Logf("%d callers left of %d: %+v", h.Left, h.Asked, h.Departures)
+				})
+			}
+		})
+	}
+}
+
 // report fails a test with what was breached. A failing seed is cut down to the faults it needs.
 func (h *History) report(t *testing.T, seed uint64, options Options) {
 	t.Helper()
@@ -228,6 +254,7 @@
 		{PlantLax, []string{RuleSent}, Options{Only: []string{"worker killed, its address another's"}}},
 		{PlantUnheard, []string{RuleLeft}, Options{Only: []string{"worker drained, and goes later"}}},
 		{PlantClaimsAll, []string{RuleSent}, Options{Quiet: true}},
+		{PlantIgnores, []string{RuleGone}, Options{Quiet: true, Leaving: 0.3, Work: 300 * time.Millisecond}},
 		{PlantForged, []string{RuleAnswer}, Options{Only: []string{"links that alter"}}},
 		{PlantNoBudget, []string{RuleBudget}, Options{Only: edges, Floor: 5}},
 		{PlantOpen, []string{RuleAllowed}, Options{Quiet: true}},
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -47,6 +47,7 @@
 	PlantLax         Plant = "lax workers: they run what does not bear their token"
 	PlantUnheard     Plant = "unheard: a worker's word that it leaves is not taken"
 	PlantClaimsAll   Plant = "false claims: a peer may speak for any caller"
+	PlantIgnores     Plant = "ignores: a proxy whose caller has left does not tell the worker's"
 	PlantForged      Plant = "forged: an altered answer carries a checksum that fits it"
 	PlantNoBudget    Plant = "no budget: extra tries are without bound"
 	PlantOpen        Plant = "open: versions and callers are not held against the setup"
@@ -110,6 +111,7 @@
 	mangle    float64       // part of the answers between proxies that is altered on the way
 	repeat    float64       // part of the requests between proxies that arrives twice
 	places    map[string]*workerNode
+	leaving   leaving
 	quit      bool // the run is over: nothing is called any more
 
 	seats   []*seatNode
@@ -153,6 +155,8 @@
 	Work time.Duration
 	// Errors is the part of its calls that any worker answers with 500.
 	Errors float64
+	// Leaving is the part of the calls without a key whose callers leave before they are answered.
+	Leaving float64
 	// Floor of the retry budget; 0 for the preset.
 	Floor float64
 }
