--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"os"
 	"strconv"
@@ -85,7 +87,9 @@
 	}
 	w := &Worker{name: name, describ: proxyAddress, ledger: ledger, now: now, delay: delay, conns: map[net.Conn]bool{}, listener: listener, ended: make(chan struct{}),
 		said: dispatch.Description{Address: address, Service: service, Version: version, Area: area, Token: fmt.Sprintf("%s-%d", name, now()), BeatMS: beat.Milliseconds()}}
-	server := &fasthttp.Server{Handler: w.handle, NoDefaultServerHeader: true, Concurrency: 10000}
+	// That a proxy closed a connection is noted in the ledger where it counts.
+	silent := log.New(io.Discard, "", 0)
+	server := &fasthttp.Server{Handler: w.handle, NoDefaultServerHeader: true, Concurrency: 10000, Logger: silent}
 	go func() { _ = server.Serve(countedListener{listener, w}) }()
 	go w.keepDescribing()
 	return w, nil
