--- a/internal/rehearsal/calls.go
+++ b/internal/rehearsal/calls.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -394,11 +392,7 @@
 
 // Write saves the report as JSON.
 func (r *CallsReport) Write(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return defect.Wrap(err, defect.Internal, "calls")
-	}
-	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
+	return writeReport(file, r)
 }
 
 // Draw writes plots of the slopes, and of what calls were added.
--- a/internal/rehearsal/deployment.go
+++ b/internal/rehearsal/deployment.go
@@ -31,6 +31,14 @@
 	Internal                      bool    // called by other services rather than clients
 }
 
+// smallRoutes are the kinds of request of fleets that stand for no deployment of the users'.
+var smallRoutes = []RoutePlan{
+	{"shop-buy", "shop", "/shop/buy", "POST", true, 0.4, false},
+	{"shop-look", "shop", "/shop/look", "GET", false, 0.3, false},
+	{"save-commit", "saves", "/saves/commit", "POST", true, 0.3, false},
+	{"check-slot", "saves", "/saves/slot", "GET", false, 1, true},
+}
+
 // Deployments are the fleets of today, and a small one for quick runs.
 var Deployments = map[string]*Deployment{
 	"wroblewski": {Name: "wroblewski", Edges: 15, Cores: 3, Areas: 3, Rate: 680, Internal: 0.3,
@@ -59,20 +67,10 @@
 	// As many processes as one machine bears beside its other work.
 	"wide": {Name: "wide", Edges: 120, Cores: 3, Areas: 4, Rate: 240, Internal: 0.2,
 		Services: []ServicePlan{{"shop", 60}, {"saves", 60}},
-		Routes: []RoutePlan{
-			{"shop-buy", "shop", "/shop/buy", "POST", true, 0.4, false},
-			{"shop-look", "shop", "/shop/look", "GET", false, 0.3, false},
-			{"save-commit", "saves", "/saves/commit", "POST", true, 0.3, false},
-			{"check-slot", "saves", "/saves/slot", "GET", false, 1, true},
-		}},
+		Routes:   smallRoutes},
 	"small": {Name: "small", Edges: 6, Cores: 3, Areas: 2, Rate: 60, Internal: 0.2,
 		Services: []ServicePlan{{"shop", 3}, {"saves", 3}},
-		Routes: []RoutePlan{
-			{"shop-buy", "shop", "/shop/buy", "POST", true, 0.4, false},
-			{"shop-look", "shop", "/shop/look", "GET", false, 0.3, false},
-			{"save-commit", "saves", "/saves/commit", "POST", true, 0.3, false},
-			{"check-slot", "saves", "/saves/slot", "GET", false, 1, true},
-		}},
+		Routes:   smallRoutes},
 }
 
 // clientKind is the caller whom the ingress listeners stand for.
--- a/internal/rehearsal/hollow.go
+++ b/internal/rehearsal/hollow.go
@@ -20,7 +20,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"meadowhinge/internal/defect"
 	"meadowhinge/internal/options"
 	"meadowhinge/schema"
 )
@@ -544,9 +543,5 @@
 
 // Write saves the report as JSON.
 func (r *HollowReport) Write(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return defect.Wrap(err, defect.Internal, "report")
-	}
-	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
+	return writeReport(file, r)
 }
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -148,11 +148,16 @@
 	return report
 }
 
-// Write saves the report, and the whole ledger beside it for whoever wants to look closer.
+// Write saves the report as JSON.
 func (r *Report) Write(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
+	return writeReport(file, r)
+}
+
+// writeReport saves what a run found as JSON.
+func writeReport(file string, report any) error {
+	text, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
-		return defect.Wrap(err, defect.Internal, "report")
+		return defect.Wrap(err, defect.Internal, file)
 	}
 	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
 }
--- a/internal/rehearsal/slopes.go
+++ b/internal/rehearsal/slopes.go
@@ -329,11 +329,7 @@
 
 // Write saves the slopes as JSON.
 func (r *SlopesReport) Write(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return defect.Wrap(err, defect.Internal, "slopes")
-	}
-	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
+	return writeReport(file, r)
 }
 
 // Draw writes a plot of each slope with the runs that it was fitted to.
--- a/internal/rehearsal/soak.go
+++ b/internal/rehearsal/soak.go
@@ -165,11 +165,7 @@
 
 // Write saves the report as JSON.
 func (r *SoakReport) Write(file string) error {
-	text, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return defect.Wrap(err, defect.Internal, "soak")
-	}
-	return defect.Wrap(os.WriteFile(file, append(text, '\n'), 0o640), defect.DiskFailed, file)
+	return writeReport(file, r)
 }
 
 // departuresEvery is how often proxies are asked what they count of departures.
