--- a/internal/rehearsal/judge_test.go
+++ b/internal/rehearsal/judge_test.go
@@ -3,23 +3,30 @@
 import (
 	"testing"
 	"time"
+
+	"meadowhinge/internal/dispatch"
 )
 
 // good is a ledger without a breach, touching every rule.
 func good() *Ledger {
 	s := time.Second
 	return &Ledger{
-		LeaveBound: 2 * s, Lease: 8 * s, Timed: true, Survived: 1,
+		LeaveBound: 2 * s, DepartBound: s / 2, Lease: 8 * s, Timed: true, Survived: 1,
 		Faults: []FaultEntry{{What: "proxy killed", At: 5 * s, End: 6 * s, Costs: true}},
 		Calls: []CallEntry{
 			{Op: "1", Caller: "client", Proxy: "p", Service: "shop", Once: true, Sent: 10 * s, Got: 11 * s, Outcome: "answered", Setup: 5, Tries: 2, Echoed: "1", Whole: true},
 			{Op: "2", Caller: "client", Proxy: "p", Service: "shop", Once: true, Sent: 12 * s, Got: 13 * s, Outcome: "not-run", Setup: 6, Tries: 1},
+			{Op: "3", Caller: "client", Proxy: "p", Service: "shop", Sent: 6 * s, Got: 7 * s, Outcome: "unknown"},
+			{Op: "4", Caller: "client", Proxy: "p", Service: "shop", Sent: 20 * s, Got: 21 * s, Outcome: outcomeLeft},
 		},
-		Runs:    []RunEntry{{Op: "1", Caller: "client", Service: "shop", Version: versionOld, Worker: "w", At: 10 * s}},
-		Changes: []ChangeEntry{{ID: "c", Got: 9 * s, Ruling: "accepted", Sequence: 5, Acknowledged: true}, {ID: "bad", Invalid: true, Ruling: "invalid", Marker: "route/bad"}},
-		Bad:     []BadEntry{{Service: "shop", Version: versionNew}},
-		Leaves:  []LeaveEntry{{Worker: "w", At: 9 * s}},
-		Shown:   []ShownEntry{{Node: "registry/a", Asked: 10 * s, Got: 10 * s, Setup: 5, Items: []string{"route/ok"}}},
+		Runs: []RunEntry{{Op: "1", Caller: "client", Service: "shop", Version: versionOld, Worker: "w", At: 10 * s},
+			{Op: "3", Caller: "client", Service: "shop", Version: versionOld, Worker: "w", At: 6 * s}},
+		Ends:       []EndEntry{{Op: "4", Worker: "w", At: 21 * s, Broken: true}},
+		Departures: map[string]dispatch.DepartureCounts{"p 1": {Stopped: 1}},
+		Changes:    []ChangeEntry{{ID: "c", Got: 9 * s, Ruling: "accepted", Sequence: 5, Acknowledged: true}, {ID: "bad", Invalid: true, Ruling: "invalid", Marker: "route/bad"}},
+		Bad:        []BadEntry{{Service: "shop", Version: versionNew}},
+		Leaves:     []LeaveEntry{{Worker: "w", At: 9 * s}},
+		Shown:      []ShownEntry{{Node: "registry/a", Asked: 10 * s, Got: 10 * s, Setup: 5, Items: []string{"route/ok"}}},
 	}
 }
 
@@ -45,6 +52,9 @@
 		},
 		func(l *Ledger) { l.Calls[1].Tries = 100 },
 		func(l *Ledger) { l.Lost = []string{"c"} },
+		func(l *Ledger) { l.Faults = nil },
+		func(l *Ledger) { l.Ends[0].At = 22 * s },
+		func(l *Ledger) { l.Departures["p 1"] = dispatch.DepartureCounts{Stopped: 1, Overrun: 1} },
 		func(l *Ledger) {
 			l.Faults = []FaultEntry{{What: "proxy killed", At: 30 * s, Costs: true}, {What: "core machine killed", At: 5 * s, Core: true}}
 		},
