--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -37,6 +37,7 @@
 	VersionBarred  Kind = "VERSION_NOT_ALLOWED"
 	StalePlan      Kind = "STALE_PLAN"
 	HorizonPast    Kind = "HORIZON_PAST"
+	CallerGone     Kind = "CALLER_GONE" // closed its connection before its call was answered
 	Repeated       Kind = "REQUEST_REPEATED"
 	KeyReused      Kind = "IDEMPOTENCY_KEY_REUSED"
 	KeyUnsettled   Kind = "IDEMPOTENCY_KEY_UNSETTLED"
@@ -53,6 +54,9 @@
 	Internal       Kind = "INTERNAL"
 )
 
+// statusClosedRequest is what logs call a request whose client closed its connection; nobody is sent it.
+const statusClosedRequest = 499
+
 // statusByKind is the HTTP status that a caller or operator gets for a kind.
 var statusByKind = map[Kind]int{
 	BadOptions:     http.StatusBadRequest,
@@ -80,6 +84,7 @@
 	LinkUnopened:   http.StatusServiceUnavailable,
 	WorkerUnopened: http.StatusServiceUnavailable,
 	HorizonPast:    http.StatusGatewayTimeout,
+	CallerGone:     statusClosedRequest,
 	KeyReused:      http.StatusUnprocessableEntity,
 	KeyUnsettled:   http.StatusConflict,
 	KeyUnclaimed:   http.StatusServiceUnavailable,
--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -270,7 +270,7 @@
 	case turn := <-one.Turn:
 		return turn
 	case <-ctx.Done():
-		gone = Turn{Kind: defect.HorizonPast}
+		gone = Turn{Kind: endOf(ctx)}
 	case <-timer.C:
 	}
 	if b.Leave(one) {
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -129,7 +129,9 @@
 // newsParts is the part of the time left for which a setup is awaited that another proxy has.
 const newsParts = 2
 
-// Carry plans a call and carries it out.
+// Carry plans a call and carries it out. The end of ctx is the caller's leaving: a call that waits is dropped
+// then, and one that may be repeated ends where it runs. One that may not runs to its end once a worker has
+// it, and one under an idempotency key is not touched at all, for its outcome is kept for those who ask again.
 func (c *Carrier) Carry(ctx context.Context, call *Call) *Ended {
 	began := c.Now()
 	ended := &Ended{ID: c.newID()}
@@ -149,9 +151,13 @@
 	}
 	ended.Plan = made
 	c.budget(made.Service).Call(began)
+	keyed := made.Class == setup.Once && call.Request.Idempotency != ""
+	if keyed {
+		ctx = context.WithoutCancel(ctx)
+	}
 	bounded, cancel := context.WithTimeout(ctx, made.Horizon)
 	defer cancel()
-	if made.Class == setup.Once && call.Request.Idempotency != "" {
+	if keyed {
 		ended.Carried = c.carryKeyed(bounded, ctx, call, ended, began)
 	} else {
 		ended.Carried, _ = c.carryOut(bounded, call, ended, began, "")
@@ -363,7 +369,7 @@
 			view := c.View()
 			switch {
 			case left <= 0 || ctx.Err() != nil:
-				return r.end(defect.HorizonPast), ""
+				return r.end(endOf(ctx)), ""
 			case !c.Leased():
 				return r.end(defect.NoLease), ""
 			case view.Setup.Sequence != ended.Plan.Verdict.Setup || c.heldNow(view, ended.Plan):
@@ -599,7 +605,7 @@
 	carried, err := c.SendOn(ctx, *candidate, enquiry)
 	switch {
 	case err != nil && c.Patient && ctx.Err() != nil:
-		return notRun(defect.HorizonPast, 0)
+		return notRun(endOf(ctx), 0)
 	case err != nil:
 		// Nothing that could run was sent.
 		c.Soundness.Lost(candidate.Proxy, c.Now())
@@ -632,10 +638,15 @@
 	}
 	var ending schema.Ending
 	var status int32
+	callerLeft := false
 	sentAt := c.Now()
 	c.Soundness.Begin(candidate.Instance, sentAt)
 	if refusal := c.enquire(bounded, carry, &candidate, turned); refusal != nil {
-		c.Soundness.Ended(candidate.Instance, c.Now(), c.Now()-sentAt, refusal)
+		if calledOff(refusal) {
+			c.Soundness.CalledOff(candidate.Instance)
+		} else {
+			c.Soundness.Ended(candidate.Instance, c.Now(), c.Now()-sentAt, refusal)
+		}
 		return refusal
 	}
 	// It may have waited for its turn already.
@@ -646,6 +657,10 @@
 	if len(c.View().Setup.Guards[ended.Plan.Service]) > 0 {
 		tried := c.Trials.Begin(ended.Plan.Service, ended.Plan.Verdict.Version, c.Now())
 		defer func() {
+			if callerLeft {
+				c.Trials.Drop(tried)
+				return
+			}
 			// What was proved not to have run says nothing of the version.
 			c.Trials.End(tried, c.Now(), ending == schema.Ending_ENDING_UNKNOWN || status >= 500)
 		}()
@@ -661,7 +676,7 @@
 	}
 	switch {
 	case err != nil && outOfTime:
-		carried = unknown(defect.HorizonPast)
+		carried = unknown(endOf(ctx))
 	case err != nil && defect.KindOf(err) == defect.LinkUnopened:
 		carried = notRun(defect.LinkUnopened, 0)
 	case err != nil:
@@ -670,6 +685,11 @@
 	case !intact(carry, carried):
 		carried = unknown(defect.BadAnswer)
 	}
+	if calledOff(carried) {
+		callerLeft = true
+		c.Soundness.CalledOff(candidate.Instance)
+		return carried
+	}
 	// The directory is behind: what it still lists is no more, and need not be tried again.
 	if refusal := defect.Kind(carried.Defect); carried.Ending == schema.Ending_ENDING_NOT_RUN && (refusal == defect.WrongInstance || refusal == defect.Leaving) {
 		c.Soundness.Disown(candidate.Instance)
--- a/internal/dispatch/conns.go
+++ b/internal/dispatch/conns.go
@@ -109,15 +109,20 @@
 
 	room *semaphore.Weighted // for large bodies
 
+	sent  bool // something of the request has left this process
 	said  Said
 	body  []byte
 	taken int64 // of the room
 }
 
 // hand sends a request and reads its answer. An error of the kind WORKER_UNOPENED proves that
-// the worker saw nothing of it; any other leaves that open.
-func (c *conns) hand(x *exchange) error {
+// the worker saw nothing of it; any other leaves that open. When ctx ends the connection is closed, which
+// is how a worker is told that nobody waits, and the error is of the kind CALLER_GONE.
+func (c *conns) hand(ctx context.Context, x *exchange) error {
 	for {
+		if ctx.Err() != nil {
+			return defect.New(defect.CallerGone, c.address)
+		}
 		one, fresh := c.take(x.until), false
 		if one == nil {
 			raw, err := c.dial(c.address)
@@ -127,7 +132,16 @@
 			one, fresh = newConn(raw), true
 			_ = one.SetDeadline(x.until)
 		}
+		stop := context.AfterFunc(ctx, one.interrupt)
 		clean, err := one.exchange(x)
+		x.sent = x.sent || one.sent > 0
+		// An interrupt that has begun may strike at any time from now on.
+		if !stop() {
+			clean = false
+			if err != nil && one.sent > 0 {
+				err = defect.New(defect.CallerGone, c.address)
+			}
+		}
 		if clean {
 			c.give(one, x.said.IdleMost)
 		} else {
@@ -137,12 +151,15 @@
 		case err == nil || one.sent > 0:
 			return err
 		// Nothing left this process, so another connection may be tried; a fresh one will do.
-		case fresh:
+		case fresh && ctx.Err() == nil:
 			return defect.New(defect.WorkerUnopened, c.address)
 		}
 	}
 }
 
+// interrupt ends every read and write on a connection at once.
+func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
 // take gives the connection that was idle the longest: so all that are in use by turns stay
 // open, and those that are not needed run out.
 func (c *conns) take(until time.Time) *conn {
--- a/internal/dispatch/departures.go
+++ b/internal/dispatch/departures.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
+
+	"meadowhinge/internal/defect"
+	"meadowhinge/schema"
 )
 
 // Departures counts what becomes of calls whose callers leave before they are answered. The proxy
@@ -57,6 +61,19 @@
 	}
 }
 
+// endOf names why a call's context has ended: its time is over, or its caller, or the proxy that took
+// the call, has left.
+func endOf(ctx context.Context) defect.Kind {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return defect.CallerGone
+	}
+	return defect.HorizonPast
+}
+
+// calledOff tells whether a dispatch ended because nobody waits for it any more. That says nothing of
+// its worker, of the version that runs there, or of the link.
+func calledOff(carried *schema.Carried) bool { return defect.Kind(carried.Defect) == defect.CallerGone }
+
 // departure is when the caller of a call under way was known to be gone.
 type departure struct {
 	at   atomic.Int64 // 0 for not known
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -195,6 +195,9 @@
 	if turn.Kind == "" {
 		return nil
 	}
+	if turn.Kind == defect.CallerGone {
+		r.Departures.Dropped.Add(1)
+	}
 	carried := notRun(turn.Kind, 0)
 	carried.BackNanos = int64(turn.Back)
 	return carried
@@ -210,6 +213,11 @@
 	if refused := r.await(ctx, held, carry, arrived, left); refused != nil {
 		return refused
 	}
+	// Nobody comes for a turn whose caller has left meanwhile.
+	if ctx.Err() != nil {
+		held.buffer.End(r.Now(), "", Unrun, 0)
+		return notRun(endOf(ctx), 0)
+	}
 	r.kept.add(carry.Request, held.buffer, r.Now, left()/keptParts)
 	return notRun("", 0)
 }
@@ -228,16 +236,16 @@
 	began, given, result := r.Now(), left(), Unrun
 	// From here on it is the worker's time, and its version's doing.
 	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
-	leaving := followCaller(ctx, r.Now)
+	caller := followCaller(ctx, r.Now)
 	carried := r.give(ctx, held, carry, left, &result)
 	now := r.Now()
-	r.noteDeparture(leaving, carry, carried, now)
+	r.noteDeparture(caller, carry, carried, now)
 	if result == Answered && carried.Status >= failedFrom {
 		result = Failed
 	}
 	// How a call would have ended that had not the time calls take is not known.
 	cutShort := result != Answered && left() < given/shortParts && now-began < overdueTimes*held.buffer.Pace()
-	if ran := carried.Ending != schema.Ending_ENDING_NOT_RUN; ran && r.Soundness != nil && !cutShort {
+	if ran := carried.Ending != schema.Ending_ENDING_NOT_RUN; ran && r.Soundness != nil && !cutShort && !calledOff(carried) {
 		r.Soundness.Ran(carry.Instance, now, result != Answered)
 	}
 	held.buffer.Left(len(carried.Head) + len(carried.Body))
@@ -247,13 +255,18 @@
 }
 
 // noteDeparture counts what became of a call whose caller left while it was handed over or run.
-func (r *Runner) noteDeparture(leaving *departure, carry *schema.Carry, carried *schema.Carried, now time.Duration) {
-	at, left := leaving.end()
+func (r *Runner) noteDeparture(caller *departure, carry *schema.Carry, carried *schema.Carried, now time.Duration) {
+	at, left := caller.end()
 	switch {
-	case !left || carried.Ending == schema.Ending_ENDING_NOT_RUN:
+	case !left:
+	case carried.Ending == schema.Ending_ENDING_NOT_RUN:
+		r.Departures.Dropped.Add(1)
 	case carry.Once:
 		r.Departures.Kept.Add(1)
 	default:
+		if calledOff(carried) {
+			r.Departures.Stopped.Add(1)
+		}
 		r.Departures.ranOn(now-at, r.OverrunMost)
 	}
 }
@@ -283,7 +296,7 @@
 	case now != held:
 		return notRun(defect.WrongInstance, 0)
 	case remaining <= 0 || ctx.Err() != nil:
-		return notRun(defect.HorizonPast, 0)
+		return notRun(endOf(ctx), 0)
 	case !leased:
 		return notRun(defect.NoLease, 0)
 	}
@@ -294,8 +307,17 @@
 		bodiless: func(status int) bool { return bodiless(carry.Method, status) },
 		read:     func(header *fasthttp.ResponseHeader) Said { return r.Speech.Read(header, carry) }}
 	defer x.leave()
-	err := held.conns.hand(&x)
+	// What may not be repeated runs to its end, whoever waits for it.
+	if carry.Once {
+		ctx = context.WithoutCancel(ctx)
+	}
+	err := held.conns.hand(ctx, &x)
 	switch kind := defect.KindOf(err); {
+	case kind == defect.CallerGone && !x.sent:
+		return notRun(kind, 0)
+	// A call that is given up as its time ends has run out of time, and that says something of its worker.
+	case kind == defect.CallerGone && left() <= remaining/shortParts:
+		return unknown(defect.HorizonPast)
 	case err != nil && kind == defect.WorkerUnopened:
 		// Where nobody listens there is no worker any more; should there be, its next word tells.
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/dispatch/soundness.go
+++ b/internal/dispatch/soundness.go
@@ -241,6 +241,9 @@
 	}
 }
 
+// CalledOff notes that a call sent to a worker ended with its caller, which says nothing of the worker.
+func (s *Soundness) CalledOff(instance string) { s.of(instance).inFlight.Add(-1) }
+
 // Ended takes what came back of a call sent to a worker, took being how long that was: how it
 // ended, the load that the worker's proxy told with it, and whether there was room.
 func (s *Soundness) Ended(instance string, now, took time.Duration, carried *schema.Carried) {
--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -45,11 +45,21 @@
 	return &Tally{lines: xsync.NewMap[tallyKey, *tallyLine](), most: most}
 }
 
+// outcomeCalledOff is the outcome, in counts, of calls that ended with their caller.
+const outcomeCalledOff = "called-off"
+
+func outcomeOf(carried *schema.Carried) string {
+	if calledOff(carried) {
+		return outcomeCalledOff
+	}
+	return outcomeNames[carried.Ending]
+}
+
 // Add counts one call by its verdict and outcome.
 func (t *Tally) Add(ended *Ended, took time.Duration) {
 	t.folding.RLock()
 	defer t.folding.RUnlock()
-	verdict, outcome := &ended.Plan.Verdict, outcomeNames[ended.Carried.Ending]
+	verdict, outcome := &ended.Plan.Verdict, outcomeOf(ended.Carried)
 	t.add(tallyKey{flag: verdict.Flag, service: ended.Plan.Service, variation: verdict.Version, reason: string(verdict.Reason), rule: verdict.RuleID,
 		route: ended.Plan.Route.Name, outcome: outcome, setup: verdict.Setup}, ended, took)
 	// A split's verdict is of no service's versions, so its line names none.
@@ -66,7 +76,7 @@
 	line := t.line(key)
 	line.calls.Add(1)
 	line.nanos.Add(uint64(took))
-	if ended.Carried.Ending != schema.Ending_ENDING_ANSWERED || ended.Carried.Status >= 500 {
+	if !calledOff(ended.Carried) && (ended.Carried.Ending != schema.Ending_ENDING_ANSWERED || ended.Carried.Status >= 500) {
 		line.failures.Add(1)
 	}
 }
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// Drop forgets a call whose caller left: how it would have ended is not known.
+func (t *Trials) Drop(call *TrialCall) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	delete(call.window.open, call)
+}
+
 // tooLong tells whether a call takes far longer than the old version's do.
 func (t *Trials) tooLong(call *TrialCall, now time.Duration) bool {
 	calls, _, mean := t.old(call.key[0], now)
--- a/internal/dispatch/works.go
+++ b/internal/dispatch/works.go
@@ -60,7 +60,7 @@
 		return
 	}
 	line.open.Add(-1)
-	if carried.Ending == schema.Ending_ENDING_NOT_RUN {
+	if carried.Ending == schema.Ending_ENDING_NOT_RUN || calledOff(carried) {
 		return
 	}
 	if defect.Kind(carried.Defect) == defect.WorkerLost {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -168,6 +168,16 @@
 	}
 }
 
+// release gives a link back after a call. One whose call was called off is being closed by the library,
+// which a next call must not meet.
+func (e *Ends) release(ctx context.Context, address string, conn *drpcconn.Conn) {
+	if ctx.Err() != nil {
+		_ = conn.Close()
+		return
+	}
+	e.resting.put(address, conn)
+}
+
 // messages are buffers to write messages into, before they go over a link.
 var messages = sync.Pool{New: func() any { return new([]byte) }}
 
@@ -187,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	defer r.ends.resting.put(r.address, conn)
+	defer r.ends.release(ctx, r.address, conn)
 	defer stream.Close()
 	buffer := messages.Get().(*[]byte)
 	asked, err := drpcenc.MarshalAppend(in, enc, (*buffer)[:0])
@@ -224,6 +234,6 @@
 	if err != nil {
 		return nil, err
 	}
-	context.AfterFunc(stream.Context(), func() { r.ends.resting.put(r.address, conn) })
+	context.AfterFunc(stream.Context(), func() { r.ends.release(ctx, r.address, conn) })
 	return stream, nil
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"os"
@@ -41,8 +42,9 @@
 	carried func(bytes int)
 	// departures counts callers that leave while a call of theirs is under way.
 	departures *dispatch.Departures
-	serve      func(head *Head, body []byte, came time.Time, reply *Reply)
-	refuse     func(head *Head, err error, reply *Reply)
+	// serve carries a request out; its context ends when the caller leaves.
+	serve  func(ctx context.Context, head *Head, body []byte, came time.Time, reply *Reply)
+	refuse func(head *Head, err error, reply *Reply)
 	// room is how many bytes of large bodies may be held at once; taken is how many are.
 	room  int64
 	taken atomic.Int64
@@ -171,6 +173,9 @@
 	writeBy time.Time
 	quietAt atomic.Int64 // since when nothing is owed on it, 0 while a request is
 	head    Head
+	// life ends when the caller has left.
+	life context.Context
+	end  context.CancelFunc
 	// While a call is under way the buffer is its watch's, which tells here what came.
 	watching   bool
 	watchEnded chan watched
@@ -188,6 +193,8 @@
 func (t *talk) run() {
 	defer t.front.leave(t)
 	defer t.conn.Close()
+	t.life, t.end = context.WithCancel(context.Background())
+	defer t.end()
 	t.buffer, t.watchEnded = make([]byte, firstRead), make(chan watched, 1)
 	for t.exchange() {
 	}
@@ -218,7 +225,7 @@
 		return false
 	}
 	t.startWatch()
-	t.front.serve(&t.head, body, came, &t.reply)
+	t.front.serve(t.life, &t.head, body, came, &t.reply)
 	t.beginAnswer()
 	if t.inputEnded.Load() && !t.gone {
 		t.front.departures.HalfClosed.Add(1)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -423,8 +423,8 @@
 	made.carried = s.road.Carry
 	made.departures = &s.left
 	made.refuse = func(head *Head, err error, reply *Reply) { s.refuse(head, err, notRun, reply) }
-	made.serve = func(head *Head, body []byte, came time.Time, reply *Reply) {
-		s.serve(caller, head, body, came, reply)
+	made.serve = func(ctx context.Context, head *Head, body []byte, came time.Time, reply *Reply) {
+		s.serve(ctx, caller, head, body, came, reply)
 	}
 	go made.run()
 	return made, nil
@@ -436,8 +436,8 @@
 	return bounds{head: limits.HeaderMost, body: int(min(limits.BodyMost, s.options.BodyMost)), headWait: limits.HeaderWait, quiet: limits.Quiet}
 }
 
-// serve carries one call out, on its connection's own thread of control.
-func (s *Server) serve(caller string, head *Head, body []byte, came time.Time, reply *Reply) {
+// serve carries one call out, on its connection's own thread of control. When ctx ends its caller has left.
+func (s *Server) serve(ctx context.Context, caller string, head *Head, body []byte, came time.Time, reply *Reply) {
 	taken, err := s.callOf(caller, head, body)
 	if err != nil {
 		s.refuse(head, err, notRun, reply)
@@ -454,7 +454,7 @@
 		s.refuse(head, defect.New(defect.BufferFull, "too many calls in flight"), notRun, reply)
 		return
 	}
-	s.answer(head, s.carrier.Carry(context.Background(), taken), reply)
+	s.answer(head, s.carrier.Carry(ctx, taken), reply)
 }
 
 // callOf makes a call of a request.
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -83,12 +83,13 @@
 	t.left()
 }
 
-// left notes that the caller is gone, unless its call has been answered.
+// left ends the call under way, for its caller is gone; unless it has been answered.
 func (t *talk) left() {
 	t.writing.Lock()
 	defer t.writing.Unlock()
 	if !t.answering {
 		t.gone = true
+		t.end()
 		t.front.departures.Noticed.Add(1)
 	}
 }
