--- a/internal/dispatch/conns.go
+++ b/internal/dispatch/conns.go
@@ -109,15 +109,17 @@
 
 	room *semaphore.Weighted // for large bodies
 
-	sent  bool // something of the request has left this process
-	said  Said
-	body  []byte
-	taken int64 // of the room
+	ctx    context.Context // ends when the run is to end
+	sentAt time.Duration   // when the first byte of the request was sent, 0 for not at all
+	said   Said
+	body   []byte
+	taken  int64 // of the room
 }
 
 // hand sends a request and reads its answer. An error of the kind WORKER_UNOPENED proves that
 // the worker saw nothing of it; any other leaves that open. When ctx ends the connection is closed, which
-// is how a worker is told that nobody waits, and the error is of the kind CALLER_GONE.
+// is how a worker is told that nobody waits, and the error is of the kind CALLER_GONE. Once something was sent,
+// the context of the exchange counts in its place.
 func (c *conns) hand(ctx context.Context, x *exchange) error {
 	for {
 		if ctx.Err() != nil {
@@ -132,9 +134,17 @@
 			one, fresh = newConn(raw), true
 			_ = one.SetDeadline(x.until)
 		}
-		stop := context.AfterFunc(ctx, one.interrupt)
+		// The worker may have been long in taking the connection.
+		if ctx.Err() != nil {
+			one.Close()
+			return defect.New(defect.CallerGone, c.address)
+		}
+		began := c.now()
+		stop := context.AfterFunc(x.ctx, one.interrupt)
 		clean, err := one.exchange(x)
-		x.sent = x.sent || one.sent > 0
+		if one.sent > 0 {
+			x.sentAt = max(1, began)
+		}
 		// An interrupt that has begun may strike at any time from now on.
 		if !stop() {
 			clean = false
@@ -354,7 +364,7 @@
 	for whole := len(x.body) + length; len(x.body) < whole; {
 		if len(x.body) == cap(x.body) {
 			if cap(x.body) >= piecesMost && x.taken == 0 {
-				waiting, cancel := context.WithDeadline(context.Background(), x.until)
+				waiting, cancel := context.WithDeadline(x.ctx, x.until)
 				err := x.room.Acquire(waiting, int64(all))
 				cancel()
 				if err != nil {
--- a/internal/dispatch/departures.go
+++ b/internal/dispatch/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,20 +48,6 @@
 // Violations is how often what must hold did not.
 func (c DepartureCounts) Violations() uint64 { return c.HandedLate + c.Overrun }
 
-// ranOn notes for how long a repeatable run went on after its caller was known to be gone; most is
-// what is allowed.
-func (d *Departures) ranOn(lasted, most time.Duration) {
-	if lasted > most {
-		d.Overrun.Add(1)
-	}
-	for {
-		longest := d.longest.Load()
-		if int64(lasted) <= longest || d.longest.CompareAndSwap(longest, int64(lasted)) {
-			return
-		}
-	}
-}
-
 // endOf names why a call's context has ended: its time is over, or its caller, or the proxy that took
 // the call, has left.
 func endOf(ctx context.Context) defect.Kind {
@@ -74,22 +61,81 @@
 // its worker, of the version that runs there, or of the link.
 func calledOff(carried *schema.Carried) bool { return defect.Kind(carried.Defect) == defect.CallerGone }
 
-// departure is when the caller of a call under way was known to be gone.
+// departure follows the caller of one call that is handed to a worker. Once the caller is known to be gone, a
+// repeatable run has OverrunMost to end; if it has not, that is a violation.
 type departure struct {
-	at   atomic.Int64 // 0 for not known
-	stop func() bool
+	counts  *Departures
+	now     func() time.Duration
+	stop    func() bool
+	most    time.Duration
+	limited bool // the run must end with its caller
+
+	lock  sync.Mutex
+	at    time.Duration // when the caller was known to be gone, 0 while it is not
+	timer *time.Timer
+	over  bool // the run has ended
+}
+
+// graceParts is the part of the time allowed that a run gets besides, so that a process which was stopped
+// in the meantime can still end it.
+const graceParts = 4
+
+// followCaller follows the caller whose leaving ends ctx, until end is called.
+func (d *Departures) followCaller(ctx context.Context, limited bool, most time.Duration, now func() time.Duration) *departure {
+	one := &departure{counts: d, now: now, most: most, limited: limited}
+	one.stop = context.AfterFunc(ctx, one.left)
+	return one
+}
+
+// left notes that the caller is gone.
+func (d *departure) left() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if d.over {
+		return
+	}
+	d.at = max(1, d.now())
+	if d.limited && d.most > 0 {
+		d.timer = time.AfterFunc(d.most, d.late)
+	}
 }
 
-// followCaller notes when a call's context ends, until end is called.
-func followCaller(ctx context.Context, now func() time.Duration) *departure {
-	d := &departure{}
-	d.stop = context.AfterFunc(ctx, func() { d.at.Store(max(1, int64(now()))) })
-	return d
+// late gives a run that is over its time the rest of it.
+func (d *departure) late() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if !d.over {
+		d.timer = time.AfterFunc(d.most/graceParts, d.overrun)
+	}
 }
 
-// end tells when the caller left, if it has.
+// overrun counts a run that did not end with its caller.
+func (d *departure) overrun() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if !d.over {
+		d.counts.Overrun.Add(1)
+	}
+}
+
+// end ends the following with the run. It tells when the caller left, if it has.
 func (d *departure) end() (at time.Duration, left bool) {
 	d.stop()
-	at = time.Duration(d.at.Load())
-	return at, at > 0
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.over = true
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	return d.at, d.at > 0
+}
+
+// lasted notes for how long a repeatable run went on after its caller was known to be gone.
+func (d *Departures) lasted(span time.Duration) {
+	for {
+		longest := d.longest.Load()
+		if int64(span) <= longest || d.longest.CompareAndSwap(longest, int64(span)) {
+			return
+		}
+	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -233,30 +233,34 @@
 			return refusal
 		}
 	}
-	began, given, result := r.Now(), left(), Unrun
+	began, given := r.Now(), left()
+	over := handover{result: Unrun}
 	// From here on it is the worker's time, and its version's doing.
 	work := r.Works.Begin(carry.Service, carry.Version, carry.Route, r.View().Setup.Stated(carry.Service, carry.Version))
-	caller := followCaller(ctx, r.Now)
-	carried := r.give(ctx, held, carry, left, &result)
+	caller := r.Departures.followCaller(ctx, !carry.Once, r.OverrunMost, r.Now)
+	carried := r.give(ctx, held, carry, left, &over)
 	now := r.Now()
-	r.noteDeparture(caller, carry, carried, now)
-	if result == Answered && carried.Status >= failedFrom {
-		result = Failed
+	r.noteDeparture(caller, carry, carried, over.sentAt, now)
+	if over.result == Answered && carried.Status >= failedFrom {
+		over.result = Failed
 	}
 	// How a call would have ended that had not the time calls take is not known.
-	cutShort := result != Answered && left() < given/shortParts && now-began < overdueTimes*held.buffer.Pace()
+	cutShort := over.result != Answered && left() < given/shortParts && now-began < overdueTimes*held.buffer.Pace()
 	if ran := carried.Ending != schema.Ending_ENDING_NOT_RUN; ran && r.Soundness != nil && !cutShort && !calledOff(carried) {
-		r.Soundness.Ran(carry.Instance, now, result != Answered)
+		r.Soundness.Ran(carry.Instance, now, over.result != Answered)
 	}
 	held.buffer.Left(len(carried.Head) + len(carried.Body))
-	held.buffer.End(now, carry.Route, result, now-began)
+	held.buffer.End(now, carry.Route, over.result, now-began)
 	work.End(now, now-began, carried)
 	return carried
 }
 
 // noteDeparture counts what became of a call whose caller left while it was handed over or run.
-func (r *Runner) noteDeparture(caller *departure, carry *schema.Carry, carried *schema.Carried, now time.Duration) {
+func (r *Runner) noteDeparture(caller *departure, carry *schema.Carry, carried *schema.Carried, sentAt, now time.Duration) {
 	at, left := caller.end()
+	if left && sentAt > at+r.OverrunMost {
+		r.Departures.HandedLate.Add(1)
+	}
 	switch {
 	case !left:
 	case carried.Ending == schema.Ending_ENDING_NOT_RUN:
@@ -267,7 +271,7 @@
 		if calledOff(carried) {
 			r.Departures.Stopped.Add(1)
 		}
-		r.Departures.ranOn(now-at, r.OverrunMost)
+		r.Departures.lasted(now - at)
 	}
 }
 
@@ -275,8 +279,14 @@
 // out for it then still comes, and the connection stays.
 const marginParts = 64
 
+// handover is how a request was handed to a worker.
+type handover struct {
+	result Result
+	sentAt time.Duration // when its first byte was sent, 0 for not at all
+}
+
 // give gives a request to the worker; from the first byte on, it may have run.
-func (r *Runner) give(ctx context.Context, held *localWorker, carry *schema.Carry, left func() time.Duration, result *Result) *schema.Carried {
+func (r *Runner) give(ctx context.Context, held *localWorker, carry *schema.Carry, left func() time.Duration, over *handover) *schema.Carried {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -307,14 +317,16 @@
 		bodiless: func(status int) bool { return bodiless(carry.Method, status) },
 		read:     func(header *fasthttp.ResponseHeader) Said { return r.Speech.Read(header, carry) }}
 	defer x.leave()
+	x.ctx = ctx
 	// What may not be repeated runs to its end, whoever waits for it.
 	if carry.Once {
-		ctx = context.WithoutCancel(ctx)
+		x.ctx = context.WithoutCancel(ctx)
 	}
 	err := held.conns.hand(ctx, &x)
+	over.sentAt = x.sentAt
 	switch kind := defect.KindOf(err); {
-	case kind == defect.CallerGone && !x.sent:
-		return notRun(kind, 0)
+	case err != nil && x.sentAt == 0 && ctx.Err() != nil:
+		return notRun(endOf(ctx), 0)
 	// A call that is given up as its time ends has run out of time, and that says something of its worker.
 	case kind == defect.CallerGone && left() <= remaining/shortParts:
 		return unknown(defect.HorizonPast)
@@ -330,12 +342,12 @@
 		r.Workers.disown(held)
 		return metBy(notRun(defect.WrongInstance, 0))
 	case x.said.NotRun:
-		*result = Turned
+		over.result = Turned
 		return metBy(notRun(defect.BufferFull, 0))
 	case !r.Speech.Sound(&response.Header, x.body):
 		return unknown(defect.BadAnswer)
 	}
-	*result = Answered
+	over.result = Answered
 	carried := &schema.Carried{Ending: schema.Ending_ENDING_ANSWERED, Status: int32(response.StatusCode()), Body: x.body,
 		Length: uint64(len(x.body)), Checksum: crc32.ChecksumIEEE(x.body)}
 	for name, value := range response.Header.All() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,9 +44,9 @@
 	workersMost = 256
 )
 
-// overrunParts is the part of the longest time that a call may take, for which a repeatable call may go on at
+// overrunParts is the part of a lease for which a repeatable call may go on at
 // its worker once its caller is known to be gone.
-const overrunParts = 20
+const overrunParts = 16
 
 // Server runs a proxy.
 type Server struct {
@@ -253,7 +253,7 @@
 	s.workers = dispatch.NewWorkers(dispatch.WorkersOptions{Proxy: given.Name, Incarnation: s.life, Area: given.Area, Silence: given.Silence,
 		Most: workersMost, ConnsMost: int(given.Buffer), BodyMost: int(given.BodyMost), Now: s.now,
 		Road: s.road, Untethered: s.speeches.ids > 0, Young: youngTimes * s.speeches.ids, Dial: s.speeches.dial}, s.workersChanged)
-	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, Soundness: s.facts, Departures: &s.left, OverrunMost: time.Duration(given.HorizonMost) / overrunParts, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
+	s.runner = dispatch.NewRunner(dispatch.Runner{Workers: s.workers, Speech: s.speeches.worker, Soundness: s.facts, Departures: &s.left, OverrunMost: s.lease / overrunParts, View: s.view, Leased: s.gate.Open, Now: s.now, Doubting: serving(given),
 		AwaitSetup: func(ctx context.Context, sequence uint64) {
 			s.journal.Wait(ctx, func(held Picture) bool { return held.setup.Sequence >= sequence })
 		},
