--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,11 +31,16 @@
 	Err    error // why there is no complete answer
 }
 
+// readChunk is the number of bytes of an answer after which a slow client pauses.
+const readChunk = 64 << 10
+
 // Client keeps one connection to the Outgoing address of its machine.
 type Client struct {
-	Machine *Machine
-	conn    net.Conn
-	reader  *bufio.Reader
+	Machine   *Machine
+	ReadPause time.Duration // pause after each readChunk bytes of an answer; 0 for a client that reads at full speed
+
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
 // Connected reports whether the client has a connection from an earlier request.
@@ -81,9 +88,9 @@
 		return &Answer{Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := c.readBody(response.Body)
 	if err != nil {
-		return &Answer{Err: err}
+		return &Answer{Err: fmt.Errorf("%d bytes of a body of %d: %w", len(body), response.ContentLength, err)}
 	}
 	if response.Close {
 		c.Close()
@@ -91,6 +98,24 @@
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
 }
 
+// readBody reads a body to its end, with the client's pauses.
+func (c *Client) readBody(from io.Reader) (body []byte, err error) {
+	if c.ReadPause == 0 {
+		return io.ReadAll(from)
+	}
+	buffer := bytes.Buffer{}
+	for {
+		_, err := io.CopyN(&buffer, from, readChunk)
+		if errors.Is(err, io.EOF) {
+			return buffer.Bytes(), nil
+		}
+		if err != nil {
+			return buffer.Bytes(), err
+		}
+		time.Sleep(c.ReadPause)
+	}
+}
+
 // Close closes the client's connection.
 func (c *Client) Close() {
 	if c.conn != nil {
