Log each decision on an operator's change, with a hash of its content

Whether a late copy of a change was proposed anew, or was an old proposal that reached the leader late, could not be told from what the processes wrote.

--- a/internal/registry/change_submitter.go
+++ b/internal/registry/change_submitter.go
@@ -5,6 +5,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
 
 	"meadowhinge/schema"
 )
@@ -16,6 +19,7 @@
 	options      *liveOptions
 	store        schema.DRPCStoreClient
 	acknowledger *acknowledger
+	log          logr.Logger
 
 	// Guarded by sharedState.lock.
 	changeSerial   uint64                    // last serial that nextSerialLocked returned; zero for none
@@ -23,13 +27,14 @@
 }
 
 func newChangeSubmitter(state *sharedState, live *liveOptions, store schema.DRPCStoreClient,
-	changeAcknowledger *acknowledger,
+	changeAcknowledger *acknowledger, log logr.Logger,
 ) *changeSubmitter {
 	return &changeSubmitter{
 		state:          state,
 		options:        live,
 		store:          store,
 		acknowledger:   changeAcknowledger,
+		log:            log,
 		pendingChanges: map[string]*pendingChange{},
 	}
 }
@@ -114,7 +119,9 @@
 func (c *changeSubmitter) completeChange(hash string, pending *pendingChange, change *schema.Change) {
 	timeoutCtx, cancel := context.WithTimeout(context.Background(), c.options.changeTimeout())
 	defer cancel()
+	startedAt := time.Now()
 	reply := c.propose(timeoutCtx, change)
+	c.logOutcome(hash, change, reply.GetOutcome(), time.Since(startedAt))
 	if outcome := reply.GetOutcome(); outcome != nil {
 		settled := true // a refused change needs no acknowledgement
 		if outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
@@ -131,3 +138,15 @@
 	c.state.lock.Unlock()
 	close(pending.done)
 }
+
+// logOutcome logs the store's decision on a change, or that there was none before the change timeout. The hash is the
+// same at all registries that got a copy of the call; the change's id tells which of them proposed this copy.
+func (c *changeSubmitter) logOutcome(hash string, change *schema.Change, outcome *schema.ChangeOutcome, elapsed time.Duration) {
+	fields := []any{"change", change.Id, "hash", hash, "items", len(change.Items), "elapsed", elapsed.String()}
+	if outcome == nil {
+		c.log.Info("configuration change undecided", fields...)
+		return
+	}
+	fields = append(fields, "ruling", rulings[outcome.Ruling].name, "revision", outcome.Version.GetSequence())
+	c.log.Info("configuration change decided", fields...)
+}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -84,7 +84,7 @@
 	store := schema.NewDRPCStoreClient(rpcTransport.Conn(ctx, cfg.storeAddress))
 	peers := newPeerClients(state, rpcTransport)
 	changeAcknowledger := newAcknowledger(state, peers)
-	submitter := newChangeSubmitter(state, live, store, changeAcknowledger)
+	submitter := newChangeSubmitter(state, live, store, changeAcknowledger, log)
 	rollouts := newRolloutDriver(state, live, store, peers, submitter, log)
 	status := newStatusReporter(state, rpcTransport, rollouts)
 	sessions := newSessionServer(state, log)
