A call that was refused stays refused for all of its copies

Cause: the platform's calls carry no id, and each registry made one of its own for the copy that it got. The store decides an id once, so the copy of the second registry was another change, decided against a state in which another operator had added the missing service. The freeze is only one way to it: the copy may also wait in a registry's retries, at a leader that nobody hears, or at a network that was cut.

Fix: a call that comes without an id gets one that is derived from its content (callID), so all copies of a call are one change to the store. A repeat of a refusal says that the call itself is refused, since its faults may have been mended meanwhile.

A conflict (409) had the same fault, without any disruption: once a newer version had overtaken the item in conflict, the other items of the refused call were written.

--- a/internal/registry/change_submitter.go
+++ b/internal/registry/change_submitter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"meadowhinge/schema"
 )
@@ -62,7 +63,8 @@
 }
 
 // changeHash returns a hash of everything in a change except its id, including the operator's source text of the items.
-// The same change submitted under two ids therefore has one hash.
+// The same change submitted under two ids therefore has one hash. The hash of a change must be the same in every release:
+// callID depends on it, and the registries of a core may be of two releases.
 func changeHash(change *schema.Change) string {
 	hasher := sha256.New() // Write never returns an error
 	for _, item := range change.Items {
@@ -76,6 +78,18 @@
 	return hex.EncodeToString(hasher.Sum(nil))
 }
 
+// callIDPrefix and callIDDigits make up the ids of calls that came without one. 32 hexadecimal digits are 128 bits, so
+// that two calls never have one id by chance.
+const (
+	callIDPrefix = "call-"
+	callIDDigits = 32
+)
+
+// callID returns the id of a call that came without one, from the hash of its content. All copies of a call have one id,
+// whichever registry they reach, and the store decides an id only once. So a copy that arrives after the call was refused
+// gets the same refusal, even if the call would be valid by then.
+func callID(hash string) string { return callIDPrefix + hash[:callIDDigits] }
+
 // SubmitChange submits a change, or waits for the same change if that is already in progress: see OperatorBackend. It
 // sets the id of a change that has none.
 func (c *changeSubmitter) SubmitChange(ctx context.Context, change *schema.Change) *schema.ChangeOutcome {
@@ -99,9 +113,8 @@
 	}
 	pending := &pendingChange{done: make(chan struct{})}
 	c.pendingChanges[hash] = pending
-	serial := c.nextSerialLocked()
 	if change.Id == "" {
-		change.Id = fmt.Sprintf("%s-%x-%d", c.state.config.memberID, c.state.incarnation, serial)
+		change.Id = callID(hash)
 	}
 	go c.completeChange(hash, pending, change)
 	return pending
@@ -120,9 +133,10 @@
 	timeoutCtx, cancel := context.WithTimeout(context.Background(), c.options.changeTimeout())
 	defer cancel()
 	startedAt := time.Now()
-	reply := c.propose(timeoutCtx, change)
-	c.logOutcome(hash, change, reply.GetOutcome(), time.Since(startedAt))
-	if outcome := reply.GetOutcome(); outcome != nil {
+	knownRevision := c.state.committedRevision()
+	outcome := c.propose(timeoutCtx, change).GetOutcome()
+	c.logOutcome(hash, change, outcome, time.Since(startedAt))
+	if outcome != nil {
 		settled := true // a refused change needs no acknowledgement
 		if outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
 			_, settled = c.acknowledger.await(timeoutCtx, outcome.Version.GetSequence())
@@ -130,7 +144,7 @@
 		// Without acknowledgement the outcome stays nil, for unknown: the change is committed, but some proxies may not
 		// apply it yet.
 		if settled {
-			pending.outcome = outcome
+			pending.outcome = explainRepeatedRefusal(outcome, knownRevision)
 		}
 	}
 	c.state.lock.Lock()
@@ -139,6 +153,22 @@
 	close(pending.done)
 }
 
+// explainRepeatedRefusal adds to an outcome, if it is a refusal from before the call came in, that the call itself is
+// refused for good. Its faults alone would mislead an operator who has corrected them in the meantime. knownRevision is
+// the revision that this registry had when the call came in.
+func explainRepeatedRefusal(outcome *schema.ChangeOutcome, knownRevision uint64) *schema.ChangeOutcome {
+	refusedAt := outcome.Version.GetSequence()
+	if outcome.Ruling != schema.Ruling_RULING_INVALID || refusedAt > knownRevision {
+		return outcome
+	}
+	explained := proto.Clone(outcome).(*schema.ChangeOutcome)
+	explained.Faults = append(explained.Faults, &schema.FieldError{
+		Path:   ".",
+		Reason: fmt.Sprintf("the same call was refused at revision %d; send it under higher versions", refusedAt),
+	})
+	return explained
+}
+
 // logOutcome logs the store's decision on a change, or that there was none before the change timeout. The hash is the
 // same at all registries that got a copy of the call; the change's id tells which of them proposed this copy.
 func (c *changeSubmitter) logOutcome(hash string, change *schema.Change, outcome *schema.ChangeOutcome, elapsed time.Duration) {
--- a/internal/registry/operator_backend.go
+++ b/internal/registry/operator_backend.go
@@ -24,7 +24,9 @@
 type OperatorBackend interface {
 	// SubmitChange submits a change and returns its outcome once the change is acknowledged or refused. It returns nil
 	// if ctx ends first or the change timeout passes. The outcome is then unknown, and the change may still be committed.
-	// While a change is in progress, submitting the same change again waits for it instead of proposing it again.
+	// While a change is in progress, submitting the same change again waits for it instead of proposing it again. A change
+	// without an id is identified by its content: one that was refused or accepted before, at whichever registry, gets
+	// that outcome again, as long as the stores remember it.
 	SubmitChange(ctx context.Context, change *schema.Change) *schema.ChangeOutcome
 	// ReadItems returns all items, including tombstones, from a revision that contains every change acknowledged before
 	// the call. The second result is false if no such revision was reached before ctx ended.
