A late copy of a rollout order is answered like the order and starts nothing

What callers saw: an order that one registry had refused with 400 (the service or the version was not known yet) started a rollout when a copy of it reached another registry after the service had been added. And a copy of an order that had been accepted started the rollout again after it had been rolled back, or replaced the rollout that had been ordered since.

Each registry planned the order from its own configuration under an id of its own, and a refusal was stored nowhere.

Fix: the outcome of an order is stored under an id derived from its service, version and duration, a refusal too (release.RefusedOrder is a change that every store refuses). An order has no version, and the same order may rightly come again, so it counts as a copy for fifteen leases after a registry has the revision of the outcome; after that it is a new order under another id. A conflict is no answer to the order, and is planned again under another id.

Changes in progress are now found by their id in place of their hash: orders without items would otherwise have one hash. The serial of change ids has no user left and is gone.

--- a/internal/registry/change_submitter.go
+++ b/internal/registry/change_submitter.go
@@ -23,8 +23,7 @@
 	log          logr.Logger
 
 	// Guarded by sharedState.lock.
-	changeSerial   uint64                    // last serial that nextSerialLocked returned; zero for none
-	pendingChanges map[string]*pendingChange // changes in progress in SubmitChange, by changeHash
+	pendingChanges map[string]*pendingChange // changes in progress in SubmitChange, by change id
 }
 
 func newChangeSubmitter(state *sharedState, live *liveOptions, store schema.DRPCStoreClient,
@@ -102,30 +101,23 @@
 	}
 }
 
-// startChange starts processing a change, and returns it. If the same change is already in progress, it returns that
-// one.
+// startChange starts processing a change, and returns it. If the change is already in progress, it returns that one.
 func (c *changeSubmitter) startChange(change *schema.Change) *pendingChange {
 	hash := changeHash(change)
+	if change.Id == "" {
+		change.Id = callID(hash)
+	}
 	c.state.lock.Lock()
 	defer c.state.lock.Unlock()
-	if pending := c.pendingChanges[hash]; pending != nil {
+	if pending := c.pendingChanges[change.Id]; pending != nil {
 		return pending
 	}
 	pending := &pendingChange{done: make(chan struct{})}
-	c.pendingChanges[hash] = pending
-	if change.Id == "" {
-		change.Id = callID(hash)
-	}
+	c.pendingChanges[change.Id] = pending
 	go c.completeChange(hash, pending, change)
 	return pending
 }
 
-// nextSerialLocked returns the serial for the next change id. The caller holds the lock.
-func (c *changeSubmitter) nextSerialLocked() uint64 {
-	c.changeSerial++
-	return c.changeSerial
-}
-
 // completeChange processes a change until it is acknowledged or refused, or until the change timeout. It has its own
 // context, so it continues after all submitters have stopped waiting: the change may already have been proposed, and a
 // submitter who repeats it joins it here.
@@ -144,21 +136,21 @@
 		// Without acknowledgement the outcome stays nil, for unknown: the change is committed, but some proxies may not
 		// apply it yet.
 		if settled {
-			pending.outcome = explainRepeatedRefusal(outcome, knownRevision)
+			pending.outcome = explainRepeatedRefusal(change, outcome, knownRevision)
 		}
 	}
 	c.state.lock.Lock()
-	delete(c.pendingChanges, hash)
+	delete(c.pendingChanges, change.Id)
 	c.state.lock.Unlock()
 	close(pending.done)
 }
 
-// explainRepeatedRefusal adds to an outcome, if it is a refusal from before the call came in, that the call itself is
-// refused for good. Its faults alone would mislead an operator who has corrected them in the meantime. knownRevision is
-// the revision that this registry had when the call came in.
-func explainRepeatedRefusal(outcome *schema.ChangeOutcome, knownRevision uint64) *schema.ChangeOutcome {
+// explainRepeatedRefusal adds to the outcome of a change by operator versions, if it is a refusal from before the call
+// came in, that the call itself is refused for good. Its faults alone would mislead an operator who has corrected them in
+// the meantime. knownRevision is the revision that this registry had when the call came in.
+func explainRepeatedRefusal(change *schema.Change, outcome *schema.ChangeOutcome, knownRevision uint64) *schema.ChangeOutcome {
 	refusedAt := outcome.Version.GetSequence()
-	if outcome.Ruling != schema.Ruling_RULING_INVALID || refusedAt > knownRevision {
+	if !change.ByOperatorVersion || outcome.Ruling != schema.Ruling_RULING_INVALID || refusedAt > knownRevision {
 		return outcome
 	}
 	explained := proto.Clone(outcome).(*schema.ChangeOutcome)
--- a/internal/registry/change_traces.go
+++ b/internal/registry/change_traces.go
@@ -50,3 +50,12 @@
 	}
 	return 0
 }
+
+// HasHadFor reports whether this registry has had a committed revision for at least a time span. A revision whose trace
+// was dropped counts as had for any span.
+func (f *FleetState) HasHadFor(now time.Duration, revision uint64, span time.Duration) bool {
+	if traced := f.traces[revision]; traced != nil {
+		return now-traced.seenAt >= span
+	}
+	return revision <= f.committedRevision
+}
--- a/internal/registry/operator_backend.go
+++ b/internal/registry/operator_backend.go
@@ -7,7 +7,6 @@
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/config"
-	"meadowhinge/internal/errs"
 	"meadowhinge/internal/release"
 	"meadowhinge/schema"
 )
@@ -33,7 +32,8 @@
 	ReadItems(ctx context.Context) ([]*schema.Item, bool)
 	// StartRollout submits a release plan that shifts all of a service's calls to a version over a duration.
 	// If a plan for that version is already in progress, it is left unchanged and the ruling is accepted.
-	// StartRollout returns nil if the outcome is unknown.
+	// An order with the same arguments as one that was decided a short time ago, at whichever registry, counts as a copy
+	// of that one and gets its outcome. StartRollout returns nil if the outcome is unknown.
 	StartRollout(ctx context.Context, service, version string, duration time.Duration) *schema.ChangeOutcome
 	// RolloutStatus returns the state of a service's release plan and the plan's version. The state is empty if the
 	// service has no plan. known is false if the state could not be read before ctx ended.
@@ -77,40 +77,6 @@
 	return nil, false
 }
 
-// StartRollout plans a rollout from the current configuration and submits the release plan as one change. On a conflict
-// it plans again.
-func (b *operatorBackend) StartRollout(ctx context.Context, service, version string, duration time.Duration) *schema.ChangeOutcome {
-	for ctx.Err() == nil {
-		// Plan from a configuration that contains every change acknowledged before the call.
-		if _, known := b.ReadItems(ctx); !known {
-			return nil
-		}
-		snapshot, state := b.state.compiledConfig()
-		step, err := release.PlanRollout(snapshot, state, release.RolloutOrder{Service: service, Version: version, Within: duration})
-		switch {
-		case err != nil && errs.CodeOf(err) == errs.InvalidConfig:
-			return &schema.ChangeOutcome{
-				Ruling: schema.Ruling_RULING_INVALID,
-				Faults: []*schema.FieldError{{Path: "release." + service, Reason: err.Error()}},
-			}
-		case err != nil:
-			return nil
-		case step == nil:
-			return &schema.ChangeOutcome{Ruling: schema.Ruling_RULING_ACCEPTED}
-		}
-		// The rollout driver generates change ids of the same form, with serials of its own. The ids differ in the
-		// name of the step: "order-" and the service for this one, the plan or the stop for a step of the driver.
-		b.state.lock.Lock()
-		change := step.Change(b.state.config.memberID, b.state.incarnation, b.nextSerialLocked(), state)
-		b.state.lock.Unlock()
-		// On a conflict, another change was committed after the configuration was read, so plan again.
-		if outcome := b.SubmitChange(ctx, change); outcome.GetRuling() != schema.Ruling_RULING_CONFLICT {
-			return outcome
-		}
-	}
-	return nil
-}
-
 // RolloutStatus returns the state and the version of a service's release plan.
 func (b *operatorBackend) RolloutStatus(ctx context.Context, service string) (state RolloutStatus, version string, known bool) {
 	if _, known := b.ReadItems(ctx); !known {
--- /dev/null
+++ b/internal/registry/rollout_order.go
@@ -0,0 +1,113 @@
+package registry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"meadowhinge/internal/config"
+	"meadowhinge/internal/errs"
+	"meadowhinge/internal/release"
+	"meadowhinge/schema"
+)
+
+// This file starts rollouts on behalf of operators. An order has no id and no version, so a late copy of it looks like a
+// new order. The outcome of each order is therefore stored under an id derived from the order, a refusal too, and is the
+// outcome of all copies for the time of orderMemoryLeases.
+
+// orderMemoryLeases is how long an order with the same arguments counts as a copy, in leases since this registry has had
+// the revision at which the order was decided. It must exceed the time that a copy may spend at a machine that is frozen
+// or cut off, and is the time after which an operator can give the same order anew.
+const orderMemoryLeases = 15
+
+// orderIDDigits is the number of hexadecimal digits that identify the arguments of an order in its id.
+const orderIDDigits = 32
+
+// rolloutOrderID returns the change id of an order. Orders with the same arguments that are no copies of each other are
+// told apart by the revision at which the one before was decided, zero for none.
+func rolloutOrderID(order release.RolloutOrder, previousRevision uint64) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q %q %d", order.Service, order.Version, order.Within))
+	return fmt.Sprintf("order-%s-%d", hex.EncodeToString(sum[:])[:orderIDDigits], previousRevision)
+}
+
+// StartRollout plans a rollout from the current configuration and submits the release plan as one change under the id of
+// the order. It plans again under another id after a conflict, and if the outcome is that of an order too long ago for
+// this one to be its copy.
+func (b *operatorBackend) StartRollout(ctx context.Context, service, version string, duration time.Duration) *schema.ChangeOutcome {
+	order := release.RolloutOrder{Service: service, Version: version, Within: duration}
+	previousRevision := uint64(0)
+	for ctx.Err() == nil {
+		// Plan from a configuration that contains every change acknowledged before the call.
+		if _, known := b.ReadItems(ctx); !known {
+			return nil
+		}
+		step, planErr := b.planRollout(order)
+		if step == nil {
+			return nil
+		}
+		knownRevision, state := b.state.committedState()
+		change := &schema.Change{
+			Id:       rolloutOrderID(order, previousRevision),
+			Items:    step.Items,
+			Expected: step.Preconditions(state),
+		}
+		outcome := b.SubmitChange(ctx, change)
+		decidedAt := outcome.GetVersion().GetSequence()
+		switch {
+		case outcome == nil:
+			return nil
+		case outcome.Ruling == schema.Ruling_RULING_CONFLICT || b.state.hasHadFor(decidedAt, orderMemoryLeases*b.state.config.lease):
+			previousRevision = decidedAt
+		case outcome.Ruling == schema.Ruling_RULING_INVALID && decidedAt <= knownRevision:
+			return refusedOrder(outcome, order, fmt.Sprintf("the same order was refused at revision %d; give it again after %v",
+				decidedAt, orderMemoryLeases*b.state.config.lease))
+		case outcome.Ruling == schema.Ruling_RULING_INVALID && planErr != nil:
+			return refusedOrder(outcome, order, planErr.Error())
+		default:
+			return outcome
+		}
+	}
+	return nil
+}
+
+// planRollout returns the step to submit for an order: one without items if the order needs no change, and one that the
+// store refuses, with the error, if the order is invalid. The step is nil if the order cannot be planned now.
+func (b *operatorBackend) planRollout(order release.RolloutOrder) (*release.Step, error) {
+	snapshot, state := b.state.compiledConfig()
+	step, err := release.PlanRollout(snapshot, state, order)
+	switch {
+	case err != nil && errs.CodeOf(err) == errs.InvalidConfig:
+		return release.RefusedOrder(order), err
+	case err != nil:
+		return nil, err
+	case step == nil:
+		return &release.Step{}, nil
+	}
+	return step, nil
+}
+
+// refusedOrder returns the outcome of a refused order with the reason to report.
+func refusedOrder(outcome *schema.ChangeOutcome, order release.RolloutOrder, reason string) *schema.ChangeOutcome {
+	return &schema.ChangeOutcome{
+		ChangeId: outcome.ChangeId,
+		Ruling:   outcome.Ruling,
+		Version:  outcome.Version,
+		Faults:   []*schema.FieldError{{Path: "release." + order.Service, Reason: reason}},
+	}
+}
+
+// committedState returns the revision of the configuration that this registry has, and its items.
+func (s *sharedState) committedState() (revision uint64, state config.State) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.fleetState.committedRevision, s.configCache.state
+}
+
+// hasHadFor reports whether this registry has had a revision for a time span: see FleetState.HasHadFor.
+func (s *sharedState) hasHadFor(revision uint64, span time.Duration) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.fleetState.HasHadFor(s.now(), revision, span)
+}
--- a/internal/release/rollout_order.go
+++ b/internal/release/rollout_order.go
@@ -6,6 +6,7 @@
 
 	"meadowhinge/internal/config"
 	"meadowhinge/internal/errs"
+	"meadowhinge/schema"
 )
 
 // RolloutOrder is an operator's request to shift all calls of a service to a version.
@@ -63,6 +64,18 @@
 	return step, err
 }
 
+// kindRefusedOrder is the kind of the item that stands for a refused order. No configuration has items of this kind.
+const kindRefusedOrder = "refused-order"
+
+// RefusedOrder returns a step that every store refuses, so that the refusal of an invalid order is stored under the id of
+// the order, for its copies.
+func RefusedOrder(order RolloutOrder) *Step {
+	return &Step{
+		Name:  "order-" + order.Service,
+		Items: []*schema.Item{{Kind: kindRefusedOrder, Name: order.Service, Body: []byte("{}")}},
+	}
+}
+
 // removeSuperseded adds the deletion of the items that an order replaces. These are the progress of the previous plan
 // of the same name, a stop of the version, and other plans of the service with their progress. Other plans are
 // deleted because a service has only one plan.
