Simulate operators that send dependent calls in late copies

The core simulator gets a scenario in which an operator's call is refused until another operator's call has added a service, and its copies arrive at random members: at once, delayed by up to 25 s, or after a freeze. Each copy must get the ruling of the call, and what was refused must never be in force. It uses the product's own derivation of a call's id, CallID, which moves to a file of its own. The log of decisions loses the hash: the id now says the same.

--- a/internal/registry/change_submitter.go
+++ b/internal/registry/change_submitter.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -61,34 +59,6 @@
 	outcome *schema.ChangeOutcome // read only after done is closed; nil if the outcome is unknown
 }
 
-// changeHash returns a hash of everything in a change except its id, including the operator's source text of the items.
-// The same change submitted under two ids therefore has one hash. The hash of a change must be the same in every release:
-// callID depends on it, and the registries of a core may be of two releases.
-func changeHash(change *schema.Change) string {
-	hasher := sha256.New() // Write never returns an error
-	for _, item := range change.Items {
-		_, _ = fmt.Fprintf(hasher, "%q %q %d %t %q %q\n",
-			item.Kind, item.Name, item.OperatorVersion, item.Deleted, item.Body, item.OperatorBody)
-	}
-	for _, expected := range change.Expected {
-		_, _ = fmt.Fprintf(hasher, "%q %q %d\n", expected.Kind, expected.Name, expected.Sequence)
-	}
-	_, _ = fmt.Fprint(hasher, change.ByOperatorVersion)
-	return hex.EncodeToString(hasher.Sum(nil))
-}
-
-// callIDPrefix and callIDDigits make up the ids of calls that came without one. 32 hexadecimal digits are 128 bits, so
-// that two calls never have one id by chance.
-const (
-	callIDPrefix = "call-"
-	callIDDigits = 32
-)
-
-// callID returns the id of a call that came without one, from the hash of its content. All copies of a call have one id,
-// whichever registry they reach, and the store decides an id only once. So a copy that arrives after the call was refused
-// gets the same refusal, even if the call would be valid by then.
-func callID(hash string) string { return callIDPrefix + hash[:callIDDigits] }
-
 // SubmitChange submits a change, or waits for the same change if that is already in progress: see OperatorBackend. It
 // sets the id of a change that has none.
 func (c *changeSubmitter) SubmitChange(ctx context.Context, change *schema.Change) *schema.ChangeOutcome {
@@ -103,9 +73,8 @@
 
 // startChange starts processing a change, and returns it. If the change is already in progress, it returns that one.
 func (c *changeSubmitter) startChange(change *schema.Change) *pendingChange {
-	hash := changeHash(change)
 	if change.Id == "" {
-		change.Id = callID(hash)
+		change.Id = CallID(change)
 	}
 	c.state.lock.Lock()
 	defer c.state.lock.Unlock()
@@ -114,20 +83,20 @@
 	}
 	pending := &pendingChange{done: make(chan struct{})}
 	c.pendingChanges[change.Id] = pending
-	go c.completeChange(hash, pending, change)
+	go c.completeChange(pending, change)
 	return pending
 }
 
 // completeChange processes a change until it is acknowledged or refused, or until the change timeout. It has its own
 // context, so it continues after all submitters have stopped waiting: the change may already have been proposed, and a
 // submitter who repeats it joins it here.
-func (c *changeSubmitter) completeChange(hash string, pending *pendingChange, change *schema.Change) {
+func (c *changeSubmitter) completeChange(pending *pendingChange, change *schema.Change) {
 	timeoutCtx, cancel := context.WithTimeout(context.Background(), c.options.changeTimeout())
 	defer cancel()
 	startedAt := time.Now()
 	knownRevision := c.state.committedRevision()
 	outcome := c.propose(timeoutCtx, change).GetOutcome()
-	c.logOutcome(hash, change, outcome, time.Since(startedAt))
+	c.logOutcome(change, outcome, time.Since(startedAt))
 	if outcome != nil {
 		settled := true // a refused change needs no acknowledgement
 		if outcome.Ruling == schema.Ruling_RULING_ACCEPTED {
@@ -161,10 +130,10 @@
 	return explained
 }
 
-// logOutcome logs the store's decision on a change, or that there was none before the change timeout. The hash is the
-// same at all registries that got a copy of the call; the change's id tells which of them proposed this copy.
-func (c *changeSubmitter) logOutcome(hash string, change *schema.Change, outcome *schema.ChangeOutcome, elapsed time.Duration) {
-	fields := []any{"change", change.Id, "hash", hash, "items", len(change.Items), "elapsed", elapsed.String()}
+// logOutcome logs the store's decision on a change, or that there was none before the change timeout. All registries that
+// got a copy of one call log it under one id.
+func (c *changeSubmitter) logOutcome(change *schema.Change, outcome *schema.ChangeOutcome, elapsed time.Duration) {
+	fields := []any{"change", change.Id, "items", len(change.Items), "elapsed", elapsed.String()}
 	if outcome == nil {
 		c.log.Info("configuration change undecided", fields...)
 		return
--- a/internal/registry/refused_calls_test.go
+++ b/internal/registry/refused_calls_test.go
@@ -128,12 +128,12 @@
 	call := func(edit func(item *schema.Item)) string {
 		item := &schema.Item{Kind: "route", Name: "r", OperatorVersion: 9, Body: []byte("{}"), OperatorBody: []byte("{ }")}
 		edit(item)
-		return callID(changeHash(&schema.Change{ByOperatorVersion: true, Items: []*schema.Item{item}}))
+		return CallID(&schema.Change{ByOperatorVersion: true, Items: []*schema.Item{item}})
 	}
 	const want = "call-c9fa7c246479b0887af88abf26aae6a4"
 	original := call(func(*schema.Item) {})
 	if original != want {
-		t.Errorf("callID = %q, want %q as in earlier releases", original, want)
+		t.Errorf("CallID = %q, want %q as in earlier releases", original, want)
 	}
 	for name, edit := range map[string]func(item *schema.Item){
 		"kind":          func(item *schema.Item) { item.Kind = "service" },
@@ -144,7 +144,7 @@
 		"operator body": func(item *schema.Item) { item.OperatorBody = []byte("{}") },
 	} {
 		if got := call(edit); got == original {
-			t.Errorf("callID with another %s = %q, want another id than that of the original call", name, got)
+			t.Errorf("CallID with another %s = %q, want another id than that of the original call", name, got)
 		}
 	}
 }
--- a/internal/simulator/core_operators.go
+++ b/internal/simulator/core_operators.go
@@ -238,7 +238,9 @@
 	w.Acknowledgements++
 	w.History.recordAcknowledgement(w.now, sequence)
 	for _, item := range change.Items {
-		w.acknowledgedVersions[item.Name] = max(w.acknowledgedVersions[item.Name], item.OperatorVersion)
+		if item.Kind == "segment" {
+			w.acknowledgedVersions[item.Name] = max(w.acknowledgedVersions[item.Name], item.OperatorVersion)
+		}
 	}
 	for _, callback := range w.onAcknowledged {
 		callback()
--- a/internal/simulator/core_scenario.go
+++ b/internal/simulator/core_scenario.go
@@ -24,6 +24,7 @@
 	MaxLosses      int           // number of members that may be lost at once
 	OnlyFaults     []string      // restricts fault injection to the CoreFaults with these names; empty allows all
 	FaultyDuration time.Duration // how long faults are injected; 0 for 90 seconds
+	CopiedCalls    bool          // operators also send calls that depend on each other, in copies that may be late
 }
 
 // CoreWorld is a World of members without registries and proxies. The core founds itself from seeds. Members join,
@@ -51,6 +52,9 @@
 
 	// Totals. Resends counts the older changes that were sent again.
 	Acknowledgements, Reads, Replacements, Resends int
+
+	// Totals of the copied calls that were refused, and of the copies that were decided after the end of their call.
+	RefusedCalls, LateCopies int
 }
 
 // RunCore runs one seed of a core without a mesh: operators change and read items while faults come and go. It
@@ -74,6 +78,9 @@
 	w.requireComplete(0)
 	w.submitPeriodically()
 	w.readPeriodically()
+	if options.CopiedCalls {
+		w.sendCopiedCalls()
+	}
 	until := w.now + options.FaultyDuration
 	w.injectCoreFaults(until)
 	// Lost members have up to a minute to recover. If they do not, the check at the end reports it.
--- a/internal/simulator/core_test.go
+++ b/internal/simulator/core_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// TestRefusedCallsHaveNoLateEffect checks the invariants of a core whose operators send calls in copies, some of which
+// arrive after the call was refused: at a member that was frozen, cut off or restarted, or under another leader. A copy
+// must get the ruling of the call, and the items of a refused call must never be in force.
+func TestRefusedCallsHaveNoLateEffect(t *testing.T) {
+	for _, options := range coreSizes {
+		options.CopiedCalls = true
+		t.Run(fmt.Sprint(options.Members, " members"), func(t *testing.T) {
+			for seed := *firstSeed; seed < *firstSeed+uint64(*coreSeedCount); seed++ {
+				t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+					t.Parallel()
+					w := runCoreSeed(t, seed, SeededNone, options)
+					for kind, violations := range w.History.Violations {
+						t.Errorf("seed %d: %s: %v", seed, kind, violations)
+					}
+					if w.RefusedCalls < 5 || w.LateCopies < 5 {
+						t.Errorf("seed %d: %d refused calls and %d late copies, want at least 5 of each", seed, w.RefusedCalls, w.LateCopies)
+					}
+				})
+			}
+		})
+	}
+}
+
 // TestCoreSeededFaults checks that the checks of a core detect each seeded fault in at least one of a few seeds.
 func TestCoreSeededFaults(t *testing.T) {
 	for _, test := range []struct {
@@ -66,6 +89,12 @@
 		{SeededNoTombstones, []string{ViolationOperatorVersionLost, ViolationContentMismatch}, nil, coreSizes[0]},
 		{SeededStaleRead, []string{ViolationNotLinearizable}, []string{"one member isolated", "core split in two", "member frozen"}, coreSizes[0]},
 		{SeededConflictAccepted, []string{ViolationNotLinearizable}, nil, coreSizes[0]},
+		{
+			SeededCopiesDecidedAnew,
+			[]string{ViolationInvalidConfig},
+			nil,
+			CoreOptions{Members: 3, MaxLosses: 1, CopiedCalls: true},
+		},
 		{SeededNoReplacement, []string{ViolationCoreIncomplete, ViolationSlowAcknowledgement}, []string{"member replaced"}, coreSizes[0]},
 	} {
 		t.Run(fmt.Sprint(test.seededFault, ", ", test.options.Members, " members"), func(t *testing.T) {
--- a/internal/simulator/seeded_faults.go
+++ b/internal/simulator/seeded_faults.go
@@ -49,5 +49,6 @@
 	SeededNoTombstones               SeededFault = "no tombstones: a member keeps only one tombstone"
 	SeededNoReplacement              SeededFault = "no replacement: no new member replaces a removed one"
 	SeededStaleRead                  SeededFault = "stale read: a member serves a read without a read index"
+	SeededCopiesDecidedAnew          SeededFault = "copies decided anew: each copy of a call is a change of its own"
 	SeededConflictAccepted           SeededFault = "conflict accepted: a second content under one operator version is acknowledged"
 )
