A response is not cut off while its caller goes on reading

Cause: one deadline bounded the whole write, between a half and the whole of the idle timeout after its beginning, and was not moved while bytes were taken.

Fix: when a write reaches its deadline, the proxy looks how much the caller's machine has taken, and goes on if that has grown. A response ends when nothing was taken for the idle timeout, noticed within a quarter of it, or at the end of the call's time (and not before one idle timeout), so one response is held for no longer than these. The progress is read from the kernel's send queue (SIOCOUTQ): a full socket of 4 MB counts as writable only once a third of it is free, which takes a reader at 64 KB/s longer than an idle timeout.

Not done here: no budget counts the responses in memory of all slow callers together (docs/limits.md).

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -82,7 +82,12 @@
 		s.writeError(header, errs.New(errs.QueueFull, "too many calls in flight"), outcomeNotExecuted, response)
 		return
 	}
-	s.writeResult(header, s.forwarder.Forward(ctx, call), response)
+	startedAt := time.Now()
+	result := s.forwarder.Forward(ctx, call)
+	if result.Plan != nil {
+		response.deadline = startedAt.Add(result.Plan.Deadline)
+	}
+	s.writeResult(header, result, response)
 }
 
 // boundCallerDeadline reduces the caller's deadline by the time taken to read the request, and limits it by the shutdown
--- a/internal/proxy/disconnect_watch.go
+++ b/internal/proxy/disconnect_watch.go
@@ -114,7 +114,7 @@
 	if c.responseStarted {
 		return false, nil
 	}
-	c.setWriteTimeout()
+	c.setWriteTimeout(time.Now(), false)
 	_, err = io.WriteString(c.conn, continueResponse)
 	return true, err
 }
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net"
 	"strconv"
 	"time"
 
@@ -15,10 +14,12 @@
 	Status      int    // HTTP status code
 	Body        []byte // response body; not sent if the method or the status permits none
 	headerBlock []byte // header lines in wire format, each with its line end
+
+	deadline time.Time // time until which the caller waits for the response; zero if not known
 }
 
 // reset clears the response for the next request.
-func (r *Response) reset() { r.Status, r.Body, r.headerBlock = 0, nil, r.headerBlock[:0] }
+func (r *Response) reset() { *r = Response{headerBlock: r.headerBlock[:0]} }
 
 // AddHeader adds a header field. The connection adds Content-Length and Connection itself.
 func (r *Response) AddHeader(name, value string) {
@@ -32,17 +33,10 @@
 		body = nil
 	}
 	out := c.appendResponseHeader(c.writeBuffer[:0], len(body), closeAfter)
-	c.setWriteTimeout()
-	var err error
-	var bytesWritten int64
 	if len(body) <= maxCombinedWriteBytes {
-		out = append(out, body...)
-		written, writeErr := c.conn.Write(out)
-		bytesWritten, err = int64(written), writeErr
-	} else {
-		buffers := net.Buffers{out, body}
-		bytesWritten, err = buffers.WriteTo(c.conn)
+		out, body = append(out, body...), nil
 	}
+	bytesWritten, err := c.writeParts(out, body)
 	if c.listener.onWritten != nil && !c.isLocalCaller() {
 		c.listener.onWritten(int(bytesWritten))
 	}
@@ -73,13 +67,3 @@
 	}
 	return append(out, "\r\n"...)
 }
-
-// setWriteTimeout bounds the duration of a write, so that the proxy does not wait for a caller that stopped reading. The
-// limit is the idle timeout, of which at least half remains for each write.
-func (c *connection) setWriteTimeout() {
-	timeout := c.listener.limits().idleTimeout
-	if now := time.Now(); c.writeDeadline.Sub(now) < timeout/2 {
-		c.writeDeadline = now.Add(timeout)
-		_ = c.conn.SetWriteDeadline(c.writeDeadline) // a closed connection fails at the write
-	}
-}
