Count a disconnect that ends its run before the count's callback ran

Cause: the disconnect ends the context of the run. The run may return and call finish before the goroutine of context.AfterFunc has recorded the disconnect, and a finished watch records nothing any more.

Fix: finish asks the context whether it was too late to detach the callback. If so, and the callback has not recorded the disconnect yet, finish records it.

--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -104,13 +104,18 @@
 	if w.finished {
 		return
 	}
-	w.disconnectedAt = max(1, w.now())
-	w.counts.Propagated.Add(1)
+	w.recordDisconnect()
 	if w.mustStop && w.maxOverrun > 0 {
 		w.timer = time.AfterFunc(w.maxOverrun, w.startGrace)
 	}
 }
 
+// recordDisconnect records that the disconnect is known now. The caller holds the lock.
+func (w *overrunWatch) recordDisconnect() {
+	w.disconnectedAt = max(1, w.now())
+	w.counts.Propagated.Add(1)
+}
+
 // startGrace starts the grace period of a run that has used up maxOverrun. recordOverrun is called at its end.
 func (w *overrunWatch) startGrace() {
 	w.lock.Lock()
@@ -132,9 +137,13 @@
 // finish ends the watch when the run ends. It returns whether the disconnect of the caller became known, and at what time
 // on the process clock.
 func (w *overrunWatch) finish() (disconnectedAt time.Duration, disconnected bool) {
-	w.stop()
+	detached := w.stop()
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	// The disconnect itself may have ended the run, before the goroutine of onDisconnect got to record it.
+	if !detached && w.disconnectedAt == 0 {
+		w.recordDisconnect()
+	}
 	w.finished = true
 	if w.timer != nil {
 		w.timer.Stop()
