A change of configuration does not cancel the repeat of a failed report

Cause: without a lease a failed report of the workers is repeated after a pause. A change of configuration that came in this pause began the next turn without the workers, and dropped the repeat.

Fix: what begins the next turn no longer decides whether a failed report is due (reportSchedule.beginTurn).

Tests: TestConfigChangeKeepsFailedReportDue fails with the old rule (no report after the change of configuration), TestFailedReportStaysDue.

--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -100,10 +100,18 @@
 	return r.verdictInterval
 }
 
+// beginTurn begins the next turn. workersChanged tells that the workers have changed, and retry that the last turn's
+// report of the workers failed. It must then be repeated in this turn, whatever has begun it: without a lease nothing
+// else repeats it.
+func (r *reportSchedule) beginTurn(workersChanged, retry bool) {
+	r.turn++
+	r.reportWorkers = workersChanged || retry
+}
+
 // reportLoop reports workers and counts to the current registry until ctx ends.
 func (s *Server) reportLoop(ctx context.Context) {
 	schedule := newReportSchedule(s.servesStale(), s.leaseDuration)
-	for ; ; schedule.turn++ {
+	for {
 		schedule.updateEvaluated(s.view().Config)
 		includeWorkers, includeVerdicts := schedule.due(s.now())
 		reported := true
@@ -119,11 +127,11 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(schedule.nextTurn(retry)):
-			schedule.reportWorkers = retry
+			schedule.beginTurn(false, retry)
 		case <-s.configChanged:
-			schedule.reportWorkers = false
+			schedule.beginTurn(false, retry)
 		case <-s.reportNow:
-			schedule.reportWorkers = true
+			schedule.beginTurn(true, retry)
 		}
 	}
 }
