A copy of an ended rollout is not acknowledged

A registry that has just started takes any order that was accepted before for a copy, for fifteen leases, since it cannot know how old it is. An operator who ordered a version anew after a rollback was told 200 there, and nothing started.

Such an order is now left undecided (503) if the rollout that it would be a copy of has been rolled back or replaced: a late copy has nobody who reads the answer, and a new order goes to another registry or is repeated. A copy of an order whose rollout is in force is acknowledged as before.

--- a/internal/registry/operator_backend.go
+++ b/internal/registry/operator_backend.go
@@ -33,7 +33,8 @@
 	// StartRollout submits a release plan that shifts all of a service's calls to a version over a duration.
 	// If a plan for that version is already in progress, it is left unchanged and the ruling is accepted.
 	// An order with the same arguments as one that was decided a short time ago, at whichever registry, counts as a copy
-	// of that one and gets its outcome. StartRollout returns nil if the outcome is unknown.
+	// of that one and starts nothing. It gets the same outcome, or an unknown one if the rollout was rolled back or
+	// replaced since. StartRollout returns nil if the outcome is unknown.
 	StartRollout(ctx context.Context, service, version string, duration time.Duration) *schema.ChangeOutcome
 	// RolloutStatus returns the state of a service's release plan and the plan's version. The state is empty if the
 	// service has no plan. known is false if the state could not be read before ctx ended.
--- a/internal/registry/rollout_order.go
+++ b/internal/registry/rollout_order.go
@@ -34,7 +34,7 @@
 
 // StartRollout plans a rollout from the current configuration and submits the release plan as one change under the id of
 // the order. It plans again under another id after a conflict, and if the outcome is that of an order too long ago for
-// this one to be its copy.
+// this one to be its copy. The outcome is unknown for a copy of an accepted order whose rollout is no longer in force.
 func (b *operatorBackend) StartRollout(ctx context.Context, service, version string, duration time.Duration) *schema.ChangeOutcome {
 	order := release.RolloutOrder{Service: service, Version: version, Within: duration}
 	previousRevision := uint64(0)
@@ -60,6 +60,10 @@
 			return nil
 		case outcome.Ruling == schema.Ruling_RULING_CONFLICT || b.state.hasHadFor(decidedAt, orderMemoryLeases*b.state.config.lease):
 			previousRevision = decidedAt
+		case outcome.Ruling == schema.Ruling_RULING_ACCEPTED && decidedAt <= knownRevision && len(step.Items) > 0:
+			// The rollout has ended otherwise since, so this is a late copy, or a new order that comes too soon. An
+			// acknowledgement would be wrong for the latter.
+			return nil
 		case outcome.Ruling == schema.Ruling_RULING_INVALID && decidedAt <= knownRevision:
 			return refusedOrder(outcome, order, fmt.Sprintf("the same order was refused at revision %d; give it again after %v",
 				decidedAt, orderMemoryLeases*b.state.config.lease))
