A rollout order is planned and checked against one configuration

The move of the order's planning into its own file read the configuration twice: the step came from one, the versions that it expects from the next. A change between the two, such as another order, would have been overwritten without a conflict. Found by reading the change again; no run showed it. Both now come from one read, as before the move.

--- a/internal/registry/rollout_order.go
+++ b/internal/registry/rollout_order.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"meadowhinge/internal/config"
 	"meadowhinge/internal/errs"
 	"meadowhinge/internal/release"
 	"meadowhinge/schema"
@@ -43,32 +42,32 @@
 		if _, known := b.ReadItems(ctx); !known {
 			return nil
 		}
-		step, planErr := b.planRollout(order)
-		if step == nil {
+		planned := b.planRollout(order)
+		if planned == nil {
 			return nil
 		}
-		knownRevision, state := b.state.committedState()
 		change := &schema.Change{
 			Id:       rolloutOrderID(order, previousRevision),
-			Items:    step.Items,
-			Expected: step.Preconditions(state),
+			Items:    planned.items,
+			Expected: planned.expected,
 		}
 		outcome := b.SubmitChange(ctx, change)
 		decidedAt := outcome.GetVersion().GetSequence()
+		isCopy := decidedAt <= planned.revision
 		switch {
 		case outcome == nil:
 			return nil
 		case outcome.Ruling == schema.Ruling_RULING_CONFLICT || b.state.hasHadFor(decidedAt, orderMemoryLeases*b.state.config.lease):
 			previousRevision = decidedAt
-		case outcome.Ruling == schema.Ruling_RULING_ACCEPTED && decidedAt <= knownRevision && len(step.Items) > 0:
+		case outcome.Ruling == schema.Ruling_RULING_ACCEPTED && isCopy && len(planned.items) > 0:
 			// The rollout has ended otherwise since, so this is a late copy, or a new order that comes too soon. An
 			// acknowledgement would be wrong for the latter.
 			return nil
-		case outcome.Ruling == schema.Ruling_RULING_INVALID && decidedAt <= knownRevision:
+		case outcome.Ruling == schema.Ruling_RULING_INVALID && isCopy:
 			return refusedOrder(outcome, order, fmt.Sprintf("the same order was refused at revision %d; give it again after %v",
 				decidedAt, orderMemoryLeases*b.state.config.lease))
-		case outcome.Ruling == schema.Ruling_RULING_INVALID && planErr != nil:
-			return refusedOrder(outcome, order, planErr.Error())
+		case outcome.Ruling == schema.Ruling_RULING_INVALID && planned.refusal != nil:
+			return refusedOrder(outcome, order, planned.refusal.Error())
 		default:
 			return outcome
 		}
@@ -76,20 +75,30 @@
 	return nil
 }
 
-// planRollout returns the step to submit for an order: one without items if the order needs no change, and one that the
-// store refuses, with the error, if the order is invalid. The step is nil if the order cannot be planned now.
-func (b *operatorBackend) planRollout(order release.RolloutOrder) (*release.Step, error) {
+// plannedOrder is what to submit for an order, planned from one configuration.
+type plannedOrder struct {
+	revision uint64                    // revision of that configuration
+	items    []*schema.Item            // none if the order needs no change; items that the store refuses if it is invalid
+	expected []*schema.ExpectedVersion // versions of the items in that configuration
+	refusal  error                     // why the order is invalid; nil if it is valid
+}
+
+// planRollout plans an order from the configuration that this registry has. It returns nil if the order cannot be planned
+// now.
+func (b *operatorBackend) planRollout(order release.RolloutOrder) *plannedOrder {
 	snapshot, state := b.state.compiledConfig()
+	planned := &plannedOrder{revision: snapshot.Revision}
 	step, err := release.PlanRollout(snapshot, state, order)
 	switch {
 	case err != nil && errs.CodeOf(err) == errs.InvalidConfig:
-		return release.RefusedOrder(order), err
+		step, planned.refusal = release.RefusedOrder(order), err
 	case err != nil:
-		return nil, err
-	case step == nil:
-		return &release.Step{}, nil
+		return nil
 	}
-	return step, nil
+	if step != nil {
+		planned.items, planned.expected = step.Items, step.Preconditions(state)
+	}
+	return planned
 }
 
 // refusedOrder returns the outcome of a refused order with the reason to report.
@@ -102,13 +111,6 @@
 	}
 }
 
-// committedState returns the revision of the configuration that this registry has, and its items.
-func (s *sharedState) committedState() (revision uint64, state config.State) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.fleetState.committedRevision, s.configCache.state
-}
-
 // hasHadFor reports whether this registry has had a revision for a time span: see FleetState.HasHadFor.
 func (s *sharedState) hasHadFor(revision uint64, span time.Duration) bool {
 	s.lock.Lock()
