A slow caller's response goes on where the kernel does not tell its progress

Where the send queue cannot be read, a response over 16 KB was cut off after a quarter of the idle timeout, the first check. What the kernel has accepted now counts as taken there. Found by reading; every connection of a caller on Linux can be asked. TestWriteProgressWithoutKernelSupport.

--- a/internal/proxy/response_write.go
+++ b/internal/proxy/response_write.go
@@ -40,12 +40,8 @@
 // nextDeadline returns the deadline of the next write after a write has reached its own, and false if the response must
 // be cut off. written is the number of bytes of the response that the kernel has accepted.
 func (p *writeProgress) nextDeadline(now time.Time, written int64) (deadline time.Time, mayContinue bool) {
-	unacknowledged, known := unacknowledgedBytes(p.conn)
-	if !known {
-		return time.Time{}, false
-	}
 	// The first check has nothing to compare with.
-	if taken := written - unacknowledged; !p.measured || taken > p.taken {
+	if taken := written - unacknowledgedBytes(p.conn); !p.measured || taken > p.taken {
 		p.measured, p.taken, p.takenAt = true, taken, now
 	}
 	if now.Sub(p.takenAt) >= p.idleTimeout || !now.Before(p.end) {
@@ -59,20 +55,23 @@
 }
 
 // unacknowledgedBytes returns how many bytes the kernel holds that the other end of a connection has not acknowledged. A
-// system call tells it, because the kernel reports a full socket as writable only once much of its buffer is free.
-func unacknowledgedBytes(conn net.Conn) (count int64, known bool) {
+// system call tells it, because the kernel reports a full socket as writable only once much of its buffer is free. The
+// result is 0 where the call is not supported, so that what the kernel accepts counts as taken.
+func unacknowledgedBytes(conn net.Conn) (count int64) {
 	syscallConn, supported := conn.(syscall.Conn)
 	if !supported {
-		return 0, false
+		return 0
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return 0, false
+		return 0
 	}
-	var queued int
-	var queueErr error
+	queued, queueErr := 0, error(nil)
 	err = raw.Control(func(descriptor uintptr) { queued, queueErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ) })
-	return int64(queued), err == nil && queueErr == nil
+	if err != nil || queueErr != nil {
+		return 0
+	}
+	return int64(queued)
 }
 
 // writeParts writes the header and the body of a response to the caller, and returns the number of bytes written. A
--- a/internal/proxy/response_write_test.go
+++ b/internal/proxy/response_write_test.go
@@ -161,3 +161,32 @@
 		})
 	}
 }
+
+// The progress of a caller is what the kernel has accepted where it does not tell what the caller has acknowledged. A
+// response goes on while that grows, and is cut off after an idle timeout without growth or at its end.
+func TestWriteProgressWithoutKernelSupport(t *testing.T) {
+	conn, peer := net.Pipe()
+	t.Cleanup(func() { _ = errors.Join(conn.Close(), peer.Close()) }) // closing a pipe never fails
+	start := time.Unix(1000, 0)
+	const idleTimeout = 4 * time.Second
+	progress := &writeProgress{conn: conn, idleTimeout: idleTimeout, end: start.Add(10 * time.Second), takenAt: start}
+	for _, check := range []struct {
+		after   time.Duration // time since the writing began
+		written int64         // bytes that the kernel has accepted
+		want    time.Duration // next deadline since the writing began; 0 if the response is cut off
+	}{
+		{1 * time.Second, 100, 2 * time.Second},
+		{4 * time.Second, 100, 5 * time.Second},
+		{4500 * time.Millisecond, 101, 5500 * time.Millisecond},
+		{8 * time.Second, 101, 9 * time.Second},
+		{8500 * time.Millisecond, 101, 0},
+		{9500 * time.Millisecond, 102, 10 * time.Second},
+		{10 * time.Second, 103, 0},
+	} {
+		deadline, mayContinue := progress.nextDeadline(start.Add(check.after), check.written)
+		if mayContinue != (check.want != 0) || (mayContinue && deadline.Sub(start) != check.want) {
+			t.Errorf("nextDeadline after %v with %d bytes = %v, %t; want %v",
+				check.after, check.written, deadline.Sub(start), mayContinue, check.want)
+		}
+	}
+}
