The interim response for a body does not fail by an earlier write deadline

Cause: the interim response was written under whatever deadline an earlier response had left. Fix: it sets its own, like every other write.

TestContinueIsSentAfterEarlierDeadline fails without it (no interim response within 10 s).

--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -26,6 +26,7 @@
 	case c.header.contentLength == 0 && !c.header.chunked:
 		return nil, nil
 	case c.header.expectsContinue && c.bufferStart == c.bufferEnd:
+		c.setWriteTimeout(time.Now(), false)
 		if _, err := io.WriteString(c.conn, continueResponse); err != nil {
 			return nil, io.ErrUnexpectedEOF
 		}
--- a/internal/proxy/response_write_test.go
+++ b/internal/proxy/response_write_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	slowReadBytes    = 64 << 10             // bytes that a slow reader takes at a time
 	slowReadInterval = 8 * time.Millisecond // so that a response takes three idle timeouts
 	stalledReadBytes = 4 << 20              // bytes that a reader takes before it stops
+	shortReadTimeout = 10 * time.Second     // time in which a response that is sent at once must arrive
 	stallTolerance   = 20 * slowIdleTimeout // time in which a machine under load must have noticed that a reader stopped
 	longCallTime     = testTimeout          // time of a call that does not end before its response is read
 	shortCallTime    = 2 * slowIdleTimeout  // time of a call that ends before its response is read
@@ -190,3 +192,26 @@
 		}
 	}
 }
+
+// A kept connection still gets the interim response that asks for a body when the write deadline of an earlier response
+// has passed. Before, the request ended without an answer.
+func TestContinueIsSentAfterEarlierDeadline(t *testing.T) {
+	server, caller := net.Pipe()
+	t.Cleanup(func() { _ = errors.Join(server.Close(), caller.Close()) }) // closing a pipe never fails
+	kept := &connection{listener: startListener(t, defaultLimits).listener, conn: server, buffer: make([]byte, initialBufferSize)}
+	kept.moveWriteDeadline(pastDeadline)
+	kept.header.expectsContinue, kept.header.contentLength = true, 2
+	received := make(chan string, 1)
+	go func() {
+		body, err := kept.readBody(defaultLimits)
+		received <- fmt.Sprint(string(body), " ", err)
+	}()
+	if err := caller.SetDeadline(time.Now().Add(shortReadTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	requireInterimResponse(t, bufio.NewReader(caller))
+	writeText(t, caller, "hi")
+	if got := <-received; got != "hi <nil>" {
+		t.Errorf("readBody after the interim response = %q, want the body without an error", got)
+	}
+}
