A worker's response with an invalid status line reaches no caller

What callers saw: a worker in trouble answered with the status 000, and the caller got that as an answer (with the status 200, on both proxies and for both kinds of workers).

Cause: the status was read from fasthttp's response header, which stands for a status of 0 as 200. The same parser skips empty lines before the status line, takes any amount of blanks in it, protocol versions other than HTTP/1.x, and control bytes in the reason phrase.

Mend: package http1 holds the syntax of messages by RFC 9110 and 9112, and ParseStatusLine reads the status line before the library does. The token and field syntax of callers' requests moves there, so that both directions share it.

Evidence: TestInvalidStatusLineReachesNoCaller sends the bytes through one and two proxies, for both kinds of workers.

--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"meadowhinge/internal/errs"
+	"meadowhinge/internal/http1"
 	"meadowhinge/schema"
 )
 
@@ -105,20 +106,40 @@
 // readFinalHeader reads the header of the final response, and skips interim responses (RFC 9110, section 15.2).
 func (x *exchange) readFinalHeader(reader *bufio.Reader) error {
 	for range maxResponseHeaders {
+		line, err := peekLine(reader)
+		if err != nil {
+			return errs.Wrap(err, transferErrorCode(err), "reading the status line of the worker's response")
+		}
+		status, err := http1.ParseStatusLine(line)
+		if err != nil {
+			return err
+		}
 		if err := x.response.Header.Read(reader); err != nil {
 			return errs.Wrap(err, transferErrorCode(err), "reading the header of the worker's response")
 		}
-		status := x.response.StatusCode()
 		switch {
-		case status >= 200 && status <= 599:
+		case status.Status >= fasthttp.StatusOK:
 			return nil
-		case status < 100 || status > 199 || status == fasthttp.StatusSwitchingProtocols:
-			return errs.New(errs.InvalidResponse, "worker's response has the invalid status "+strconv.Itoa(status))
+		case status.Status == fasthttp.StatusSwitchingProtocols:
+			return errs.New(errs.InvalidResponse, "worker's response switches to another protocol")
 		}
 	}
 	return errs.New(errs.InvalidResponse, "worker sent no final response within "+strconv.Itoa(maxResponseHeaders)+" responses")
 }
 
+// peekLine returns the next line without its line end, and leaves it in the reader.
+func peekLine(reader *bufio.Reader) ([]byte, error) {
+	for count := 1; ; count = reader.Buffered() + 1 {
+		if _, err := reader.Peek(count); err != nil {
+			return nil, err
+		}
+		buffered, _ := reader.Peek(reader.Buffered()) // cannot fail
+		if line, _, found := bytes.Cut(buffered, []byte("\r\n")); found {
+			return line, nil
+		}
+	}
+}
+
 // readBody reads the body of the final response, whose header has been read.
 func (x *exchange) readBody(reader *bufio.Reader) error {
 	x.body = nil
--- a/internal/proxy/disconnect_mesh_test.go
+++ b/internal/proxy/disconnect_mesh_test.go
@@ -94,16 +94,23 @@
 // callerProxy and workerProxy; a proxy with an empty address has none. slots is the number of calls that a worker serves
 // concurrently.
 func startMesh(t *testing.T, callerSideWorker, workerSideWorker string, slots uint32) *twoProxyMesh {
+	t.Helper()
+	return startMeshOf(t, dispatch.NativeCodec{}, callerSideWorker, workerSideWorker, slots)
+}
+
+// startMeshOf starts two proxies like startMesh, with workers that speak codec.
+func startMeshOf(t *testing.T, codec dispatch.WorkerCodec, callerSideWorker, workerSideWorker string, slots uint32) *twoProxyMesh {
 	t.Helper()
 	newOptions := func(name string) *schema.ProxyOptions {
 		opts := standaloneOptions(name)
+		opts.BodyMost = 2 * uploadBytes
 		opts.Callers = "shop=127.0.0.1:0"
 		opts.HorizonMost = int64(time.Minute)
 		return opts
 	}
 	m := &twoProxyMesh{
-		callerProxy: proxy.StartStandaloneProxy(t, newOptions("caller-proxy"), "shop"),
-		workerProxy: proxy.StartStandaloneProxy(t, newOptions("worker-proxy"), "saves"),
+		callerProxy: proxy.StartStandaloneProxy(t, newOptions("caller-proxy"), "shop", proxy.WithWorkerCodec(codec)),
+		workerProxy: proxy.StartStandaloneProxy(t, newOptions("worker-proxy"), "saves", proxy.WithWorkerCodec(codec)),
 	}
 	register := func(standalone *proxy.StandaloneProxy, worker string) {
 		if worker == "" {
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"meadowhinge/internal/errs"
+	"meadowhinge/internal/http1"
 )
 
 // readBody reads the body that the header announces. It returns nil for a request without a body. It fails with:
@@ -135,7 +136,7 @@
 	}
 	digits, extension, _ := bytes.Cut(line, []byte(";"))
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 62)
-	if err != nil || len(digits) == 0 || !isHexDigit(digits[0]) || !isPrintable(string(extension), ' ') {
+	if err != nil || len(digits) == 0 || !isHexDigit(digits[0]) || !http1.IsFieldContent(extension) {
 		return 0, malformed("invalid chunk size")
 	}
 	return size, nil
--- a/internal/proxy/request_header_parser.go
+++ b/internal/proxy/request_header_parser.go
@@ -5,36 +5,9 @@
 	"strings"
 
 	"meadowhinge/internal/errs"
+	"meadowhinge/internal/http1"
 )
 
-// tokenBytes is the set of bytes permitted in header names and methods (RFC 9110, section 5.6.2).
-var tokenBytes = func() (table [256]bool) {
-	for _, char := range "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ" {
-		table[char] = true
-	}
-	return table
-}()
-
-// isToken reports whether text is a valid header name or method.
-func isToken(text string) bool {
-	for i := 0; i < len(text); i++ {
-		if !tokenBytes[text[i]] {
-			return false
-		}
-	}
-	return text != ""
-}
-
-// isPrintable reports whether every byte of text is at least minByte and none is DEL. Tabs are permitted.
-func isPrintable(text string, minByte byte) bool {
-	for i := 0; i < len(text); i++ {
-		if char := text[i]; (char < minByte && char != '\t') || char == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // malformed returns the error of a request that violates the protocol. The error response to the caller contains detail.
 func malformed(detail string) error { return errs.New(errs.MalformedRequest, detail) }
 
@@ -85,7 +58,7 @@
 	method, rest, hasTarget := strings.Cut(line, " ")
 	target, version, hasVersion := strings.Cut(rest, " ")
 	switch {
-	case !hasTarget || !hasVersion || !isToken(method) || target == "" || strings.ContainsRune(target, '\t') || !isPrintable(target, '!'):
+	case !hasTarget || !hasVersion || !http1.IsToken(method) || target == "" || strings.ContainsAny(target, " \t") || !http1.IsFieldContent(target):
 		return malformed("invalid request line")
 	case version != "HTTP/1.1" && version != "HTTP/1.0":
 		return malformed("unsupported protocol version")
@@ -128,7 +101,7 @@
 func (h *RequestHeader) parseHeaderLine(line string, lines *framingLines) error {
 	name, value, hasColon := strings.Cut(line, ":")
 	value = strings.Trim(value, " \t")
-	if !hasColon || !isToken(name) || !isPrintable(value, ' ') {
+	if !hasColon || !http1.IsToken(name) || !http1.IsFieldContent(value) {
 		return malformed("invalid header line")
 	}
 	h.Fields = append(h.Fields, HeaderField{name, value})
@@ -220,5 +193,5 @@
 
 // validHost reports whether text can be a host with or without a port. An empty text is valid.
 func validHost(text string) bool {
-	return isPrintable(text, '!') && !strings.ContainsAny(text, "/?#@\\, \t")
+	return http1.IsFieldContent(text) && !strings.ContainsAny(text, "/?#@\\, \t")
 }
--- /dev/null
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -0,0 +1,178 @@
+package proxy_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/dispatch"
+	"meadowhinge/schema"
+)
+
+// closeDelimitedCodec is the native codec for workers that may end a response by closing the connection.
+type closeDelimitedCodec struct{ dispatch.NativeCodec }
+
+// ReadHeader implements dispatch.WorkerCodec.
+func (c closeDelimitedCodec) ReadHeader(header *fasthttp.ResponseHeader, request *schema.ForwardRequest) dispatch.ResponseInfo {
+	info := c.NativeCodec.ReadHeader(header, request)
+	info.EndsAtClose = true
+	return info
+}
+
+// workerCodecs are the kinds of workers, by whether a response without a length is complete once the worker has closed
+// the connection.
+var workerCodecs = map[string]dispatch.WorkerCodec{
+	"native worker":          dispatch.NativeCodec{},
+	"close-delimited worker": closeDelimitedCodec{},
+}
+
+// uploadBytes is the size of a body that the kernel's socket buffers cannot hold, so that it is still being sent while
+// its worker does not read it.
+const uploadBytes = 16 << 20
+
+// scriptedWorker is a worker that answers the request on each connection by a script.
+type scriptedWorker struct {
+	// answer gets the connection once the head of a request has been read. The connection is closed after it returns.
+	answer func(conn *net.TCPConn, reader *bufio.Reader)
+}
+
+// start listens on the loopback interface until the test ends, and returns the worker's address.
+func (w scriptedWorker) start(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // ends the goroutine below
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// serve reads the head of one request and runs the script.
+func (w scriptedWorker) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }() // fails only if the script has closed the connection
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) == len("\r\n") {
+			break
+		}
+	}
+	w.answer(conn, reader)
+}
+
+// says returns a worker that answers a request with text, byte for byte, and keeps the connection open until the proxy
+// closes it.
+func says(text string) scriptedWorker {
+	return scriptedWorker{func(conn *net.TCPConn, reader *bufio.Reader) {
+		_, _ = io.WriteString(conn, text) // the proxy may have closed the connection
+		_, _ = io.Copy(io.Discard, reader)
+	}}
+}
+
+// callerAnswer is what a caller got.
+type callerAnswer struct {
+	status int
+	fields http.Header
+	body   string
+}
+
+// callThroughMesh sends a request to a worker beside the proxy that the caller is connected to, or beside another one,
+// and returns the answer. A GET is sent if body is empty, otherwise a POST.
+func callThroughMesh(t *testing.T, worker scriptedWorker, codec dispatch.WorkerCodec, workerIsLocal bool, body []byte) callerAnswer {
+	t.Helper()
+	callerSide, workerSide := "", worker.start(t)
+	if workerIsLocal {
+		callerSide, workerSide = workerSide, callerSide
+	}
+	m := startMeshOf(t, codec, callerSide, workerSide, 4)
+	conn, err := net.Dial("tcp", m.callerProxy.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() }) // the answer has been read
+	method := http.MethodGet
+	if len(body) > 0 {
+		method = http.MethodPost
+	}
+	go func() {
+		// The proxy may answer before it has read all. The test then fails by the answer.
+		_, _ = fmt.Fprintf(conn, "%s /commit/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", method, len(body))
+		_, _ = conn.Write(body)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		t.Fatalf("read the proxy's answer: %v", err)
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("read the body of the proxy's answer: %v", err)
+	}
+	return callerAnswer{response.StatusCode, response.Header, string(text)}
+}
+
+// forEachPath runs a test for both kinds of workers, and for a worker beside the caller's proxy and beside another one.
+func forEachPath(t *testing.T, name string, run func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool)) {
+	t.Helper()
+	for kind, codec := range workerCodecs {
+		for _, workerIsLocal := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/%s, at the caller's proxy %t", name, kind, workerIsLocal), func(t *testing.T) {
+				t.Parallel()
+				run(t, codec, workerIsLocal)
+			})
+		}
+	}
+}
+
+// checkRefused checks that a worker's answer did not reach the caller, who got the proxy's own error with one of the
+// codes instead.
+func checkRefused(t *testing.T, got callerAnswer, codes ...string) {
+	t.Helper()
+	for _, code := range codes {
+		if got.status == http.StatusBadGateway && bytes.Contains([]byte(got.body), []byte(`"defect":"`+code+`"`)) {
+			return
+		}
+	}
+	t.Errorf("caller got status %d, fields %v and body %.200q, want 502 and one of the codes %q", got.status, got.fields, got.body, codes)
+}
+
+// A response whose status line is invalid reaches no caller.
+func TestInvalidStatusLineReachesNoCaller(t *testing.T) {
+	for name, statusLine := range map[string]string{
+		"status 000":               "HTTP/1.1 000 None",
+		"status below 100":         "HTTP/1.1 099 Low",
+		"status above 599":         "HTTP/1.1 600 High",
+		"status of two digits":     "HTTP/1.1 20 OK",
+		"status of four digits":    "HTTP/1.1 2000 OK",
+		"status with a sign":       "HTTP/1.1 +20 OK",
+		"status followed by a tab": "HTTP/1.1 200\tOK",
+		"control byte in reason":   "HTTP/1.1 200 O\x00K",
+		"two blanks before status": "HTTP/1.1  200 OK",
+		"another protocol":         "HTTP/2.0 200 OK",
+		"protocol in lower case":   "http/1.1 200 OK",
+		"empty line before it":     "\r\nHTTP/1.1 200 OK",
+		"line feed before it":      "\nHTTP/1.1 200 OK",
+	} {
+		worker := says(statusLine + "\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello")
+		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
+			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
+		})
+	}
+}
