A response without a length is complete only if its end was seen

What callers saw: a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: such a body ends with its connection, and the proxy took the end of the stream for that end. But the kernel reports a reset to one call only. The write of the request got the report (ECONNRESET), and the read after it found just the end of the stream. The error of the write was not looked at, because a response may be complete although sending failed.

Mend: at the end of the stream, a failed write counts as a connection that broke, unless it failed with EPIPE. Linux reports EPIPE for a reset that comes after the other side has closed (the socket is in CLOSE-WAIT), so there the end that the read finds is the worker's own. A length or a last chunk shows the end by itself, so these are as before.

Evidence: TestAnswerResetDuringUploadReachesNoCaller, through one and two proxies.

--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -49,6 +49,7 @@
 	ctx           context.Context // ends when the run must end; never ends for a non-idempotent request
 	sentAt        time.Duration   // start of sending the request, on the process clock; 0 if no byte was sent
 	info          ResponseInfo    // read from the response's header by codec
+	sendErr       error           // error of sending the request; nil if all of it was sent
 	body          []byte          // body of the response as far as it has arrived
 	reservedBytes int64           // bytes acquired from bodyMemory
 }
@@ -65,14 +66,14 @@
 	c.bytesSent = 0
 	writer := writerPool.Get().(*bufio.Writer)
 	writer.Reset(c)
-	writeErr := x.request.Write(writer)
-	if writeErr == nil {
-		writeErr = writer.Flush()
+	x.sendErr = x.request.Write(writer)
+	if x.sendErr == nil {
+		x.sendErr = writer.Flush()
 	}
 	writer.Reset(nil)
 	writerPool.Put(writer)
-	if writeErr != nil && c.bytesSent == 0 {
-		return false, errs.Wrap(writeErr, transferErrorCode(writeErr), "sending the request to the worker")
+	if x.sendErr != nil && c.bytesSent == 0 {
+		return false, errs.Wrap(x.sendErr, transferErrorCode(x.sendErr), "sending the request to the worker")
 	}
 	// A worker may answer a request without reading it to its end, so the response is read even if sending failed.
 	reader := readerPool.Get().(*bufio.Reader)
@@ -99,7 +100,7 @@
 			return false, err
 		}
 		// Bytes after a complete response belong to no request, so the connection is closed.
-		return err == nil && writeErr == nil && staleResponses == 0 && !x.info.ClosesConnection && reader.Buffered() == 0, nil
+		return err == nil && x.sendErr == nil && staleResponses == 0 && !x.info.ClosesConnection && reader.Buffered() == 0, nil
 	}
 }
 
@@ -165,10 +166,16 @@
 
 // readToClose reads a body that ends with the connection. The body is complete if the worker closed the connection, and
 // truncated if the connection was reset or the deadline passed.
+//
+// The kernel reports a reset only once. If sending the request has got the report, a read finds the end of the
+// connection instead of an error. EPIPE reports a reset that came after the worker had closed its side, so the end that
+// the read finds is the worker's own.
 func (x *exchange) readToClose(reader *bufio.Reader) error {
 	for {
 		_, err := reader.Peek(1)
 		switch {
+		case errors.Is(err, io.EOF) && x.sendErr != nil && !errors.Is(x.sendErr, syscall.EPIPE):
+			return errs.Wrap(x.sendErr, transferErrorCode(x.sendErr), "sending the request, before the end of the response body was seen")
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/internal/proxy/disconnect_mesh_test.go
+++ b/internal/proxy/disconnect_mesh_test.go
@@ -131,6 +131,7 @@
 	register(m.callerProxy, callerSideWorker)
 	register(m.workerProxy, workerSideWorker)
 	items := []*schema.Item{
+		newItem("limits", "limits", fmt.Sprintf(`{"bodyMost":%d}`, uploadBytes)),
 		newItem("service", "saves", `{"versions":["v1"],"fallback":"v1"}`),
 		newItem("route", "load", `{"service":"saves","prefix":"/load/","class":"repeatable","horizon":"50s"}`),
 		newItem("route", "commit", `{"service":"saves","prefix":"/commit/","class":"once","horizon":"50s"}`),
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -176,3 +176,58 @@
 		})
 	}
 }
+
+// A response to an upload whose end was not seen, because the worker reset the connection while the upload was still
+// being sent, reaches no caller.
+func TestAnswerResetDuringUploadReachesNoCaller(t *testing.T) {
+	for name, text := range map[string]string{
+		"no length":             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nthe first part of",
+		"no length, no body":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+		"part of its length":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 99\r\n\r\nthe first part of",
+		"no last chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"part of the last line": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r",
+		"part of its head":      "HTTP/1.1 200 OK\r\nContent-Le",
+		"an interim response":   "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		worker := scriptedWorker{func(conn *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.SetLinger(0) // the close that follows resets the connection
+		}}
+		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
+			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, bytes.Repeat([]byte("x"), uploadBytes)), "BAD_ANSWER", "WORKER_LOST")
+		})
+	}
+}
+
+// A complete response to an upload reaches its caller, although the worker resets the connection afterwards while the
+// upload is still being sent. A response without a length is complete once the worker has closed its side.
+func TestCompleteAnswerDuringUploadReachesCaller(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+		"last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"no length":  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhello",
+	} {
+		worker := scriptedWorker{func(conn *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.CloseWrite()
+			_ = conn.SetLinger(0) // the close that follows resets the connection
+		}}
+		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
+			got := callThroughMesh(t, worker, codec, workerIsLocal, bytes.Repeat([]byte("x"), uploadBytes))
+			if _, native := codec.(dispatch.NativeCodec); native && name == "no length" {
+				checkRefused(t, got, "BAD_ANSWER")
+				return
+			}
+			checkPassed(t, got, http.StatusOK, "hello")
+		})
+	}
+}
+
+// checkPassed checks that a caller got the worker's answer.
+func checkPassed(t *testing.T, got callerAnswer, status int, body string) {
+	t.Helper()
+	if got.status != status || got.body != body || got.fields.Get(dispatch.HeaderOutcome) != "answered" {
+		t.Errorf("caller got status %d, fields %v and body %.200q, want the worker's answer with status %d and body %q",
+			got.status, got.fields, got.body, status, body)
+	}
+}
