A worker's response with an invalid field reaches no caller

What callers saw: a worker in trouble sent an answer in whose head the name of a field held a blank or a control byte. Callers got it as an answer, with that line passed on, or with a body that was not the worker's.

Cause: the head was what fasthttp's parser made of the bytes. It accepts blanks in and after a name, joins folded lines to the line before, takes lines that end with a line feed alone, and takes an empty line of that kind for the end of the head: what follows of the head then became the body, where a body may end with its connection. Trailers and interim responses are read by the same parser.

Mend: http1.ResponseHead reads heads by the grammar of RFC 9112 and repairs nothing; fields are passed on as they arrived, in their order. The worker codecs of both kinds and the exchange read that head, and fasthttp no longer reads responses. SkipTrailer reads trailers by the same field syntax.

Evidence: TestInvalidFieldReachesNoCaller, 24 cases through one and two proxies for both kinds of workers.

--- a/internal/dispatch/worker_call.go
+++ b/internal/dispatch/worker_call.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"meadowhinge/internal/errs"
+	"meadowhinge/internal/http1"
 	"meadowhinge/schema"
 )
 
@@ -29,9 +30,10 @@
 func (r *Runner) sendToWorker(
 	ctx context.Context, worker *localWorker, request *incomingRequest, delivery *workerDelivery,
 ) *schema.ForwardResponse {
-	httpRequest, httpResponse := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	httpRequest := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(httpRequest)
-	defer fasthttp.ReleaseResponse(httpResponse)
+	head := headPool.Get().(*http1.ResponseHead)
+	defer headPool.Put(head)
 	buildRequest(httpRequest, request.ForwardRequest)
 	hasLease, timeLeft := r.HasLease(), request.remaining()
 	token, refusal := r.revalidate(ctx, worker, request.ForwardRequest, hasLease, timeLeft)
@@ -46,11 +48,9 @@
 		Version:  request.Version,
 	}
 	r.Codec.WriteHeaders(httpRequest, request.ForwardRequest, registration, timeLeft-timeLeft/workerMarginDivisor)
-	httpResponse.Header.DisableNormalizing()
-	httpResponse.Header.SetNoDefaultContentType(true)
 	x := exchange{
 		request:      httpRequest,
-		response:     httpResponse,
+		head:         head,
 		codec:        r.Codec,
 		forward:      request.ForwardRequest,
 		deadline:     time.Now().Add(timeLeft),
@@ -137,20 +137,20 @@
 	case x.info.NotExecuted:
 		delivery.result = ResultRejected
 		return markReachedWorker(notExecuted(errs.QueueFull, 0))
-	case !r.Codec.ValidBody(&x.response.Header, x.body):
+	case !r.Codec.ValidBody(x.head, x.body):
 		return outcomeUnknown(errs.InvalidResponse)
 	}
 	delivery.result = ResultAnswered
 	response := &schema.ForwardResponse{
 		Outcome:  schema.CallOutcome_CALL_OUTCOME_ANSWERED,
-		Status:   int32(x.response.StatusCode()),
+		Status:   int32(x.head.Status),
 		Body:     x.body,
 		Length:   uint64(len(x.body)),
 		Checksum: crc32.ChecksumIEEE(x.body),
 	}
-	for name, value := range x.response.Header.All() {
-		if r.Codec.PassesHeader(name, true) {
-			response.HeaderBlock = AppendField(response.HeaderBlock, name, value)
+	for _, field := range x.head.Fields {
+		if r.Codec.PassesHeader(field.Name, true) {
+			response.HeaderBlock = AppendField(response.HeaderBlock, field.Name, field.Value)
 		}
 	}
 	return response
--- a/internal/dispatch/worker_codec.go
+++ b/internal/dispatch/worker_codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"meadowhinge/internal/http1"
 	"meadowhinge/schema"
 )
 
@@ -20,7 +21,7 @@
 	Version  string
 }
 
-// ResponseInfo is the information that a [WorkerCodec] reads from the header of a worker's response.
+// ResponseInfo is the information that a [WorkerCodec] reads from the head of a worker's response.
 type ResponseInfo struct {
 	NotExecuted      bool // the worker did not run the request
 	WrongWorker      bool // another worker has this address, and did not run the request
@@ -41,10 +42,10 @@
 	// WriteHeaders sets the headers of a request that are meant for the worker itself. Method, target, body and the
 	// headers passed on from the caller are set already. left is the time that the worker has to answer.
 	WriteHeaders(httpRequest *fasthttp.Request, request *schema.ForwardRequest, worker WorkerRegistration, left time.Duration)
-	// ReadHeader reads the header of a response to the request.
-	ReadHeader(header *fasthttp.ResponseHeader, request *schema.ForwardRequest) ResponseInfo
-	// ValidBody reports whether a body that arrived completely is valid for its header.
-	ValidBody(header *fasthttp.ResponseHeader, body []byte) bool
+	// ReadHeader reads the head of a response to the request.
+	ReadHeader(head *http1.ResponseHead, request *schema.ForwardRequest) ResponseInfo
+	// ValidBody reports whether a body that arrived completely is valid for its head.
+	ValidBody(head *http1.ResponseHead, body []byte) bool
 	// PassesHeader reports whether a header is passed on: from a worker to the caller if response is true, otherwise
 	// from the caller to a worker.
 	PassesHeader(name []byte, response bool) bool
@@ -64,16 +65,16 @@
 
 // ReadHeader recognizes the refusal of a request that was not meant for the worker, and whether the worker closes the
 // connection.
-func (NativeCodec) ReadHeader(header *fasthttp.ResponseHeader, _ *schema.ForwardRequest) ResponseInfo {
+func (NativeCodec) ReadHeader(head *http1.ResponseHead, _ *schema.ForwardRequest) ResponseInfo {
 	return ResponseInfo{
-		WrongWorker:      header.StatusCode() == fasthttp.StatusMisdirectedRequest && len(header.Peek(HeaderRefused)) > 0,
-		ClosesConnection: header.ConnectionClose(),
+		WrongWorker:      head.Status == fasthttp.StatusMisdirectedRequest && len(head.Value(HeaderRefused)) > 0,
+		ClosesConnection: head.ClosesConnection,
 	}
 }
 
 // ValidBody reports false for a body that is declared as JSON and is not valid JSON. An empty body is valid.
-func (NativeCodec) ValidBody(header *fasthttp.ResponseHeader, body []byte) bool {
-	mediaType, _, _ := strings.Cut(string(header.ContentType()), ";")
+func (NativeCodec) ValidBody(head *http1.ResponseHead, body []byte) bool {
+	mediaType, _, _ := strings.Cut(string(head.Value(fasthttp.HeaderContentType)), ";")
 	return len(body) == 0 || strings.TrimSpace(strings.ToLower(mediaType)) != "application/json" || json.Valid(body)
 }
 
--- a/internal/dispatch/worker_conns_fuzz_test.go
+++ b/internal/dispatch/worker_conns_fuzz_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
+	"meadowhinge/internal/http1"
 	"meadowhinge/schema"
 )
 
@@ -21,10 +21,9 @@
 	}
 	const maxBodyBytes = 1 << 12
 	f.Fuzz(func(t *testing.T, text []byte) {
-		response := fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseResponse(response)
+		head := &http1.ResponseHead{}
 		x := &exchange{
-			response:     response,
+			head:         head,
 			codec:        testCodec{},
 			forward:      &schema.ForwardRequest{Request: "r"},
 			deadline:     time.Now().Add(time.Minute),
@@ -33,19 +32,19 @@
 		}
 		defer x.releaseMemory()
 		reader := bufio.NewReader(bytes.NewReader(text))
-		if x.readFinalHeader(reader) != nil {
+		if x.readFinalHead(reader) != nil {
 			return
 		}
-		x.info = x.codec.ReadHeader(&response.Header, x.forward)
+		x.info = x.codec.ReadHeader(head, x.forward)
 		err := x.readBody(reader)
 		if len(x.body) > maxBodyBytes {
 			t.Fatalf("readBody: got a body of %d bytes, want at most %d", len(x.body), maxBodyBytes)
 		}
-		if status := response.StatusCode(); err == nil && (status < 200 || status > 599) {
-			t.Fatalf("readFinalHeader: accepted the status %d, want only 200 to 599", status)
+		if status := head.Status; err == nil && (status < 200 || status > 599) {
+			t.Fatalf("readFinalHead: accepted the status %d, want only 200 to 599", status)
 		}
-		if length := response.Header.ContentLength(); err == nil && length > 0 && !HasNoBody(x.forward.Method, response.StatusCode()) && len(x.body) != length {
-			t.Fatalf("readBody: accepted a body of %d bytes as complete, want Content-Length %d", len(x.body), length)
+		if err == nil && head.BodyEnd == http1.EndsWithLength && !HasNoBody(x.forward.Method, head.Status) && uint64(len(x.body)) != head.ContentLength {
+			t.Fatalf("readBody: accepted a body of %d bytes as complete, want Content-Length %d", len(x.body), head.ContentLength)
 		}
 	})
 }
--- a/internal/dispatch/worker_conns_test.go
+++ b/internal/dispatch/worker_conns_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"meadowhinge/internal/errs"
+	"meadowhinge/internal/http1"
 	"meadowhinge/internal/plan"
 	"meadowhinge/schema"
 )
@@ -32,13 +33,13 @@
 }
 
 // ReadHeader implements WorkerCodec. A response without a length ends with its connection.
-func (testCodec) ReadHeader(header *fasthttp.ResponseHeader, request *schema.ForwardRequest) ResponseInfo {
-	id := string(header.Peek("X-Id"))
+func (testCodec) ReadHeader(head *http1.ResponseHead, request *schema.ForwardRequest) ResponseInfo {
+	id := string(head.Value("X-Id"))
 	return ResponseInfo{
 		WrongRequest:     id != "" && id != request.Request,
-		NotExecuted:      len(header.Peek("X-Unrun")) > 0,
-		WrongWorker:      header.StatusCode() == http.StatusMisdirectedRequest,
-		ClosesConnection: header.ConnectionClose(),
+		NotExecuted:      len(head.Value("X-Unrun")) > 0,
+		WrongWorker:      head.Status == http.StatusMisdirectedRequest,
+		ClosesConnection: head.ClosesConnection,
 		EndsAtClose:      true,
 	}
 }
--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -23,24 +23,27 @@
 
 // Bounds on what a worker may send in response to one request.
 const (
-	maxResponseHeaders = 16       // headers of interim responses and of the final one together
-	maxStaleResponses  = 4        // complete responses to other requests that are skipped
-	bodyChunkSize      = 1 << 16  // first capacity of a body buffer, in bytes; a larger body counts against bodyMemory
-	maxHeaderBytes     = 16 << 10 // size of the read buffer in bytes, which a response header must fit in
+	maxResponseHeads  = 16       // heads of interim responses and of the final one together
+	maxStaleResponses = 4        // complete responses to other requests that are skipped
+	bodyChunkSize     = 1 << 16  // first capacity of a body buffer, in bytes; a larger body counts against bodyMemory
+	maxHeadBytes      = 16 << 10 // size of the head or the trailer of a response, and of the read buffer, in bytes
 )
 
+// headPool holds heads, whose buffers are used again.
+var headPool = sync.Pool{New: func() any { return &http1.ResponseHead{} }}
+
 // readerPool and writerPool hold the read and write buffers. A connection has buffers only during an exchange, so that
 // idle connections hold none.
 var (
-	readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxHeaderBytes) }}
+	readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxHeadBytes) }}
 	writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
 )
 
 // exchange is one request to a worker and its response. Only the goroutine of the request uses it.
 type exchange struct {
 	request      *fasthttp.Request
-	response     *fasthttp.Response     // its header is valid once the exchange has succeeded; its body is not used
-	codec        WorkerCodec            // reads the response's header
+	head         *http1.ResponseHead    // head of the last response that was read
+	codec        WorkerCodec            // reads the response's head
 	forward      *schema.ForwardRequest // the request as it came from the caller's proxy
 	deadline     time.Time              // deadline of all reads and writes
 	maxBodyBytes int                    // upper bound on the size of the response body
@@ -48,7 +51,7 @@
 
 	ctx           context.Context // ends when the run must end; never ends for a non-idempotent request
 	sentAt        time.Duration   // start of sending the request, on the process clock; 0 if no byte was sent
-	info          ResponseInfo    // read from the response's header by codec
+	info          ResponseInfo    // read from the response's head by codec
 	sendErr       error           // error of sending the request; nil if all of it was sent
 	body          []byte          // body of the response as far as it has arrived
 	reservedBytes int64           // bytes acquired from bodyMemory
@@ -83,10 +86,10 @@
 		readerPool.Put(reader)
 	}()
 	for staleResponses := 0; ; staleResponses++ {
-		if err := x.readFinalHeader(reader); err != nil {
+		if err := x.readFinalHead(reader); err != nil {
 			return false, err
 		}
-		x.info = x.codec.ReadHeader(&x.response.Header, x.forward)
+		x.info = x.codec.ReadHeader(x.head, x.forward)
 		err := x.readBody(reader)
 		// A late response to another request is skipped.
 		if x.info.WrongRequest && err == nil && staleResponses < maxStaleResponses {
@@ -95,72 +98,52 @@
 		if x.info.WrongRequest {
 			return false, errs.New(errs.InvalidResponse, "worker's response belongs to another request")
 		}
-		// A header that proves that the request did not run is sufficient, even if reading the body fails.
+		// A head that proves that the request did not run is sufficient, even if reading the body fails.
 		if err != nil && !x.info.NotExecuted && !x.info.WrongWorker {
 			return false, err
 		}
 		// Bytes after a complete response belong to no request, so the connection is closed.
-		return err == nil && x.sendErr == nil && staleResponses == 0 && !x.info.ClosesConnection && reader.Buffered() == 0, nil
+		return err == nil && x.sendErr == nil && staleResponses == 0 && !x.closesConnection() && reader.Buffered() == 0, nil
 	}
 }
 
-// readFinalHeader reads the header of the final response, and skips interim responses (RFC 9110, section 15.2).
-func (x *exchange) readFinalHeader(reader *bufio.Reader) error {
-	for range maxResponseHeaders {
-		line, err := peekLine(reader)
-		if err != nil {
-			return errs.Wrap(err, transferErrorCode(err), "reading the status line of the worker's response")
-		}
-		status, err := http1.ParseStatusLine(line)
-		if err != nil {
-			return err
-		}
-		if err := x.response.Header.Read(reader); err != nil {
-			return errs.Wrap(err, transferErrorCode(err), "reading the header of the worker's response")
+// closesConnection reports whether the connection ends with the response, whose head has been read.
+func (x *exchange) closesConnection() bool {
+	endsWithBody := x.head.BodyEnd == http1.EndsWithConnection && !HasNoBody(x.forward.Method, x.head.Status)
+	return x.info.ClosesConnection || endsWithBody
+}
+
+// readFinalHead reads the head of the final response, and skips interim responses (RFC 9110, section 15.2).
+func (x *exchange) readFinalHead(reader *bufio.Reader) error {
+	for range maxResponseHeads {
+		if err := x.head.Read(reader, maxHeadBytes); err != nil {
+			return errs.Wrap(err, transferErrorCode(err), "reading the head of the worker's response")
 		}
 		switch {
-		case status.Status >= fasthttp.StatusOK:
+		case x.head.Status >= fasthttp.StatusOK:
 			return nil
-		case status.Status == fasthttp.StatusSwitchingProtocols:
+		case x.head.Status == fasthttp.StatusSwitchingProtocols:
 			return errs.New(errs.InvalidResponse, "worker's response switches to another protocol")
 		}
 	}
-	return errs.New(errs.InvalidResponse, "worker sent no final response within "+strconv.Itoa(maxResponseHeaders)+" responses")
-}
-
-// peekLine returns the next line without its line end, and leaves it in the reader.
-func peekLine(reader *bufio.Reader) ([]byte, error) {
-	for count := 1; ; count = reader.Buffered() + 1 {
-		if _, err := reader.Peek(count); err != nil {
-			return nil, err
-		}
-		buffered, _ := reader.Peek(reader.Buffered()) // cannot fail
-		if line, _, found := bytes.Cut(buffered, []byte("\r\n")); found {
-			return line, nil
-		}
-	}
+	return errs.New(errs.InvalidResponse, "worker sent no final response within "+strconv.Itoa(maxResponseHeads)+" responses")
 }
 
-// readBody reads the body of the final response, whose header has been read.
+// readBody reads the body of the final response, whose head has been read.
 func (x *exchange) readBody(reader *bufio.Reader) error {
 	x.body = nil
-	header := &x.response.Header
-	// Values of ContentLength for a response without such a header.
-	const (
-		chunkedLength = -1
-		untilClose    = -2 // the body ends with the connection
-	)
-	length := header.ContentLength()
+	head := x.head
 	switch {
-	case HasNoBody(x.forward.Method, header.StatusCode()):
+	case HasNoBody(x.forward.Method, head.Status):
 		return nil
-	case length == chunkedLength:
-		return x.readChunks(reader, header)
-	case length == untilClose && x.info.EndsAtClose:
+	case head.BodyEnd == http1.EndsWithLastChunk:
+		return x.readChunks(reader)
+	case head.BodyEnd == http1.EndsWithConnection && x.info.EndsAtClose:
 		return x.readToClose(reader)
-	case length < 0 || length > x.maxBodyBytes:
+	case head.BodyEnd == http1.EndsWithConnection || head.ContentLength > uint64(x.maxBodyBytes):
 		return errs.New(errs.InvalidResponse, "worker's response has no Content-Length, or one above "+strconv.Itoa(x.maxBodyBytes)+" bytes")
 	}
+	length := int(head.ContentLength)
 	return x.appendBody(reader, length, length)
 }
 
@@ -190,7 +173,7 @@
 }
 
 // readChunks reads a body in chunked transfer coding, with its trailer (RFC 9112, section 7.1).
-func (x *exchange) readChunks(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+func (x *exchange) readChunks(reader *bufio.Reader) error {
 	for {
 		line, err := reader.ReadSlice('\n')
 		if err != nil {
@@ -203,7 +186,7 @@
 		case err != nil || len(x.body)+int(size) > x.maxBodyBytes:
 			return errs.New(errs.InvalidResponse, "chunk size is invalid, or the response body exceeds "+strconv.Itoa(x.maxBodyBytes)+" bytes")
 		case size == 0:
-			err = header.ReadTrailer(reader)
+			err = http1.SkipTrailer(reader, maxHeadBytes)
 			return errs.Wrap(err, transferErrorCode(err), "reading the trailer after the last chunk")
 		}
 		if err := x.appendBody(reader, int(size), x.maxBodyBytes); err != nil {
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -9,9 +9,8 @@
 	"net/http"
 	"testing"
 
-	"github.com/valyala/fasthttp"
-
 	"meadowhinge/internal/dispatch"
+	"meadowhinge/internal/http1"
 	"meadowhinge/schema"
 )
 
@@ -19,8 +18,8 @@
 type closeDelimitedCodec struct{ dispatch.NativeCodec }
 
 // ReadHeader implements dispatch.WorkerCodec.
-func (c closeDelimitedCodec) ReadHeader(header *fasthttp.ResponseHeader, request *schema.ForwardRequest) dispatch.ResponseInfo {
-	info := c.NativeCodec.ReadHeader(header, request)
+func (c closeDelimitedCodec) ReadHeader(head *http1.ResponseHead, request *schema.ForwardRequest) dispatch.ResponseInfo {
+	info := c.NativeCodec.ReadHeader(head, request)
 	info.EndsAtClose = true
 	return info
 }
@@ -231,3 +230,42 @@
 			got.status, got.fields, got.body, status, body)
 	}
 }
+
+// A response in which a field line of the head or of the trailer is invalid reaches no caller.
+func TestInvalidFieldReachesNoCaller(t *testing.T) {
+	const plainEnd = "Content-Length: 5\r\n\r\nhello"
+	for name, text := range map[string]string{
+		"blank in a name":                 "X Odd: 1\r\n" + plainEnd,
+		"blank in the name of the length": "Content Length: 3\r\n" + plainEnd,
+		"blank in the name of the coding": "Transfer Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"blank before the colon":          "Content-Length : 5\r\n\r\nhello",
+		"blank before a name":             "X-Even: 1\r\n X-Odd: 1\r\n" + plainEnd,
+		"tab before the length":           "X-Even: 1\r\n\tContent-Length: 3\r\n" + plainEnd,
+		"line feed before a name":         "X-Even: 1\r\n\nContent-Length: 3\r\n" + plainEnd,
+		"line feed before the first name": "\nX-Odd: 1\r\n" + plainEnd,
+		"line ended by a line feed":       "X-Even: 1\n" + plainEnd,
+		"tab in a name":                   "X-\tOdd: 1\r\n" + plainEnd,
+		"NUL in a name":                   "X-Odd\x00: 1\r\n" + plainEnd,
+		"escape in a name":                "X-\x1bOdd: 1\r\n" + plainEnd,
+		"DEL in a name":                   "X-\x7fOdd: 1\r\n" + plainEnd,
+		"carriage return in a name":       "X-\rOdd: 1\r\n" + plainEnd,
+		"byte above ASCII in a name":      "X-\xfcOdd: 1\r\n" + plainEnd,
+		"no name":                         ": 1\r\n" + plainEnd,
+		"no colon":                        "X-Odd\r\n" + plainEnd,
+		"control byte in a value":         "X-Odd: a\x01b\r\n" + plainEnd,
+		"carriage return in a value":      "X-Odd: a\rContent-Length: 3\r\n" + plainEnd,
+		"blank in a trailer's name":       "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Odd: 1\r\n\r\n",
+		"control byte in a trailer":       "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-\x01Odd: 1\r\n\r\n",
+		"line feed in a trailer":          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Odd: 1\n\r\n",
+		"length in a trailer":             "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
+	} {
+		worker := says("HTTP/1.1 200 OK\r\n" + text)
+		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
+			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
+		})
+	}
+	worker := says("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + plainEnd)
+	forEachPath(t, "blank in a name of an interim response", func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
+		checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
+	})
+}
