A worker's response whose framing is not sound reaches no caller

What callers saw: of a response of HTTP/1.0 with a transfer coding, whose chunks were taken for the body where a body may end with its connection, they got the raw chunks. With both a transfer coding and a length, or with chunk lines that end with a line feed alone or hold a control byte, the proxy's guess at the body was passed on.

Mend: a head with Transfer-Encoding is refused if it also has a length, if it is of HTTP/1.0, or if the coding is not chunked once (RFC 9112, sections 6.1 and 6.3). Lines between chunks end with CR LF. The size of a chunk is parsed by one function for requests and responses.

Evidence: TestInvalidFramingReachesNoCaller, 27 cases. On the code before, 8 failed: coding of HTTP/1.0 with and without a length, coding with a length in both orders, lone line feeds after a size, after the last size and in an extension, a control byte in an extension. All pass now; the others were refused already and stay as tests.

--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -175,30 +174,44 @@
 // readChunks reads a body in chunked transfer coding, with its trailer (RFC 9112, section 7.1).
 func (x *exchange) readChunks(reader *bufio.Reader) error {
 	for {
-		line, err := reader.ReadSlice('\n')
+		size, err := x.readChunkSize(reader)
 		if err != nil {
-			return errs.Wrap(err, transferErrorCode(err), "reading the size of a chunk")
+			return err
 		}
-		// Chunk extensions are ignored.
-		digits, _, _ := bytes.Cut(bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'}), []byte{';'})
-		size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 31)
-		switch {
-		case err != nil || len(x.body)+int(size) > x.maxBodyBytes:
-			return errs.New(errs.InvalidResponse, "chunk size is invalid, or the response body exceeds "+strconv.Itoa(x.maxBodyBytes)+" bytes")
-		case size == 0:
+		if size == 0 {
 			err = http1.SkipTrailer(reader, maxHeadBytes)
 			return errs.Wrap(err, transferErrorCode(err), "reading the trailer after the last chunk")
 		}
-		if err := x.appendBody(reader, int(size), x.maxBodyBytes); err != nil {
+		if err := x.appendBody(reader, size, x.maxBodyBytes); err != nil {
 			return err
 		}
-		if end, err := reader.Peek(2); err != nil || end[0] != '\r' || end[1] != '\n' {
-			return errs.Wrap(errors.Join(err, io.ErrUnexpectedEOF), errs.InvalidResponse, "reading the line break after a chunk")
+		end, err := http1.ReadLine(reader)
+		switch {
+		case err != nil:
+			return errs.Wrap(err, transferErrorCode(err), "reading the line end after a chunk")
+		case len(end) > 0:
+			return errs.New(errs.InvalidResponse, "chunk is longer than its size")
 		}
-		_, _ = reader.Discard(2) // cannot fail: Peek has buffered both bytes
 	}
 }
 
+// readChunkSize reads the line before a chunk and returns the size of the chunk, 0 for the last one. It fails if the
+// chunk does not fit into the longest body.
+func (x *exchange) readChunkSize(reader *bufio.Reader) (int, error) {
+	line, err := http1.ReadLine(reader)
+	if err != nil {
+		return 0, errs.Wrap(err, transferErrorCode(err), "reading the size of a chunk")
+	}
+	size, err := http1.ParseChunkSize(line)
+	if err != nil {
+		return 0, err
+	}
+	if size > uint64(x.maxBodyBytes-len(x.body)) {
+		return 0, errs.New(errs.InvalidResponse, "response body exceeds "+strconv.Itoa(x.maxBodyBytes)+" bytes")
+	}
+	return int(size), nil
+}
+
 // appendBody reads length more bytes of a body of at most limit bytes. The buffer grows only as bytes arrive, because
 // the announced length is not trusted. A body that outgrows bodyChunkSize first acquires limit bytes from bodyMemory.
 // It waits for them, unread, while the bodies of all workers together use up that memory.
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -55,12 +55,18 @@
 	return nil
 }
 
-// applyFraming determines the end of the body and of the connection once all fields are read.
+// applyFraming determines the end of the body and of the connection once all fields are read. Combinations that are no
+// sound framing are refused: they are what request smuggling and response splitting are made of (RFC 9112, sections 6.1
+// and 6.3).
 func (h *ResponseHead) applyFraming(framing *framingFields) error {
 	switch {
-	case framing.hasTransferCoding && !h.HTTP10 && framing.chunkedCodings != 1:
+	case framing.hasTransferCoding && framing.chunkedCodings != 1:
 		return invalid("response does not have the transfer coding chunked exactly once")
-	case framing.hasTransferCoding && !h.HTTP10:
+	case framing.hasTransferCoding && framing.hasLength:
+		return invalid("response has both Transfer-Encoding and Content-Length")
+	case framing.hasTransferCoding && h.HTTP10:
+		return invalid("response of HTTP/1.0 has a Transfer-Encoding")
+	case framing.hasTransferCoding:
 		h.BodyEnd = EndsWithLastChunk
 	case framing.hasLength:
 		h.BodyEnd, h.ContentLength = EndsWithLength, framing.contentLength
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -134,9 +134,8 @@
 	if err != nil {
 		return 0, err
 	}
-	digits, extension, _ := bytes.Cut(line, []byte(";"))
-	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 62)
-	if err != nil || len(digits) == 0 || !isHexDigit(digits[0]) || !http1.IsFieldContent(extension) {
+	size, err := http1.ParseChunkSize(line)
+	if err != nil {
 		return 0, malformed("invalid chunk size")
 	}
 	return size, nil
@@ -180,8 +179,3 @@
 		}
 	}
 }
-
-// isHexDigit reports whether char is a hexadecimal digit.
-func isHexDigit(char byte) bool {
-	return (char >= '0' && char <= '9') || (char|0x20 >= 'a' && char|0x20 <= 'f')
-}
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -24,11 +24,20 @@
 	return info
 }
 
-// workerCodecs are the kinds of workers, by whether a response without a length is complete once the worker has closed
-// the connection.
-var workerCodecs = map[string]dispatch.WorkerCodec{
-	"native worker":          dispatch.NativeCodec{},
-	"close-delimited worker": closeDelimitedCodec{},
+// meshPath is a way of a response from a worker to a caller.
+type meshPath struct {
+	name          string
+	codec         dispatch.WorkerCodec // kind of the worker
+	workerIsLocal bool                 // whether the worker is beside the caller's proxy, or beside another one
+	endsAtClose   bool                 // whether a response without a length is complete once the worker has closed the connection
+}
+
+// meshPaths are the ways of a response through one and two proxies, for both kinds of workers.
+var meshPaths = []meshPath{
+	{name: "native worker, one proxy", codec: dispatch.NativeCodec{}, workerIsLocal: true},
+	{name: "native worker, two proxies", codec: dispatch.NativeCodec{}},
+	{name: "close-delimited worker, one proxy", codec: closeDelimitedCodec{}, endsAtClose: true, workerIsLocal: true},
+	{name: "close-delimited worker, two proxies", codec: closeDelimitedCodec{}, endsAtClose: true},
 }
 
 // uploadBytes is the size of a body that the kernel's socket buffers cannot hold, so that it is still being sent while
@@ -86,6 +95,11 @@
 	}}
 }
 
+// saysAndCloses returns a worker that answers a request with text, byte for byte, and closes the connection.
+func saysAndCloses(text string) scriptedWorker {
+	return scriptedWorker{func(conn *net.TCPConn, _ *bufio.Reader) { _, _ = io.WriteString(conn, text) }}
+}
+
 // callerAnswer is what a caller got.
 type callerAnswer struct {
 	status int
@@ -93,15 +107,15 @@
 	body   string
 }
 
-// callThroughMesh sends a request to a worker beside the proxy that the caller is connected to, or beside another one,
-// and returns the answer. A GET is sent if body is empty, otherwise a POST.
-func callThroughMesh(t *testing.T, worker scriptedWorker, codec dispatch.WorkerCodec, workerIsLocal bool, body []byte) callerAnswer {
+// call sends a request to a worker along the path and returns the answer. A GET is sent if body is empty, otherwise a
+// POST.
+func (p meshPath) call(t *testing.T, worker scriptedWorker, body []byte) callerAnswer {
 	t.Helper()
 	callerSide, workerSide := "", worker.start(t)
-	if workerIsLocal {
+	if p.workerIsLocal {
 		callerSide, workerSide = workerSide, callerSide
 	}
-	m := startMeshOf(t, codec, callerSide, workerSide, 4)
+	m := startMeshOf(t, p.codec, callerSide, workerSide, 4)
 	conn, err := net.Dial("tcp", m.callerProxy.CallerAddress)
 	if err != nil {
 		t.Fatal(err)
@@ -120,6 +134,7 @@
 	if err != nil {
 		t.Fatalf("read the proxy's answer: %v", err)
 	}
+	defer func() { _ = response.Body.Close() }() // the body has been read
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		t.Fatalf("read the body of the proxy's answer: %v", err)
@@ -127,19 +142,6 @@
 	return callerAnswer{response.StatusCode, response.Header, string(text)}
 }
 
-// forEachPath runs a test for both kinds of workers, and for a worker beside the caller's proxy and beside another one.
-func forEachPath(t *testing.T, name string, run func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool)) {
-	t.Helper()
-	for kind, codec := range workerCodecs {
-		for _, workerIsLocal := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s/%s, at the caller's proxy %t", name, kind, workerIsLocal), func(t *testing.T) {
-				t.Parallel()
-				run(t, codec, workerIsLocal)
-			})
-		}
-	}
-}
-
 // checkRefused checks that a worker's answer did not reach the caller, who got the proxy's own error with one of the
 // codes instead.
 func checkRefused(t *testing.T, got callerAnswer, codes ...string) {
@@ -170,9 +172,12 @@
 		"line feed before it":      "\nHTTP/1.1 200 OK",
 	} {
 		worker := says(statusLine + "\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello")
-		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
-			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
-		})
+		for _, path := range meshPaths {
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
+			})
+		}
 	}
 }
 
@@ -192,9 +197,12 @@
 			_, _ = io.WriteString(conn, text)
 			_ = conn.SetLinger(0) // the close that follows resets the connection
 		}}
-		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
-			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, bytes.Repeat([]byte("x"), uploadBytes)), "BAD_ANSWER", "WORKER_LOST")
-		})
+		for _, path := range meshPaths {
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				checkRefused(t, path.call(t, worker, bytes.Repeat([]byte("x"), uploadBytes)), "BAD_ANSWER", "WORKER_LOST")
+			})
+		}
 	}
 }
 
@@ -211,14 +219,17 @@
 			_ = conn.CloseWrite()
 			_ = conn.SetLinger(0) // the close that follows resets the connection
 		}}
-		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
-			got := callThroughMesh(t, worker, codec, workerIsLocal, bytes.Repeat([]byte("x"), uploadBytes))
-			if _, native := codec.(dispatch.NativeCodec); native && name == "no length" {
-				checkRefused(t, got, "BAD_ANSWER")
-				return
-			}
-			checkPassed(t, got, http.StatusOK, "hello")
-		})
+		for _, path := range meshPaths {
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				got := path.call(t, worker, bytes.Repeat([]byte("x"), uploadBytes))
+				if name == "no length" && !path.endsAtClose {
+					checkRefused(t, got, "BAD_ANSWER")
+					return
+				}
+				checkPassed(t, got, http.StatusOK, "hello")
+			})
+		}
 	}
 }
 
@@ -260,12 +271,63 @@
 		"length in a trailer":             "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
 	} {
 		worker := says("HTTP/1.1 200 OK\r\n" + text)
-		forEachPath(t, name, func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
-			checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
-		})
+		for _, path := range meshPaths {
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
+			})
+		}
 	}
 	worker := says("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + plainEnd)
-	forEachPath(t, "blank in a name of an interim response", func(t *testing.T, codec dispatch.WorkerCodec, workerIsLocal bool) {
-		checkRefused(t, callThroughMesh(t, worker, codec, workerIsLocal, nil), "BAD_ANSWER")
-	})
+	for _, path := range meshPaths {
+		t.Run("blank in a name of an interim response"+"/"+path.name, func(t *testing.T) {
+			t.Parallel()
+			checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
+		})
+	}
+}
+
+// A response whose length or coding is not sound reaches no caller.
+func TestInvalidFramingReachesNoCaller(t *testing.T) {
+	const (
+		chunked = "Transfer-Encoding: chunked\r\n"
+		chunks  = "5\r\nhello\r\n0\r\n\r\n"
+	)
+	for name, text := range map[string]string{
+		"coding of HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + chunked + "\r\n" + chunks,
+		"coding of HTTP/1.0, length":    "HTTP/1.0 200 OK\r\n" + chunked + "Content-Length: 15\r\n\r\n" + chunks,
+		"coding and length":             "HTTP/1.1 200 OK\r\n" + chunked + "Content-Length: 5\r\n\r\n" + chunks,
+		"length and coding":             "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n" + chunked + "\r\n" + chunks,
+		"chunked twice":                 "HTTP/1.1 200 OK\r\n" + chunked + chunked + "\r\n" + chunks,
+		"chunked twice in a list":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+		"another coding before chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"another coding":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nhello",
+		"coding with a parameter":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;a=b\r\n\r\n" + chunks,
+		"empty coding":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\nContent-Length: 5\r\n\r\nhello",
+		"two lengths":                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+		"two lengths in a list":         "HTTP/1.1 200 OK\r\nContent-Length: 5, 4\r\n\r\nhello",
+		"empty length":                  "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhello",
+		"length with a sign":            "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
+		"negative length":               "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello",
+		"hexadecimal length":            "HTTP/1.1 200 OK\r\nContent-Length: 0x5\r\n\r\nhello",
+		"length that overflows":         "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551621\r\n\r\nhello",
+		"size ended by a line feed":     "HTTP/1.1 200 OK\r\n" + chunked + "\r\n5\nhello\r\n0\r\n\r\n",
+		"last size ended by line feed":  "HTTP/1.1 200 OK\r\n" + chunked + "\r\n5\r\nhello\r\n0\n\r\n",
+		"control byte in an extension":  "HTTP/1.1 200 OK\r\n" + chunked + "\r\n5;a=\x01\r\nhello\r\n0\r\n\r\n",
+		"line feed in an extension":     "HTTP/1.1 200 OK\r\n" + chunked + "\r\n5;a\nhello\r\n0\r\n\r\n",
+		"blank before a size":           "HTTP/1.1 200 OK\r\n" + chunked + "\r\n 5\r\nhello\r\n0\r\n\r\n",
+		"size with a prefix":            "HTTP/1.1 200 OK\r\n" + chunked + "\r\n0x5\r\nhello\r\n0\r\n\r\n",
+		"size with a sign":              "HTTP/1.1 200 OK\r\n" + chunked + "\r\n+5\r\nhello\r\n0\r\n\r\n",
+		"no size":                       "HTTP/1.1 200 OK\r\n" + chunked + "\r\n\r\nhello\r\n0\r\n\r\n",
+		"size that overflows":           "HTTP/1.1 200 OK\r\n" + chunked + "\r\n10000000000000005\r\nhello\r\n0\r\n\r\n",
+		"chunk longer than its size":    "HTTP/1.1 200 OK\r\n" + chunked + "\r\n4\r\nhello\r\n0\r\n\r\n",
+	} {
+		worker := saysAndCloses(text)
+		for _, path := range meshPaths {
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
+			})
+		}
+	}
 }
