A complete response to an upload that is not read reaches its caller

Found by the test of early complete answers to uploads.

What callers saw: a worker answered an upload at once and completely, read nothing of it and kept the connection open. The caller got 504 at the end of its time.

Cause: the response was read only after the request had been sent. Once the kernel's buffers were full, sending waited for the worker until the deadline, and the response behind it was then too late.

A complete response ends the exchange; if its connection can carry another request, it waits for the rest of the upload for a sixteenth of the time left, because a worker may read on after it has answered (TestAnswerBeforeBodyIsRead). Otherwise sending stops and the connection is closed.

Evidence: TestAnswerBeforeUnreadUploadReachesCaller, 5 kinds of response on all paths.

--- a/internal/dispatch/worker_conns_fuzz_test.go
+++ b/internal/dispatch/worker_conns_fuzz_test.go
@@ -24,6 +24,7 @@
 		head := &http1.ResponseHead{}
 		x := &exchange{
 			head:         head,
+			sending:      &requestSending{},
 			codec:        testCodec{},
 			forward:      &schema.ForwardRequest{Request: "r"},
 			deadline:     time.Now().Add(time.Minute),
--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -51,7 +51,7 @@
 	ctx           context.Context // ends when the run must end; never ends for a non-idempotent request
 	sentAt        time.Duration   // start of sending the request, on the process clock; 0 if no byte was sent
 	info          ResponseInfo    // read from the response's head by codec
-	sendErr       error           // error of sending the request; nil if all of it was sent
+	sending       *requestSending // sending of the request
 	body          []byte          // body of the response as far as it has arrived
 	reservedBytes int64           // bytes acquired from bodyMemory
 }
@@ -62,28 +62,43 @@
 	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
+// uploadGraceDivisor sets how long a response that is complete waits for the rest of its request to be sent:
+// 1/uploadGraceDivisor of the time left. So the connection of a worker that answers before it reads can be used again.
+const uploadGraceDivisor = 16
+
 // exchange sends a request and reads its response. reusable reports whether the connection can carry another request.
 // An error has one of the codes of [transferErrorCode]. If c.bytesSent is 0, nothing was sent.
 func (c *workerConn) exchange(x *exchange) (reusable bool, err error) {
-	c.bytesSent = 0
-	writer := writerPool.Get().(*bufio.Writer)
-	writer.Reset(c)
-	x.sendErr = x.request.Write(writer)
-	if x.sendErr == nil {
-		x.sendErr = writer.Flush()
-	}
-	writer.Reset(nil)
-	writerPool.Put(writer)
-	if x.sendErr != nil && c.bytesSent == 0 {
-		return false, errs.Wrap(x.sendErr, transferErrorCode(x.sendErr), "sending the request to the worker")
+	x.sending = c.startSending(x.request)
+	if x.sending.done == nil && x.sending.err != nil && c.bytesSent == 0 {
+		return false, x.nothingSent()
 	}
-	// A worker may answer a request without reading it to its end, so the response is read even if sending failed.
 	reader := readerPool.Get().(*bufio.Reader)
 	reader.Reset(c.Conn)
 	defer func() {
 		reader.Reset(nil)
 		readerPool.Put(reader)
 	}()
+	// A worker may answer a request without reading it to its end, so the response is valid even if sending fails.
+	mayContinue, err := x.readResponse(reader)
+	if !mayContinue {
+		_ = x.sending.stop() // the connection is closed, so that what was not sent does not matter
+	}
+	sendErr := x.sending.wait(time.Until(x.deadline) / uploadGraceDivisor)
+	if sendErr != nil && c.bytesSent == 0 {
+		return false, x.nothingSent()
+	}
+	return mayContinue && sendErr == nil, err
+}
+
+// nothingSent returns the error of an exchange that could not send a byte of its request.
+func (x *exchange) nothingSent() error {
+	return errs.Wrap(x.sending.err, transferErrorCode(x.sending.err), "sending the request to the worker")
+}
+
+// readResponse reads the response to the request, and skips late responses to other requests. mayContinue reports whether
+// the connection can carry another request once this one has been sent.
+func (x *exchange) readResponse(reader *bufio.Reader) (mayContinue bool, err error) {
 	for staleResponses := 0; ; staleResponses++ {
 		if err := x.readFinalHead(reader); err != nil {
 			return false, err
@@ -102,7 +117,7 @@
 			return false, err
 		}
 		// Bytes after a complete response belong to no request, so the connection is closed.
-		return err == nil && x.sendErr == nil && staleResponses == 0 && !x.closesConnection() && reader.Buffered() == 0, nil
+		return err == nil && staleResponses == 0 && !x.closesConnection() && reader.Buffered() == 0, nil
 	}
 }
 
@@ -148,16 +163,12 @@
 
 // readToClose reads a body that ends with the connection. The body is complete if the worker closed the connection, and
 // truncated if the connection was reset or the deadline passed.
-//
-// The kernel reports a reset only once. If sending the request has got the report, a read finds the end of the
-// connection instead of an error. EPIPE reports a reset that came after the worker had closed its side, so the end that
-// the read finds is the worker's own.
 func (x *exchange) readToClose(reader *bufio.Reader) error {
 	for {
 		_, err := reader.Peek(1)
 		switch {
-		case errors.Is(err, io.EOF) && x.sendErr != nil && !errors.Is(x.sendErr, syscall.EPIPE):
-			return errs.Wrap(x.sendErr, transferErrorCode(x.sendErr), "sending the request, before the end of the response body was seen")
+		case errors.Is(err, io.EOF) && x.sending.foundReset():
+			return errs.Wrap(x.sending.err, transferErrorCode(x.sending.err), "sending the request, before the end of the response body was seen")
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -127,7 +127,7 @@
 	}
 	go func() {
 		// The proxy may answer before it has read all. The test then fails by the answer.
-		_, _ = fmt.Fprintf(conn, "%s /commit/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", method, len(body))
+		_, _ = fmt.Fprintf(conn, "%s /commit/1 HTTP/1.1\r\nHost: a\r\nMeadowhinge-Horizon-Ms: 10000\r\nContent-Length: %d\r\n\r\n", method, len(body))
 		_, _ = conn.Write(body)
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
@@ -331,3 +331,34 @@
 		}
 	}
 }
+
+// A complete response to an upload reaches its caller at once, although the worker reads nothing of the upload, and keeps
+// the connection open until the proxy closes it.
+func TestAnswerBeforeUnreadUploadReachesCaller(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+		"length, and close": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello",
+		"interim responses": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+		"last chunk":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"no length":         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhello",
+	} {
+		for _, path := range meshPaths {
+			if name == "no length" && !path.endsAtClose {
+				continue
+			}
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				done := make(chan struct{})
+				t.Cleanup(func() { close(done) })
+				worker := scriptedWorker{func(conn *net.TCPConn, _ *bufio.Reader) {
+					_, _ = io.WriteString(conn, text)
+					if name == "no length" {
+						_ = conn.CloseWrite()
+					}
+					<-done
+				}}
+				checkPassed(t, path.call(t, worker, bytes.Repeat([]byte("x"), uploadBytes)), http.StatusOK, "hello")
+			})
+		}
+	}
+}
