Fields that a response declares for one connection are not passed on

What callers saw: a field that a worker's response named in Connection reached them, although RFC 9110, section 7.6.1, wants an intermediary to remove it. On the platform a success could so carry a seal or an id of the attempt that is not meant for the caller.

Cause: of Connection only close and keep-alive were looked at; just the fixed list of fields of one connection was left out. Requests did it right already.

--- a/internal/dispatch/worker_call.go
+++ b/internal/dispatch/worker_call.go
@@ -149,7 +149,7 @@
 		Checksum: crc32.ChecksumIEEE(x.body),
 	}
 	for _, field := range x.head.Fields {
-		if r.Codec.PassesHeader(field.Name, true) {
+		if r.Codec.PassesHeader(field.Name, true) && !x.head.IsConnectionOption(field.Name) {
 			response.HeaderBlock = AppendField(response.HeaderBlock, field.Name, field.Value)
 		}
 	}
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -332,8 +332,8 @@
 	}
 }
 
-// A complete response to an upload reaches its caller at once, although the worker reads nothing of the upload, and keeps
-// the connection open until the proxy closes it.
+// A complete response to an upload reaches its caller within the time of the call, although the worker reads nothing of
+// the upload, and keeps the connection open until the proxy closes it.
 func TestAnswerBeforeUnreadUploadReachesCaller(t *testing.T) {
 	for name, text := range map[string]string{
 		"length":            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
@@ -362,3 +362,25 @@
 		}
 	}
 }
+
+// A field that a response declares to be meant for one connection reaches no caller, and neither do the fields that
+// always are.
+func TestFieldsOfOneConnectionReachNoCaller(t *testing.T) {
+	worker := says("HTTP/1.1 200 OK\r\nX-Hop: 1\r\nConnection: x-hop ,, X-Second\r\nx-second: 2\r\nKeep-Alive: timeout=5\r\nX-Stays: 3\r\n" +
+		"Proxy-Connection: close\r\nContent-Length: 5\r\n\r\nhello")
+	for _, path := range meshPaths {
+		t.Run(path.name, func(t *testing.T) {
+			t.Parallel()
+			got := path.call(t, worker, nil)
+			checkPassed(t, got, http.StatusOK, "hello")
+			for _, name := range []string{"X-Hop", "X-Second", "Connection", "Keep-Alive", "Proxy-Connection"} {
+				if value := got.fields.Get(name); value != "" {
+					t.Errorf("caller got the field %s: %s, want it left out", name, value)
+				}
+			}
+			if got.fields.Get("X-Stays") != "3" {
+				t.Errorf("caller got fields %v, want X-Stays: 3 among them", got.fields)
+			}
+		})
+	}
+}
