The caller's proxy checks what another proxy passes on

What callers saw: a proxy of a former release passes on headers whose names hold blanks. The proxy beside the caller wrote the lines as they came, so that a mixed fleet would go on sending such answers. Lines that end the header early, or a second length, would have reached callers as well, and so would any status. An outcome that is not known was taken for a proof that nothing ran.

Cause: isIntact checks the id, the length and the checksum of the body, and nothing else.

Mend: isValid also wants a known outcome and, for an answer, a final status and headers that may be passed on, by the syntax of package http1. Otherwise the outcome is unknown. What was recalled under an idempotency key is checked alike. A status of 000 that a former release reads as 200, and a part that it takes for a whole body, can't be recognised here.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -20,13 +20,6 @@
 	reservedServiceTimes = 2
 )
 
-// isIntact reports whether a response belongs to the request, and its body arrived as it was sent.
-func isIntact(request *schema.ForwardRequest, response *schema.ForwardResponse) bool {
-	return response.Request == request.Request &&
-		uint64(len(response.Body)) == response.Length &&
-		crc32.ChecksumIEEE(response.Body) == response.Checksum
-}
-
 // remainingTarget returns the nanoseconds left until the call's latency target: -1 if the target has passed, and 0 if
 // the call has none. remaining is the time left until the plan's deadline.
 func remainingTarget(callPlan *plan.Plan, remaining time.Duration) int64 {
@@ -123,8 +116,8 @@
 ) *schema.ForwardResponse {
 	if err == nil {
 		f.Outliers.MarkReachable(proxy)
-		// A response to another request, or one that did not arrive intact, proves nothing about this request.
-		if !isIntact(request, response) {
+		// A response to another request, or one that is not valid, proves nothing about this request.
+		if !isIntact(request, response) || !isValid(response) {
 			return outcomeUnknown(errs.InvalidResponse)
 		}
 		return response
--- a/internal/dispatch/forward_keyed.go
+++ b/internal/dispatch/forward_keyed.go
@@ -108,7 +108,7 @@
 	request := newRecallRequest(a.call, a.result, a.remaining())
 	endpoint := plan.Endpoint{Instance: existing.Instance, Proxy: existing.WorkerProxy, Address: existing.Address}
 	response, err := a.forwarder.Send(ctx, endpoint, request)
-	if err != nil || !isIntact(request, response) || response.Outcome == schema.CallOutcome_CALL_OUTCOME_NOT_EXECUTED {
+	if err != nil || !isIntact(request, response) || !isValid(response) || response.Outcome == schema.CallOutcome_CALL_OUTCOME_NOT_EXECUTED {
 		return outcomeUnknown(errs.IdempotencyKeyUnresolved)
 	}
 	return response
--- a/internal/dispatch/header_block.go
+++ b/internal/dispatch/header_block.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"iter"
 	"strings"
+
+	"meadowhinge/internal/http1"
 )
 
 // A header block holds the headers of a request or response as lines of text. Proxies pass the lines on as they
@@ -43,6 +45,21 @@
 	}
 }
 
+// isValidHeaderBlock reports whether each line of a header block is a header that may be passed on: its name is a token,
+// its value has no control byte, and it is not meant for one connection only. Any other line could change where the
+// header ends, or where the body does, for whoever reads the block as text.
+func isValidHeaderBlock(block []byte) bool {
+	for len(block) > 0 {
+		line, rest, ended := bytes.Cut(block, []byte(fieldSeparator))
+		name, value, separated := bytes.Cut(line, []byte(nameSeparator))
+		if !ended || !separated || !http1.IsToken(name) || !http1.IsFieldContent(value) || IsHopByHopHeader(name) {
+			return false
+		}
+		block = rest
+	}
+	return true
+}
+
 // FieldValue returns the value of the first header in a header block with the given name, whatever its case. It is
 // empty if there is none.
 func FieldValue(block []byte, name string) string {
--- a/internal/http1/status_line.go
+++ b/internal/http1/status_line.go
@@ -6,10 +6,10 @@
 	"meadowhinge/internal/errs"
 )
 
-// Bounds of the status codes that RFC 9110, section 15, defines. Codes outside are invalid.
+// MinStatus and MaxStatus bound the status codes that RFC 9110, section 15, defines. Codes outside are invalid.
 const (
-	minStatus = 100
-	maxStatus = 599
+	MinStatus = 100
+	MaxStatus = 599
 )
 
 // StatusLine is the first line of a response.
@@ -41,7 +41,7 @@
 	switch {
 	case len(reason) > 0 && (reason[0] != ' ' || !IsFieldContent(reason)):
 		return StatusLine{}, invalid("response has an invalid reason phrase")
-	case status < minStatus || status > maxStatus:
+	case status < MinStatus || status > MaxStatus:
 		return StatusLine{}, invalid("response has a status outside 100 to 599")
 	}
 	return StatusLine{Status: status, HTTP10: line[minor] == '0'}, nil
--- a/internal/proxy/disconnect_mesh_test.go
+++ b/internal/proxy/disconnect_mesh_test.go
@@ -130,15 +130,20 @@
 	}
 	register(m.callerProxy, callerSideWorker)
 	register(m.workerProxy, workerSideWorker)
-	items := []*schema.Item{
+	items := meshItems()
+	m.workerProxy.Apply(1, items)
+	m.callerProxy.Apply(1, items, m.workerProxy.Source(), m.callerProxy.Source())
+	return m
+}
+
+// meshItems returns the configuration of a twoProxyMesh.
+func meshItems() []*schema.Item {
+	return []*schema.Item{
 		newItem("limits", "limits", fmt.Sprintf(`{"bodyMost":%d}`, uploadBytes)),
 		newItem("service", "saves", `{"versions":["v1"],"fallback":"v1"}`),
 		newItem("route", "load", `{"service":"saves","prefix":"/load/","class":"repeatable","horizon":"50s"}`),
 		newItem("route", "commit", `{"service":"saves","prefix":"/commit/","class":"once","horizon":"50s"}`),
 	}
-	m.workerProxy.Apply(1, items)
-	m.callerProxy.Apply(1, items, m.workerProxy.Source(), m.callerProxy.Source())
-	return m
 }
 
 // send sends a request to callerProxy on a new connection. fields holds additional header lines with their line ends.
