Tests: unusual but valid answers of workers reach their callers

19 kinds of answers through one and two proxies, for both kinds of workers: no reason phrase, names of odd but legal bytes, HTTP/1.0, interim answers, a length stated twice, chunks with extensions and a trailer, no length and a clean end where the kind of worker allows that.

Meant as a guard: what this issue made strict must not refuse these.

--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -384,3 +384,54 @@
 		})
 	}
 }
+
+// A response that is unusual but valid reaches its caller, with its status, its fields and its whole body.
+func TestUnusualAnswerReachesCaller(t *testing.T) {
+	const end = "Content-Length: 5\r\n\r\nhello"
+	for name, test := range map[string]struct {
+		text        string
+		status      int               // wanted status
+		fields      map[string]string // wanted values
+		endsAtClose bool              // the response has no length and ends with the connection
+	}{
+		"no reason phrase":            {text: "HTTP/1.1 200 \r\n" + end, status: 200},
+		"no blank before the reason":  {text: "HTTP/1.1 200\r\n" + end, status: 200},
+		"reason with high bytes":      {text: "HTTP/1.1 200 \t\xfc fine\r\n" + end, status: 200},
+		"status without a name":       {text: "HTTP/1.1 299 Odd\r\n" + end, status: 299},
+		"highest status":              {text: "HTTP/1.1 599 Odd\r\n" + end, status: 599},
+		"HTTP/1.0":                    {text: "HTTP/1.0 200 OK\r\n" + end, status: 200},
+		"later minor version":         {text: "HTTP/1.2 200 OK\r\n" + end, status: 200},
+		"interim responses":           {text: "HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + end, status: 200},
+		"odd names":                   {text: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09: odd\r\nx: lower\r\n" + end, status: 200, fields: map[string]string{"!#$%&'*+-.^_`|~09": "odd", "x": "lower"}},
+		"odd values":                  {text: "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-High: a\t\xff\r\nX-Colon:b:c, \"d\\\"\t \r\n" + end, status: 200, fields: map[string]string{"X-High": "a\t\xff", "X-Colon": "b:c, \"d\\\""}},
+		"fields of one name":          {text: "HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nServer: s\r\nSet-Cookie: b=2\r\n" + end, status: 200, fields: map[string]string{"Set-Cookie": "a=1", "Server": "s"}},
+		"length in lower case":        {text: "HTTP/1.1 200 OK\r\ncontent-length:\t005 \r\n\r\nhello", status: 200},
+		"one length twice":            {text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + end, status: 200},
+		"list of one length":          {text: "HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nhello", status: 200},
+		"chunks":                      {text: "HTTP/1.1 200 OK\r\ntransfer-encoding: , CHUNKED\r\n\r\n0002 ;a=\"b;c\"\r\nhe\r\n3\r\nllo\r\n000\r\n\r\n", status: 200},
+		"chunks with a trailer":       {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\n", status: 200},
+		"clean end":                   {text: "HTTP/1.1 200 OK\r\n\r\nhello", status: 200, endsAtClose: true},
+		"clean end of HTTP/1.0":       {text: "HTTP/1.0 200 OK\r\nX-Odd: 1\r\n\r\nhello", status: 200, endsAtClose: true, fields: map[string]string{"X-Odd": "1"}},
+		"clean end, other connection": {text: "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nhello", status: 200, endsAtClose: true},
+	} {
+		worker := says(test.text)
+		if test.endsAtClose {
+			worker = saysAndCloses(test.text)
+		}
+		for _, path := range meshPaths {
+			if test.endsAtClose && !path.endsAtClose {
+				continue
+			}
+			t.Run(name+"/"+path.name, func(t *testing.T) {
+				t.Parallel()
+				got := path.call(t, worker, nil)
+				checkPassed(t, got, test.status, "hello")
+				for fieldName, want := range test.fields {
+					if value := got.fields.Get(fieldName); value != want {
+						t.Errorf("caller got the field %s: %q, want %q", fieldName, value, want)
+					}
+				}
+			})
+		}
+	}
+}
