A success of CONNECT is no response with a body

What callers could see: a worker's 2xx to CONNECT with a body, as an answer. By RFC 9110, section 9.3.6, what follows such a head is a tunnel, and the length says nothing, so that the caller and the proxy read other things.

Mend: it is refused like 101, which switches the protocol too.

Evidence: the case "unknown: success of CONNECT" failed before. The case "answered: refusal of CONNECT" passed before and after.

--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -123,10 +123,18 @@
 
 // closesConnection reports whether the connection ends with the response, whose head has been read.
 func (x *exchange) closesConnection() bool {
-	endsWithBody := x.head.BodyEnd == http1.EndsWithConnection && !HasNoBody(x.forward.Method, x.head.Status)
+	head := x.head
+	endsWithBody := head.BodyEnd == http1.EndsWithConnection && !HasNoBody(x.forward.Method, head.Status)
 	return x.info.ClosesConnection || endsWithBody
 }
 
+// switchesProtocol reports whether what follows the head is no HTTP response any more: after the status 101, which answers
+// an Upgrade that is never sent, and after a success of CONNECT (RFC 9110, sections 7.8 and 9.3.6).
+func (x *exchange) switchesProtocol() bool {
+	isSuccess := x.head.Status/100 == fasthttp.StatusOK/100
+	return x.head.Status == fasthttp.StatusSwitchingProtocols || (isSuccess && x.forward.Method == fasthttp.MethodConnect)
+}
+
 // readFinalHead reads the head of the final response, and skips interim responses (RFC 9110, section 15.2).
 func (x *exchange) readFinalHead(reader *bufio.Reader) error {
 	for range maxResponseHeads {
@@ -134,10 +142,10 @@
 			return errs.Wrap(err, transferErrorCode(err), "reading the head of the worker's response")
 		}
 		switch {
+		case x.switchesProtocol():
+			return errs.New(errs.InvalidResponse, "worker's response switches to another protocol")
 		case x.head.Status >= fasthttp.StatusOK:
 			return nil
-		case x.head.Status == fasthttp.StatusSwitchingProtocols:
-			return errs.New(errs.InvalidResponse, "worker's response switches to another protocol")
 		}
 	}
 	return errs.New(errs.InvalidResponse, "worker sent no final response within "+strconv.Itoa(maxResponseHeads)+" responses")
