A connection is not used again after a 204 that announces a body

What callers could see: a 204 has no body, but a worker may send one after it. If its bytes arrive after the connection was taken for the next request, they are read as the answer to that: the request ends as unknown, or with an answer that is not its own.

Cause: only bytes that had arrived by then ended the connection.

Mend: a 204 with a length above 0 or a transfer coding, neither of which it may have (RFC 9110, section 8.6, and RFC 9112, section 6.1), is passed on without a body, and its connection is closed.

Evidence: the cases "answered: 204 with a length" and "with a coding" failed before: one connection served both requests.

--- a/internal/dispatch/worker_conns_test.go
+++ b/internal/dispatch/worker_conns_test.go
@@ -189,6 +189,8 @@
 		"unknown: 101 switches the protocol": {first: always("HTTP/1.1 101 Switching\r\n\r\n"), want: [2]schema.CallOutcome{unknown, answeredOutcome}, code: errs.InvalidResponse, opened: 2},
 		"unknown: success of CONNECT":        {first: always("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"), change: func(c *schema.ForwardRequest) { c.Method = "CONNECT" }, want: [2]schema.CallOutcome{unknown, answeredOutcome}, code: errs.InvalidResponse, opened: 2},
 		"answered: refusal of CONNECT":       {first: always("HTTP/1.1 405 No\r\nContent-Length: 3\r\n\r\none"), change: func(c *schema.ForwardRequest) { c.Method = "CONNECT" }, want: [2]schema.CallOutcome{answeredOutcome, answeredOutcome}, opened: 1},
+		"answered: 204 with a length":        {first: always("HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\n"), want: [2]schema.CallOutcome{answeredOutcome, answeredOutcome}, opened: 2},
+		"answered: 204 with a coding":        {first: always("HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n"), want: [2]schema.CallOutcome{answeredOutcome, answeredOutcome}, opened: 2},
 		"unknown: length above the limit":    {first: always("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n"), want: [2]schema.CallOutcome{unknown, answeredOutcome}, code: errs.InvalidResponse, opened: 2},
 		"unknown: unresponsive in the header": {first: always("HTTP/1.1 200 OK\r\n"), change: func(c *schema.ForwardRequest) { c.TimeLeftNanos = int64(20 * time.Millisecond) }, want: [2]schema.CallOutcome{unknown, answeredOutcome},
 			code: errs.DeadlineExceeded, opened: 2},
--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -121,9 +121,13 @@
 	}
 }
 
-// closesConnection reports whether the connection ends with the response, whose head has been read.
+// closesConnection reports whether the connection ends with the response, whose head has been read. It ends also if a
+// response that has no body announces one, because the bytes that may follow belong to no request.
 func (x *exchange) closesConnection() bool {
 	head := x.head
+	if head.Status == fasthttp.StatusNoContent && (head.ContentLength > 0 || head.BodyEnd == http1.EndsWithLastChunk) {
+		return true
+	}
 	endsWithBody := head.BodyEnd == http1.EndsWithConnection && !HasNoBody(x.forward.Method, head.Status)
 	return x.info.ClosesConnection || endsWithBody
 }
