--- a/internal/http1/response_head_test.go
+++ b/internal/http1/response_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -109,3 +110,37 @@
 		}
 	}
 }
+
+// Whatever bytes arrive, a head that is accepted has a valid status and valid fields, and reads the same when it is
+// written out again.
+func FuzzResponseHead(f *testing.F) {
+	for _, lines := range []string{"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close, x\r\nx:\t1 \r\n", "X Odd: 1\r\n", "X: 1\r\n y\r\n", "X: 1\n"} {
+		f.Add([]byte("HTTP/1.1 200 OK\r\n" + lines + "\r\n"))
+	}
+	f.Add([]byte("HTTP/1.0 000\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		head := &ResponseHead{}
+		if head.Read(bufio.NewReader(bytes.NewReader(text)), maxTestBytes) != nil {
+			return
+		}
+		minor := 1
+		if head.HTTP10 {
+			minor = 0
+		}
+		written := fmt.Sprintf("HTTP/1.%d %03d\r\n", minor, head.Status)
+		for _, field := range head.Fields {
+			if !IsToken(field.Name) || !IsFieldContent(field.Value) {
+				t.Fatalf("Read(%q): accepted the field %q: %q", text, field.Name, field.Value)
+			}
+			written += string(field.Name) + ":" + string(field.Value) + "\r\n"
+		}
+		again := &ResponseHead{}
+		if err := again.Read(bufio.NewReader(strings.NewReader(written+"\r\n")), 2*maxTestBytes); err != nil {
+			t.Fatalf("Read(%q): accepted, but not when written as %q: %v", text, written, err)
+		}
+		got := fmt.Sprint(again.StatusLine, again.Fields, again.BodyEnd, again.ContentLength, again.ClosesConnection)
+		if want := fmt.Sprint(head.StatusLine, head.Fields, head.BodyEnd, head.ContentLength, head.ClosesConnection); got != want || head.Status < MinStatus || head.Status > MaxStatus {
+			t.Fatalf("Read(%q) = %s, and %s when written as %q; want the same, and a status from %d to %d", text, want, got, written, MinStatus, MaxStatus)
+		}
+	})
+}
