--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -274,7 +274,7 @@
 // errs.InvalidResponse if the bytes that arrived are no valid response.
 func transferErrorCode(err error) errs.Code {
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errs.DeadlineExceeded
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) || errors.Is(err, net.ErrClosed) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
