An upload whose worker has answered goes on while the worker takes it

Mend: sending goes on while the worker takes something, by what was written and what the kernel still holds, and stops once nothing was taken for a sixteenth of the time left. UnacknowledgedBytes moves from proxy to socket, as both ends of a call ask it.

--- a/internal/dispatch/worker_conns.go
+++ b/internal/dispatch/worker_conns.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,18 +38,27 @@
 // workerConn is one connection to a worker. Only the goroutine that took it from the pool uses it.
 type workerConn struct {
 	net.Conn
-	bytesSent int                       // bytes of the current request that were written to the connection
+	bytesSent atomic.Int64              // bytes of the current request that were written to the connection
 	idleSince time.Duration             // time of the last return to the pool, on the process clock
 	rawConn   syscall.RawConn           // nil if the connection is no socket
 	probe     func(handle uintptr) bool // passed to rawConn.Read, sets noData; allocated once, so that alive allocates nothing
 	noData    bool                      // the last probe found neither data nor the end of the connection
 }
 
+// maxWriteBytes is the most that one write to a connection takes, in bytes, so that bytesSent shows the progress of a large
+// request.
+const maxWriteBytes = 1 << 16
+
 // Write writes to the connection and adds the bytes that were written to bytesSent.
-func (c *workerConn) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	c.bytesSent += count
-	return count, err
+func (c *workerConn) Write(data []byte) (written int, err error) {
+	for {
+		count, err := c.Conn.Write(data[written:min(len(data), written+maxWriteBytes)])
+		written += count
+		c.bytesSent.Add(int64(count))
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
 }
 
 // newWorkerConn returns a worker connection over raw. It prepares the probe if raw is a socket.
@@ -105,7 +115,7 @@
 		}
 		err = c.exchangeOn(conn, x) //nolint:contextcheck // the run's own context, x.ctx, may outlive the call's
 		switch {
-		case err == nil || conn.bytesSent > 0:
+		case err == nil || conn.bytesSent.Load() > 0:
 			return err
 		// Nothing was sent, so another connection may be tried. After a fresh connection none is tried, because a second
 		// fresh one would fail as well. If ctx has ended, acquire returns the error for that in the next round.
@@ -143,13 +153,13 @@
 	startedAt := c.now()
 	stop := context.AfterFunc(x.ctx, conn.interrupt)
 	reusable, err := conn.exchange(x)
-	if conn.bytesSent > 0 {
+	if conn.bytesSent.Load() > 0 {
 		x.sentAt = max(1, startedAt)
 	}
 	// An interrupt that has begun may still take effect, so the connection cannot be used again.
 	if !stop() {
 		reusable = false
-		if err != nil && conn.bytesSent > 0 {
+		if err != nil && conn.bytesSent.Load() > 0 {
 			err = errs.New(errs.CallerDisconnected, c.address)
 		}
 	}
--- a/internal/dispatch/worker_exchange.go
+++ b/internal/dispatch/worker_exchange.go
@@ -62,15 +62,16 @@
 	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-// uploadGraceDivisor sets how long a response that is complete waits for the rest of its request to be sent:
-// 1/uploadGraceDivisor of the time left. So the connection of a worker that answers before it reads can be used again.
-const uploadGraceDivisor = 16
+// uploadStallDivisor sets when sending stops that goes on after the response is complete: once the worker has taken
+// nothing for 1/uploadStallDivisor of the time left. A worker that answers before it reads gets the whole request so, and
+// its connection can be used again.
+const uploadStallDivisor = 16
 
 // exchange sends a request and reads its response. reusable reports whether the connection can carry another request.
 // An error has one of the codes of [transferErrorCode]. If c.bytesSent is 0, nothing was sent.
 func (c *workerConn) exchange(x *exchange) (reusable bool, err error) {
 	x.sending = c.startSending(x.request)
-	if x.sending.done == nil && x.sending.err != nil && c.bytesSent == 0 {
+	if x.sending.done == nil && x.sending.err != nil && c.bytesSent.Load() == 0 {
 		return false, x.nothingSent()
 	}
 	reader := readerPool.Get().(*bufio.Reader)
@@ -84,8 +85,8 @@
 	if !mayContinue {
 		_ = x.sending.stop() // the connection is closed, so that what was not sent does not matter
 	}
-	sendErr := x.sending.wait(time.Until(x.deadline) / uploadGraceDivisor)
-	if sendErr != nil && c.bytesSent == 0 {
+	sendErr := x.sending.wait(time.Until(x.deadline) / uploadStallDivisor)
+	if sendErr != nil && c.bytesSent.Load() == 0 {
 		return false, x.nothingSent()
 	}
 	return mayContinue && sendErr == nil, err
--- a/internal/dispatch/worker_sending.go
+++ b/internal/dispatch/worker_sending.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"meadowhinge/internal/socket"
 )
 
 // maxInlineBodyBytes is the size of the largest request body that is sent before the response is read. The kernel's
@@ -25,7 +27,7 @@
 // startSending starts to send a request. One of the methods wait and stop must be called before the request is released
 // or the connection is used otherwise.
 func (c *workerConn) startSending(request *fasthttp.Request) *requestSending {
-	c.bytesSent = 0
+	c.bytesSent.Store(0)
 	sending := &requestSending{conn: c}
 	if len(request.Body()) <= maxInlineBodyBytes {
 		sending.err = c.send(request)
@@ -36,7 +38,7 @@
 		defer close(sending.done)
 		sending.err = c.send(request)
 		// Nothing can answer a request of which nothing was sent, so that the response is not waited for.
-		if sending.err != nil && c.bytesSent == 0 {
+		if sending.err != nil && c.bytesSent.Load() == 0 {
 			c.interrupt()
 		}
 	}()
@@ -56,19 +58,37 @@
 	return err
 }
 
-// wait waits until all of the request is sent. It stops sending after timeout. It returns the error of sending, which is
-// nil if all was sent.
-func (s *requestSending) wait(timeout time.Duration) error {
+// wait waits until all of the request is sent. It stops sending once the worker has taken nothing for stallTimeout. It
+// returns the error of sending, which is nil if all was sent.
+func (s *requestSending) wait(stallTimeout time.Duration) error {
 	if s.done == nil {
 		return s.err
 	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-s.done:
-	case <-timer.C:
+	ticker := time.NewTicker(max(1, stallTimeout))
+	defer ticker.Stop()
+	for before := s.progress(); ; {
+		select {
+		case <-s.done:
+			return s.err
+		case <-ticker.C:
+		}
+		now := s.progress()
+		if now == before {
+			return s.stop()
+		}
+		before = now
 	}
-	return s.stop()
+}
+
+// sendingProgress changes whenever a worker takes something of a request.
+type sendingProgress struct {
+	written        int64 // bytes of the request that the kernel has accepted, by whole writes
+	unacknowledged int64 // bytes that the kernel still holds
+}
+
+// progress returns the present progress.
+func (s *requestSending) progress() sendingProgress {
+	return sendingProgress{written: s.conn.bytesSent.Load(), unacknowledged: socket.UnacknowledgedBytes(s.conn.Conn)}
 }
 
 // stop stops sending and returns its error, which is nil if all was sent. What was not sent is never sent, so the
--- a/internal/proxy/response_write.go
+++ b/internal/proxy/response_write.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"meadowhinge/internal/socket"
 )
 
 // This file bounds how long a response may take to write. A caller may read as slowly as it likes within the time of its
@@ -41,7 +41,7 @@
 // be cut off. written is the number of bytes of the response that the kernel has accepted.
 func (p *writeProgress) nextDeadline(now time.Time, written int64) (deadline time.Time, mayContinue bool) {
 	// The first check has nothing to compare with.
-	if taken := written - unacknowledgedBytes(p.conn); !p.measured || taken > p.taken {
+	if taken := written - socket.UnacknowledgedBytes(p.conn); !p.measured || taken > p.taken {
 		p.measured, p.taken, p.takenAt = true, taken, now
 	}
 	if now.Sub(p.takenAt) >= p.idleTimeout || !now.Before(p.end) {
@@ -54,26 +54,6 @@
 	return deadline, true
 }
 
-// unacknowledgedBytes returns how many bytes the kernel holds that the other end of a connection has not acknowledged. A
-// system call tells it, because the kernel reports a full socket as writable only once much of its buffer is free. The
-// result is 0 where the call is not supported, so that what the kernel accepts counts as taken.
-func unacknowledgedBytes(conn net.Conn) (count int64) {
-	syscallConn, supported := conn.(syscall.Conn)
-	if !supported {
-		return 0
-	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	queued, queueErr := 0, error(nil)
-	err = raw.Control(func(descriptor uintptr) { queued, queueErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ) })
-	if err != nil || queueErr != nil {
-		return 0
-	}
-	return int64(queued)
-}
-
 // writeParts writes the header and the body of a response to the caller, and returns the number of bytes written. A
 // caller that reads slowly may take until the deadline of its call. One that takes nothing for the idle timeout is given
 // up, up to 1/progressChecksPerIdleTimeout of that later.
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"meadowhinge/internal/dispatch"
 	"meadowhinge/internal/http1"
@@ -107,9 +108,18 @@
 	body   string
 }
 
+// defaultCallTime is the time that a caller gives its call.
+const defaultCallTime = 10 * time.Second
+
 // call sends a request to a worker along the path and returns the answer. A GET is sent if body is empty, otherwise a
 // POST.
 func (p meshPath) call(t *testing.T, worker scriptedWorker, body []byte) callerAnswer {
+	t.Helper()
+	return p.callWithin(t, worker, body, defaultCallTime)
+}
+
+// callWithin is like call, for a call that has callTime.
+func (p meshPath) callWithin(t *testing.T, worker scriptedWorker, body []byte, callTime time.Duration) callerAnswer {
 	t.Helper()
 	callerSide, workerSide := "", worker.start(t)
 	if p.workerIsLocal {
@@ -127,7 +137,8 @@
 	}
 	go func() {
 		// The proxy may answer before it has read all. The test then fails by the answer.
-		_, _ = fmt.Fprintf(conn, "%s /commit/1 HTTP/1.1\r\nHost: a\r\nMeadowhinge-Horizon-Ms: 10000\r\nContent-Length: %d\r\n\r\n", method, len(body))
+		_, _ = fmt.Fprintf(conn, "%s /commit/1 HTTP/1.1\r\nHost: a\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+			method, dispatch.HeaderDeadline, callTime.Milliseconds(), len(body))
 		_, _ = conn.Write(body)
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
@@ -363,6 +374,39 @@
 	}
 }
 
+// A worker that answers an upload completely before it reads it, and then reads it slowly, gets all of it.
+func TestUploadContinuesAfterAnswer(t *testing.T) {
+	const (
+		callTime = 32 * time.Second // an upload of which nothing is taken for a sixteenth of it, 2 s, ends
+		readTime = 3 * time.Second  // time that the worker takes to read the upload
+		pieces   = 64               // parts in which it reads it
+	)
+	for _, path := range meshPaths {
+		t.Run(path.name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan int64, 1)
+			worker := scriptedWorker{func(conn *net.TCPConn, reader *bufio.Reader) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello")
+				total, err := int64(0), error(nil)
+				ticker := time.NewTicker(readTime / pieces)
+				defer ticker.Stop()
+				for err == nil && total < uploadBytes {
+					<-ticker.C
+					count := int64(0)
+					count, err = io.CopyN(io.Discard, reader, uploadBytes/pieces)
+					total += count
+				}
+				received <- total
+				_, _ = io.Copy(io.Discard, reader)
+			}}
+			checkPassed(t, path.callWithin(t, worker, bytes.Repeat([]byte("x"), uploadBytes), callTime), http.StatusOK, "hello")
+			if got := <-received; got != uploadBytes {
+				t.Errorf("worker got %d bytes of the upload, want %d", got, uploadBytes)
+			}
+		})
+	}
+}
+
 // A field that a response declares to be meant for one connection reaches no caller, and neither do the fields that
 // always are.
 func TestFieldsOfOneConnectionReachNoCaller(t *testing.T) {
