--- a/internal/proxy/peer_answers_mesh_test.go
+++ b/internal/proxy/peer_answers_mesh_test.go
@@ -1,11 +1,9 @@
 package proxy_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -69,16 +67,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(eventualTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("read the proxy's answer: %v", err)
-	}
-	defer func() { _ = response.Body.Close() }() // the body has been read
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatalf("read the body of the proxy's answer: %v", err)
-	}
-	return callerAnswer{response.StatusCode, response.Header, string(body)}
+	return readAnswer(t, conn)
 }
 
 // An answer that another proxy should not have accepted from its worker reaches no caller.
--- a/internal/proxy/worker_answers_mesh_test.go
+++ b/internal/proxy/worker_answers_mesh_test.go
@@ -141,7 +141,13 @@
 			method, dispatch.HeaderDeadline, callTime.Milliseconds(), len(body))
 		_, _ = conn.Write(body)
 	}()
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	return readAnswer(t, conn)
+}
+
+// readAnswer reads the answer to a caller's request.
+func readAnswer(t *testing.T, conn net.Conn) callerAnswer {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatalf("read the proxy's answer: %v", err)
 	}
@@ -165,6 +171,18 @@
 	t.Errorf("caller got status %d, fields %v and body %.200q, want 502 and one of the codes %q", got.status, got.fields, got.body, codes)
 }
 
+// checkReachesNoCaller checks that the answer of a worker reaches no caller on any path, and that each caller gets the
+// proxy's own error with one of the codes instead. body is that of the request.
+func checkReachesNoCaller(t *testing.T, name string, worker scriptedWorker, body []byte, codes ...string) {
+	t.Helper()
+	for _, path := range meshPaths {
+		t.Run(name+"/"+path.name, func(t *testing.T) {
+			t.Parallel()
+			checkRefused(t, path.call(t, worker, body), codes...)
+		})
+	}
+}
+
 // A response whose status line is invalid reaches no caller.
 func TestInvalidStatusLineReachesNoCaller(t *testing.T) {
 	for name, statusLine := range map[string]string{
@@ -182,13 +200,7 @@
 		"empty line before it":     "\r\nHTTP/1.1 200 OK",
 		"line feed before it":      "\nHTTP/1.1 200 OK",
 	} {
-		worker := says(statusLine + "\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello")
-		for _, path := range meshPaths {
-			t.Run(name+"/"+path.name, func(t *testing.T) {
-				t.Parallel()
-				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
-			})
-		}
+		checkReachesNoCaller(t, name, says(statusLine+"\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello"), nil, "BAD_ANSWER")
 	}
 }
 
@@ -208,12 +220,7 @@
 			_, _ = io.WriteString(conn, text)
 			_ = conn.SetLinger(0) // the close that follows resets the connection
 		}}
-		for _, path := range meshPaths {
-			t.Run(name+"/"+path.name, func(t *testing.T) {
-				t.Parallel()
-				checkRefused(t, path.call(t, worker, bytes.Repeat([]byte("x"), uploadBytes)), "BAD_ANSWER", "WORKER_LOST")
-			})
-		}
+		checkReachesNoCaller(t, name, worker, bytes.Repeat([]byte("x"), uploadBytes), "BAD_ANSWER", "WORKER_LOST")
 	}
 }
 
@@ -281,21 +288,10 @@
 		"line feed in a trailer":          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Odd: 1\n\r\n",
 		"length in a trailer":             "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
 	} {
-		worker := says("HTTP/1.1 200 OK\r\n" + text)
-		for _, path := range meshPaths {
-			t.Run(name+"/"+path.name, func(t *testing.T) {
-				t.Parallel()
-				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
-			})
-		}
-	}
-	worker := says("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + plainEnd)
-	for _, path := range meshPaths {
-		t.Run("blank in a name of an interim response"+"/"+path.name, func(t *testing.T) {
-			t.Parallel()
-			checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
-		})
+		checkReachesNoCaller(t, name, says("HTTP/1.1 200 OK\r\n"+text), nil, "BAD_ANSWER")
 	}
+	interim := says("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + plainEnd)
+	checkReachesNoCaller(t, "blank in a name of an interim response", interim, nil, "BAD_ANSWER")
 }
 
 // A response whose length or coding is not sound reaches no caller.
@@ -333,13 +329,7 @@
 		"size that overflows":           "HTTP/1.1 200 OK\r\n" + chunked + "\r\n10000000000000005\r\nhello\r\n0\r\n\r\n",
 		"chunk longer than its size":    "HTTP/1.1 200 OK\r\n" + chunked + "\r\n4\r\nhello\r\n0\r\n\r\n",
 	} {
-		worker := saysAndCloses(text)
-		for _, path := range meshPaths {
-			t.Run(name+"/"+path.name, func(t *testing.T) {
-				t.Parallel()
-				checkRefused(t, path.call(t, worker, nil), "BAD_ANSWER")
-			})
-		}
+		checkReachesNoCaller(t, name, saysAndCloses(text), nil, "BAD_ANSWER")
 	}
 }
 
